--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOFUMPT_VERSION := v0.12.0
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOS := $(shell git ls-files '*.proto')
-GO_FILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+GO_FILES = $(wildcard $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$'))
 
 .PHONY: test fmt check-format lint vet race generate check-generated tidy bench tools build
 
--- a/emulator/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package emulator is under construction.
-package emulator
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func epochOf(n int, capacity func(i int) float64) Epoch {
+	epoch := Epoch{Number: 1}
+	for i := range n {
+		epoch.Members = append(epoch.Members, Member{
+			ID: HostID(fmt.Sprintf("host-%02d", i)), Incarnation: Incarnation(i + 1), Capacity: capacity(i), State: Active,
+		})
+	}
+	return epoch
+}
+
+func ordinary(int) float64 { return 1 }
+
+// Guards against ownership that ignores capacity: a host of double size must own about twice as many keys.
+func TestOwnerFollowsCapacity(t *testing.T) {
+	epoch := epochOf(8, func(i int) float64 { return 1 + float64(i%2) })
+	const keys = 24_000
+	owned := make(map[HostID]int)
+	for i := range keys {
+		owner, _ := epoch.Owner(fmt.Sprint("customer-", i))
+		owned[owner.ID]++
+	}
+	for _, m := range epoch.Members {
+		want := keys * m.Capacity / 12
+		if got := float64(owned[m.ID]); math.Abs(got-want)/want > 0.1 {
+			t.Errorf("%s with capacity %g owns %g keys, want about %g", m.ID, m.Capacity, got, want)
+		}
+	}
+}
+
+// Guards against a change of membership that moves keys between hosts that both stay.
+func TestOwnerMovesOnlyKeysOfTheLeavingHost(t *testing.T) {
+	before := epochOf(16, ordinary)
+	after := epochOf(16, ordinary)
+	after.Members[3].State = Leaving
+	for i := range 5_000 {
+		key := fmt.Sprint("customer-", i)
+		was, _ := before.Owner(key)
+		is, _ := after.Owner(key)
+		if was.ID != "host-03" && was.ID != is.ID {
+			t.Fatalf("%s moved from %s to %s", key, was.ID, is.ID)
+		}
+		if is.ID == "host-03" {
+			t.Fatalf("leaving host owns %s", key)
+		}
+	}
+}
+
+func TestOwnerWithoutActiveMember(t *testing.T) {
+	epoch := epochOf(1, ordinary)
+	epoch.Members[0].State = Leaving
+	if owner, ok := epoch.Owner("x"); ok {
+		t.Errorf("got owner %v", owner)
+	}
+}
--- /dev/null
+++ b/traffic/errkind/markdown.go
@@ -0,0 +1,37 @@
+package errkind
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown returns the page docs/errors.md.
+func Markdown() string {
+	var page strings.Builder
+	page.WriteString(`# Errors that a host answers itself
+
+This page is generated from the table in traffic/errkind (run "go test ./traffic/errkind -update").
+
+Every such answer has a JSON body with the fields error, message, outcome, retryable and request_id, and these headers:
+
+- ` + "`" + KindHeader + "`" + `: the kind.
+- ` + "`" + OutcomeHeader + "`" + `: "not-run" if no upstream ran the request, in this attempt or in an earlier one with the same
+  operation id; "unknown" if an upstream may have run it.
+- ` + "`" + RequestIDHeader + "`" + `: the id of the request in logs.
+- ` + "`Retry-After`" + `, in seconds, where a time is known.
+
+"Repeat" says whether the same request may be sent again, with the same Idempotency-Key if it has one.
+
+| kind | status | outcome | repeat | meaning |
+|---|---|---|---|---|
+`)
+	for _, kind := range Kinds() {
+		answer := Table(kind)
+		repeat := "no"
+		if answer.Retryable {
+			repeat = "yes"
+		}
+		fmt.Fprintf(&page, "| `%s` | %d | %s | %s | %s |\n", kind, answer.Status, answer.Outcome, repeat, answer.Message)
+	}
+	return page.String()
+}
