Add the request path with one attempt and its collaborators

The host needs the interfaces of package proxy to be wired. The request path checks form, route, key, lease, rate and queue, and makes one attempt through package forward, which removes keys and hop-by-hop headers and checks that answers are whole. Operations of non-idempotent routes are not claimed yet; idempotency holds the shared types only.

--- /dev/null
+++ b/traffic/forward/budget.go
@@ -0,0 +1,27 @@
+package forward
+
+import "sync/atomic"
+
+// BufferBudget bounds the memory of all buffered bodies of a host. It is safe for concurrent use.
+type BufferBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBufferBudget returns a budget of limit bytes.
+func NewBufferBudget(limit int64) *BufferBudget { return &BufferBudget{limit: limit} }
+
+// Reserve takes n bytes and reports whether they were available.
+func (b *BufferBudget) Reserve(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Release gives n bytes back.
+func (b *BufferBudget) Release(n int64) { b.used.Add(-n) }
+
+// Used returns the bytes in use.
+func (b *BufferBudget) Used() int64 { return b.used.Load() }
--- /dev/null
+++ b/traffic/forward/forwarder.go
@@ -0,0 +1,210 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Options configures a Forwarder.
+type Options struct {
+	// ConnectTimeout bounds the time to obtain a new connection. Default 1 s.
+	ConnectTimeout time.Duration
+	// IdleTimeout bounds the time between two pieces of an answer. Default 5 s.
+	IdleTimeout time.Duration
+	// PooledIdle is for how long an idle connection is kept for another request. Default 5 s.
+	PooledIdle time.Duration
+	// BufferedAnswer is the largest answer in bytes that is read to its end before it is passed on. Default 256 KiB.
+	BufferedAnswer int64
+	// Budget bounds the memory of buffered bodies. Default 64 MiB.
+	Budget *BufferBudget
+	// IdlePerUpstream bounds the idle connections to one upstream. Default 32.
+	IdlePerUpstream int
+}
+
+// The defaults of Options.
+const (
+	defaultConnectTimeout  = time.Second
+	defaultIdleTimeout     = 5 * time.Second
+	defaultPooledIdle      = 5 * time.Second
+	defaultBufferedAnswer  = 256 << 10
+	defaultBudget          = 64 << 20
+	defaultIdlePerUpstream = 32
+)
+
+func (o Options) withDefaults() Options {
+	o.ConnectTimeout = defaultTo(o.ConnectTimeout, defaultConnectTimeout)
+	o.IdleTimeout = defaultTo(o.IdleTimeout, defaultIdleTimeout)
+	o.PooledIdle = defaultTo(o.PooledIdle, defaultPooledIdle)
+	o.BufferedAnswer = defaultTo(o.BufferedAnswer, defaultBufferedAnswer)
+	o.IdlePerUpstream = defaultTo(o.IdlePerUpstream, defaultIdlePerUpstream)
+	if o.Budget == nil {
+		o.Budget = NewBufferBudget(defaultBudget)
+	}
+	return o
+}
+
+func defaultTo[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// Forwarder makes attempts. It is safe for concurrent use.
+type Forwarder struct {
+	options Options
+	pooled  pools
+	single  *http.Transport
+	serial  atomic.Uint64
+}
+
+// New returns a Forwarder.
+func New(options Options) *Forwarder {
+	options = options.withDefaults()
+	f := &Forwarder{options: options, single: newTransport(options, true)}
+	f.pooled.options = options
+	f.serial.Store(randomSerial())
+	return f
+}
+
+// Budget returns the budget of buffered bodies.
+func (f *Forwarder) Budget() *BufferBudget { return f.options.Budget }
+
+// CloseIdle closes the idle connections to all upstreams.
+func (f *Forwarder) CloseIdle() { f.pooled.closeIdle() }
+
+// Do makes one attempt. The context bounds the attempt including the reading of a streamed answer; its deadline is
+// stated to the upstream. The error is a *Failure. A returned Answer must be closed.
+func (f *Forwarder) Do(ctx context.Context, q *Request, target Target) (*Answer, error) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{forwarder: f, ctx: attemptCtx, cancel: cancel, start: time.Now(), attemptID: f.attemptID(q.ID)}
+	var firstByte *time.Timer
+	if target.FirstByte > 0 {
+		firstByte = time.AfterFunc(target.FirstByte, func() { cancel(errFirstByte) })
+	}
+	transport := f.single
+	if q.Idempotent {
+		transport = f.pooled.get(target.Address)
+	}
+	response, err := transport.RoundTrip(a.request(q, target))
+	if firstByte != nil && !firstByte.Stop() && err == nil {
+		_ = response.Body.Close()
+		err = errFirstByte
+	}
+	if err != nil {
+		failure := a.failure(err)
+		cancel(errEnded)
+		if failure.Kind == TimedOut && failure.Reused {
+			// The other pooled connections may be as silent as this one while new ones work.
+			transport.CloseIdleConnections()
+		}
+		return nil, failure
+	}
+	return a.answer(response, q)
+}
+
+func (f *Forwarder) attemptID(requestID string) string {
+	return requestID + "-" + strconv.FormatUint(f.serial.Add(1), 36)
+}
+
+// attempt is the state of one exchange.
+type attempt struct {
+	forwarder *Forwarder
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	start     time.Time
+	attemptID string
+	connected atomic.Bool
+	reused    atomic.Bool
+	bodyError atomic.Pointer[error] // of the caller's body
+}
+
+// request builds the outgoing request.
+func (a *attempt) request(q *Request, target Target) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		a.connected.Store(true)
+		a.reused.Store(info.Reused)
+	}}
+	header := make(http.Header, len(q.Header)+2)
+	for name, values := range q.Header {
+		header[name] = values
+	}
+	header["X-Request-Id"] = []string{a.attemptID}
+	if deadline, ok := a.ctx.Deadline(); ok {
+		left := max(1, time.Until(deadline).Milliseconds())
+		header[TimeoutHeader] = []string{strconv.FormatInt(left, 10)}
+	}
+	request := &http.Request{
+		Method: q.Method, URL: q.url(target.Address), Host: q.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	a.setBody(request, q)
+	return request.WithContext(httptrace.WithClientTrace(a.ctx, trace))
+}
+
+func (a *attempt) setBody(request *http.Request, q *Request) {
+	request.Trailer = q.Trailer
+	if q.Stream != nil {
+		request.ContentLength = q.StreamLength
+		if len(q.Trailer) > 0 {
+			request.ContentLength = -1
+		}
+		request.Body = io.NopCloser(&watchedReader{body: q.Stream, failed: &a.bodyError})
+		return
+	}
+	if len(q.Buffered) == 0 && len(q.Trailer) == 0 {
+		return
+	}
+	request.ContentLength = int64(len(q.Buffered))
+	if len(q.Trailer) > 0 {
+		request.ContentLength = -1
+	}
+	request.Body = io.NopCloser(bytes.NewReader(q.Buffered))
+	if q.Idempotent {
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(q.Buffered)), nil }
+	}
+}
+
+// watchedReader notes that reading the caller's body failed, which is not the upstream's fault.
+type watchedReader struct {
+	body   io.Reader
+	failed *atomic.Pointer[error]
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(p []byte) (int, error) {
+	n, err := w.body.Read(p)
+	if err != nil && err != io.EOF {
+		w.failed.Store(&err)
+	}
+	return n, err
+}
+
+// failure explains an error of the exchange.
+func (a *attempt) failure(err error) *Failure {
+	failure := &Failure{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
+	cause := context.Cause(a.ctx)
+	switch {
+	case errors.Is(err, errEcho), errors.Is(err, errSwitching):
+		failure.Kind = WrongAnswer
+	case a.bodyError.Load() != nil:
+		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
+	case errors.Is(cause, errFirstByte), errors.Is(cause, errIdle), errors.Is(cause, context.DeadlineExceeded):
+		failure.Kind, failure.Cause = TimedOut, cause
+	case errors.Is(err, errFirstByte):
+		failure.Kind = TimedOut
+	case cause != nil:
+		failure.Kind, failure.Cause = Cancelled, cause
+	case !failure.Connected:
+		failure.Kind = NotConnected
+	}
+	return failure
+}
--- /dev/null
+++ b/traffic/forward/header.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"strings"
+)
+
+// TimeoutHeader carries the remaining time of a request in milliseconds, from the caller and to the upstream.
+const TimeoutHeader = "Bronzeyard-Timeout-Ms"
+
+// hopByHop are the headers that concern one connection only (RFC 9110 section 7.6.1), and Expect, which this host has
+// already answered.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Http2-Settings",
+}
+
+// removeHopByHop removes, in place, the headers that concern one connection only.
+func removeHopByHop(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+}
+
+// appendForwarded adds the element of this hop to the Forwarded header (RFC 7239).
+func appendForwarded(header http.Header, remoteAddress, host string) {
+	element := "for=" + forwardedNode(remoteAddress) + ";host=" + quoted(host) + ";proto=http"
+	if earlier := header["Forwarded"]; len(earlier) > 0 {
+		element = strings.Join(earlier, ", ") + ", " + element
+	}
+	header["Forwarded"] = []string{element}
+}
+
+// forwardedNode writes an address as RFC 7239 wants it; IPv6 addresses are bracketed and quoted.
+func forwardedNode(remoteAddress string) string {
+	ip, _, err := net.SplitHostPort(remoteAddress)
+	if err != nil {
+		return "unknown"
+	}
+	if strings.Contains(ip, ":") {
+		return `"[` + ip + `]"`
+	}
+	return ip
+}
+
+// quoted writes a quoted-string without the characters that would need escapes; no host name contains them.
+func quoted(text string) string {
+	if strings.ContainsAny(text, "\"\\") {
+		return `""`
+	}
+	return `"` + text + `"`
+}
--- /dev/null
+++ b/traffic/forward/pool.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// unusedPool is for how long the transport of an upstream that gets no requests is kept.
+const unusedPool = time.Minute
+
+// pools holds one transport per upstream, so that the connections to one upstream can be closed without touching those
+// to others.
+type pools struct {
+	options   Options
+	byAddress sync.Map // string -> *pool
+	sweeping  sync.Mutex
+}
+
+type pool struct {
+	transport *http.Transport
+	lastUsed  atomic.Int64 // unix seconds
+}
+
+func (p *pools) get(address string) *http.Transport {
+	now := time.Now().Unix()
+	if found, ok := p.byAddress.Load(address); ok {
+		entry := found.(*pool)
+		if entry.lastUsed.Load() != now {
+			entry.lastUsed.Store(now)
+		}
+		return entry.transport
+	}
+	entry := &pool{transport: newTransport(p.options, false)}
+	entry.lastUsed.Store(now)
+	found, loaded := p.byAddress.LoadOrStore(address, entry)
+	if !loaded {
+		p.sweep(now)
+	}
+	return found.(*pool).transport
+}
+
+// sweep drops the transports of upstreams that are no longer used. It runs only when a new upstream appears.
+func (p *pools) sweep(now int64) {
+	if !p.sweeping.TryLock() {
+		return
+	}
+	defer p.sweeping.Unlock()
+	p.byAddress.Range(func(address, value any) bool {
+		entry := value.(*pool)
+		if now-entry.lastUsed.Load() > int64(unusedPool/time.Second) {
+			p.byAddress.Delete(address)
+			entry.transport.CloseIdleConnections()
+		}
+		return true
+	})
+}
+
+func (p *pools) closeIdle() {
+	p.byAddress.Range(func(_, value any) bool {
+		value.(*pool).transport.CloseIdleConnections()
+		return true
+	})
+}
+
+// bufferBytes is the read and write buffer of a connection. The default of net/http; written down because it dominates
+// the memory of many open connections.
+const bufferBytes = 4 << 10
+
+func newTransport(options Options, single bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: options.ConnectTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      single,
+		DisableCompression:     true,
+		IdleConnTimeout:        options.PooledIdle,
+		MaxIdleConnsPerHost:    options.IdlePerUpstream,
+		MaxResponseHeaderBytes: 64 << 10,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+	}
+}
+
+// randomSerial starts the numbering of attempts, so that two hosts do not use the same attempt ids.
+func randomSerial() uint64 { return rand.Uint64() >> 16 }
--- /dev/null
+++ b/traffic/proxy/form.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/forward"
+)
+
+// defaultTimeout is the deadline of a route whose policy states none.
+const defaultTimeout = 5 * time.Second
+
+// maxRequestID is the longest request id in bytes that is taken over from a caller.
+const maxRequestID = 128
+
+// Causes of refusals.
+var (
+	errKeyInPath    = errors.New("the key appears in the path or the host name")
+	errSeveralKeys  = errors.New("the request presents several different keys")
+	errKeyMoved     = errors.New("the key belongs to another customer now")
+	errNoService    = errors.New("the service of the route does not exist any more")
+	errTarget       = errors.New("the request target is not a path")
+	errPathSegment  = errors.New("the path has an empty, \".\" or \"..\" segment")
+	errEncodedSlash = errors.New("the path has an encoded slash or backslash")
+	errUpgrade      = errors.New("protocol upgrades are not supported")
+	errTimeout      = errors.New(forward.TimeoutHeader + " is not a positive whole number")
+)
+
+// checkForm refuses requests that this host and an upstream could understand differently, and those that it does not
+// support. net/http has already refused messages with an ambiguous length.
+func checkForm(r *http.Request) error {
+	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
+		return errTarget
+	}
+	if r.Header.Get("Upgrade") != "" {
+		return errUpgrade
+	}
+	return checkPath(r.URL.Path, r.URL.EscapedPath())
+}
+
+// checkPath refuses paths that an upstream may normalise to a path of another route.
+func checkPath(path, escaped string) error {
+	if strings.Contains(path, `\`) || strings.Contains(path, "\x00") {
+		return errEncodedSlash
+	}
+	if strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%2F") {
+		return errEncodedSlash
+	}
+	rest := path[1:]
+	for rest != "" {
+		segment, after, more := strings.Cut(rest, "/")
+		if segment == "." || segment == ".." || (segment == "" && more) {
+			return errPathSegment
+		}
+		rest = after
+	}
+	return nil
+}
+
+// hostName returns the host name of a Host header in lower case without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// callerTimeout reads the caller's own limit.
+func callerTimeout(header http.Header) (time.Duration, bool, error) {
+	text := header.Get(forward.TimeoutHeader)
+	if text == "" {
+		return 0, false, nil
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || milliseconds <= 0 {
+		return 0, false, errTimeout
+	}
+	return time.Duration(milliseconds) * time.Millisecond, true, nil
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestID {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/traffic/proxy/handler.go
@@ -0,0 +1,259 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+	"github.com/bronzeyard/bronzeyard/traffic/forward"
+)
+
+// Options configures a Handler. All interfaces are required.
+type Options struct {
+	Snapshots  Snapshots
+	Lease      Lease
+	Limiter    Limiter
+	Selector   Selector
+	Queue      Queue
+	Retries    RetryBudget
+	Operations Operations
+	// Forwarder makes the attempts. Default forward.New(forward.Options{}).
+	Forwarder *forward.Forwarder
+	// Observe is called once for each finished request. It must not block. Default none.
+	Observe func(Event)
+	// ReplayableBody is the largest body in bytes of an idempotent request that is kept for a retry. Longer bodies are
+	// streamed to one attempt. Default 64 KiB.
+	ReplayableBody int64
+}
+
+// Event describes a finished request.
+type Event struct {
+	RequestID string
+	Service   settings.ServiceName
+	Route     string
+	// Customer is empty on open routes and for requests without a valid key.
+	Customer settings.CustomerID
+	// Status is what the caller got; 0 if its connection was broken or gone.
+	Status int
+	// Kind is the kind of the host's own answer; empty if an upstream's answer was passed on.
+	Kind errkind.Kind
+	// Cause is the error behind Kind, for logs.
+	Cause error
+	// Attempts counts attempts including hedges.
+	Attempts int
+	Hedges   int
+	Replayed bool
+	// Total is the time from the arrival to the end of the answer.
+	Total time.Duration
+	// Upstream is the time that the answering attempt took to the header of its answer.
+	Upstream time.Duration
+}
+
+const defaultReplayableBody = 64 << 10
+
+// Handler is the request path. It is safe for concurrent use.
+type Handler struct {
+	options  Options
+	inflight inflight
+}
+
+// New returns a Handler.
+func New(options Options) *Handler {
+	if options.Forwarder == nil {
+		options.Forwarder = forward.New(forward.Options{})
+	}
+	if options.ReplayableBody == 0 {
+		options.ReplayableBody = defaultReplayableBody
+	}
+	if options.Observe == nil {
+		options.Observe = func(Event) {}
+	}
+	return &Handler{options: options}
+}
+
+// InFlight counts the requests in flight, also those whose caller is gone.
+func (h *Handler) InFlight() int { return h.inflight.count() }
+
+// Drain refuses new requests with kind shutting_down and waits until no request is in flight. It returns the error of
+// ctx if that ends first.
+func (h *Handler) Drain(ctx context.Context) error { return h.inflight.drain(ctx) }
+
+// exchange is the state of one request.
+type exchange struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	start    time.Time
+	deadline time.Time
+	keys     []string
+	route    *settings.Route
+	policy   settings.Policy
+	customer *settings.Customer // nil on open routes
+	request  *forward.Request
+	reserved int64 // bytes of the buffer budget
+	event    Event
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{h: h, w: w, r: r, start: time.Now()}
+	x.id = requestID(r)
+	x.event.RequestID = x.id
+	if !h.inflight.enter() {
+		w.Header().Set("Connection", "close")
+		x.refuse(errkind.New(errkind.ShuttingDown, nil))
+		return
+	}
+	defer h.inflight.leave()
+	if err := x.admit(); err != nil {
+		x.refuse(err)
+		return
+	}
+	x.run()
+}
+
+// admit checks the request up to the point where work may be done for it.
+func (x *exchange) admit() *errkind.Error {
+	if err := checkForm(x.r); err != nil {
+		return errkind.New(errkind.RequestMalformed, err)
+	}
+	snapshot := x.h.options.Snapshots.Current()
+	if snapshot == nil || !x.h.options.Lease.Active() {
+		return errkind.New(errkind.HostInactive, nil)
+	}
+	if err := x.resolve(snapshot); err != nil {
+		return err
+	}
+	if err := x.setDeadline(); err != nil {
+		return err
+	}
+	if x.customer == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	decision := x.h.options.Limiter.Admit(ctx, x.customer.ID)
+	if decision.Allowed {
+		return nil
+	}
+	if decision.Kind == "" {
+		decision.Kind = errkind.RateLimited
+	}
+	return &errkind.Error{Kind: decision.Kind, RetryAfter: decision.RetryAfter}
+}
+
+// resolve finds the route and the customer and builds the request for the upstream.
+func (x *exchange) resolve(snapshot *settings.Snapshot) *errkind.Error {
+	route, ok := snapshot.Route(hostName(x.r.Host), x.r.Method, x.r.URL.Path)
+	if !ok {
+		return errkind.New(errkind.RouteNotFound, nil)
+	}
+	x.route, x.policy = route, route.PolicyFor(x.r.Method)
+	x.event.Service, x.event.Route = route.Service, route.Name
+	x.keys = forward.PresentedKeys(x.r)
+	if !x.policy.Open {
+		customer, err := customerOf(snapshot, x.keys)
+		if err != nil {
+			return err
+		}
+		x.customer = customer
+		x.event.Customer = customer.ID
+	}
+	if forward.ContainsKey(x.r.URL.Path, x.keys) || forward.ContainsKey(x.r.Host, x.keys) {
+		return errkind.New(errkind.RequestMalformed, errKeyInPath)
+	}
+	x.request = forward.NewRequest(x.r, x.id, x.keys, x.policy.Idempotent)
+	return nil
+}
+
+// customerOf returns the customer of the presented key. Two different keys are refused, because either choice could
+// charge the wrong customer.
+func customerOf(snapshot *settings.Snapshot, keys []string) (*settings.Customer, *errkind.Error) {
+	switch len(keys) {
+	case 0:
+		return nil, errkind.New(errkind.KeyMissing, nil)
+	case 1:
+	default:
+		return nil, errkind.New(errkind.KeyInvalid, errSeveralKeys)
+	}
+	customer, ok := snapshot.CustomerForKey(keys[0])
+	if !ok {
+		return nil, errkind.New(errkind.KeyInvalid, nil)
+	}
+	return customer, nil
+}
+
+// stillAllowed repeats the checks that can fail while a request waits. It returns the service as the settings in force
+// have it now.
+func (x *exchange) stillAllowed() (*settings.Service, *errkind.Error) {
+	snapshot := x.h.options.Snapshots.Current()
+	if snapshot == nil || !x.h.options.Lease.Active() {
+		return nil, errkind.New(errkind.HostInactive, nil)
+	}
+	if x.customer != nil {
+		customer, err := customerOf(snapshot, x.keys)
+		if err != nil {
+			return nil, err
+		}
+		if customer.ID != x.customer.ID {
+			return nil, errkind.New(errkind.KeyInvalid, errKeyMoved)
+		}
+	}
+	service, ok := snapshot.Service(x.route.Service)
+	if !ok {
+		return nil, errkind.New(errkind.NoUpstream, errNoService)
+	}
+	return service, nil
+}
+
+// setDeadline takes the route's timeout, which the caller can shorten.
+func (x *exchange) setDeadline() *errkind.Error {
+	timeout := x.policy.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	shorter, ok, err := callerTimeout(x.r.Header)
+	if err != nil {
+		return errkind.New(errkind.RequestMalformed, err)
+	}
+	if ok {
+		timeout = min(timeout, shorter)
+	}
+	x.deadline = x.start.Add(timeout)
+	return nil
+}
+
+// refuse answers with an error of the host.
+func (x *exchange) refuse(e *errkind.Error) {
+	x.event.Kind, x.event.Cause = e.Kind, e.Cause
+	x.event.Status = errkind.Table(e.Kind).Status
+	errkind.Write(x.w, x.id, e)
+	x.observe()
+}
+
+func (x *exchange) observe() {
+	x.event.Total = time.Since(x.start)
+	x.h.options.Observe(x.event)
+}
+
+// asKind returns the *errkind.Error within err, or one of the fallback kind.
+func asKind(err error, fallback errkind.Kind) *errkind.Error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return errkind.New(fallback, err)
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get("X-Request-Id"); validRequestID(id) && !forward.ContainsKey(id, forward.PresentedKeys(r)) {
+		return id
+	}
+	return uuid.NewString()
+}
--- /dev/null
+++ b/traffic/proxy/harness_test.go
@@ -0,0 +1,176 @@
+package proxy_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+	"github.com/bronzeyard/bronzeyard/traffic/forward"
+	"github.com/bronzeyard/bronzeyard/traffic/proxy"
+)
+
+const testKey = "3mYc9Vq2bT7xRk0wLs5uHn8pZe1dGf4a"
+
+// world is a Handler with stand-ins for everything around it.
+type world struct {
+	handler  *proxy.Handler
+	snapshot atomic.Pointer[settings.Snapshot]
+	inactive atomic.Bool
+	limit    proxy.LimitDecision
+	queue    func(ctx context.Context) error
+	tokens   atomic.Int64
+	ops      proxy.Operations
+
+	mu      sync.Mutex
+	results []proxy.Result
+	events  []proxy.Event
+	next    int
+}
+
+func (w *world) Current() *settings.Snapshot { return w.snapshot.Load() }
+
+func (w *world) Active() bool { return !w.inactive.Load() }
+
+func (w *world) Admit(context.Context, settings.CustomerID) proxy.LimitDecision { return w.limit }
+
+func (w *world) OnSuccess(settings.ServiceName) {}
+
+func (w *world) TryRetry(settings.ServiceName) bool { return w.tokens.Add(-1) >= 0 }
+
+func (w *world) Acquire(ctx context.Context, _ *settings.Service, _ *settings.Customer) (func(), error) {
+	if w.queue != nil {
+		if err := w.queue(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return func() {}, nil
+}
+
+// Pick takes the upstreams in their order, beginning anew for each request.
+func (w *world) Pick(service *settings.Service, _ *settings.Policy, exclude []settings.UpstreamID) (proxy.Attempt, error) {
+	for _, upstream := range service.Upstreams {
+		if slices.Contains(exclude, upstream.ID) || upstream.Leaving {
+			continue
+		}
+		return proxy.Attempt{Upstream: upstream, Done: w.done}, nil
+	}
+	return proxy.Attempt{}, errkind.New(errkind.NoUpstream, nil)
+}
+
+func (w *world) done(result proxy.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.results = append(w.results, result)
+}
+
+func (w *world) observe(event proxy.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, event)
+}
+
+func (w *world) Begin(ctx context.Context, operation idempotency.Operation) (idempotency.Claim, error) {
+	return w.ops.Begin(ctx, operation)
+}
+
+// freshOperations grants each operation id once.
+type freshOperations struct {
+	mu      sync.Mutex
+	results map[string]*idempotency.Result
+	done    chan idempotency.Result
+}
+
+func newFreshOperations() *freshOperations {
+	return &freshOperations{results: make(map[string]*idempotency.Result), done: make(chan idempotency.Result, 1<<10)}
+}
+
+func (f *freshOperations) Begin(_ context.Context, op idempotency.Operation) (idempotency.Claim, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	result, seen := f.results[op.ID]
+	switch {
+	case seen && result == nil:
+		return idempotency.Claim{}, errkind.New(errkind.OperationRunning, nil)
+	case seen && result.State == idempotency.Done:
+		return idempotency.Claim{Replay: result}, nil
+	case seen && result.State == idempotency.Unknown:
+		return idempotency.Claim{}, errkind.New(errkind.OutcomeUnknown, nil)
+	}
+	f.results[op.ID] = nil
+	return idempotency.Claim{Complete: func(r idempotency.Result) {
+		f.mu.Lock()
+		f.results[op.ID] = &r
+		f.mu.Unlock()
+		f.done <- r
+	}}, nil
+}
+
+// newWorld builds a Handler in front of the given upstream addresses. The routes are /open, /lookup (idempotent),
+// /booking (operation id required) and /plain (operation id optional).
+func newWorld(t testing.TB, options forward.Options, timeout time.Duration, addresses ...string) *world {
+	t.Helper()
+	w := &world{limit: proxy.LimitDecision{Allowed: true}, ops: newFreshOperations()}
+	w.tokens.Store(1 << 30)
+	w.use(timeout, 0, []settings.Key{{ID: "k1", Hash: settings.HashKey(testKey)}}, addresses...)
+	w.handler = proxy.New(proxy.Options{
+		Snapshots: w, Lease: w, Limiter: w, Selector: w, Queue: w, Retries: w, Operations: w,
+		Forwarder: forward.New(options), Observe: w.observe,
+	})
+	return w
+}
+
+// use puts settings in force.
+func (w *world) use(timeout, hedgeAfter time.Duration, keys []settings.Key, addresses ...string) {
+	policy := settings.Policy{
+		Timeout: timeout, OperationID: settings.OperationIDRequired, MaxRequestBytes: 1 << 20, MaxAttempts: 3,
+		ShedStatuses: []int{503}, NotRunStatuses: []int{430}, LoadHeader: "X-Load", DrainHeader: "X-Draining",
+		HedgeAfter: hedgeAfter,
+	}
+	route := func(name string, change func(*settings.Policy)) settings.Route {
+		r := settings.Route{Name: name, Service: "s", PathPrefix: "/" + name, Policy: policy, IdempotentSet: true}
+		change(&r.Policy)
+		return r
+	}
+	routes := []settings.Route{
+		route("open", func(p *settings.Policy) { p.Open, p.Idempotent = true, true }),
+		route("lookup", func(p *settings.Policy) { p.Idempotent = true }),
+		route("booking", func(*settings.Policy) {}),
+		route("plain", func(p *settings.Policy) { p.OperationID = settings.OperationIDOptional }),
+	}
+	service := settings.Service{Name: "s", Policy: policy}
+	for i, address := range addresses {
+		id := settings.UpstreamID(string(rune('a' + i)))
+		service.Upstreams = append(service.Upstreams, settings.Upstream{ID: id, Address: address, Slots: 6})
+	}
+	customers := []settings.Customer{{ID: "c", Rate: 1, Burst: 1, Weight: 1, Keys: keys}}
+	w.snapshot.Store(settings.NewSnapshot(1, routes, []settings.Service{service}, customers))
+}
+
+// serve sends a request through the handler without a socket between.
+func (w *world) serve(method, target, body string, header map[string]string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	w.handler.ServeHTTP(recorder, r)
+	return recorder
+}
+
+// upstreamServer starts an upstream and returns its address.
+func upstreamServer(t testing.TB, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
--- /dev/null
+++ b/traffic/proxy/inflight.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+)
+
+// inflight counts requests and refuses new ones while the host drains.
+type inflight struct {
+	mu       sync.Mutex
+	requests int
+	draining bool
+	empty    chan struct{} // closed when draining and no request is left
+}
+
+// enter counts a request; it reports false if the host drains.
+func (f *inflight) enter() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		return false
+	}
+	f.requests++
+	return true
+}
+
+// add counts work that outlives the request that started it. The caller must itself be counted.
+func (f *inflight) add() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests++
+}
+
+func (f *inflight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests--
+	if f.draining && f.requests == 0 {
+		close(f.empty)
+	}
+}
+
+func (f *inflight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
+func (f *inflight) drain(ctx context.Context) error {
+	f.mu.Lock()
+	if !f.draining {
+		f.draining = true
+		f.empty = make(chan struct{})
+		if f.requests == 0 {
+			close(f.empty)
+		}
+	}
+	f.mu.Unlock()
+	select {
+	case <-f.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
