Add retries, hedges, operations and body limits to the request path

An idempotent request runs up to MaxAttempts attempts at different upstreams, and a backup attempt starts beside a slow one. A non-idempotent request is claimed by its operation id, sent once, goes on when its caller leaves, and its result is recorded. Bodies are buffered within a budget of the whole host.

--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
 // Answer is the answer of an upstream.
@@ -45,7 +47,9 @@
 		return nil, failure
 	}
 	removeHopByHop(answer.Header)
-	delete(answer.Header, "X-Request-Id")
+	for _, name := range ownHeaders {
+		delete(answer.Header, name)
+	}
 	if err := answer.buffer(); err != nil {
 		failure := a.failure(err)
 		answer.Close()
@@ -54,6 +58,9 @@
 	return answer, nil
 }
 
+// ownHeaders are headers by which this host speaks to its callers. An upstream must not speak in its name.
+var ownHeaders = []string{errkind.RequestIDHeader, errkind.OutcomeHeader, errkind.KindHeader, "Idempotency-Replayed"}
+
 // check refuses answers that cannot be the whole answer of this request.
 func (a *attempt) check(response *http.Response, q *Request) error {
 	for _, echo := range response.Header["X-Request-Id"] {
@@ -101,7 +108,7 @@
 		}
 		n, err := reader.Read(spare(buffer))
 		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
+		if err == io.EOF { //nolint:errorlint // a wrapped EOF is not the proper end of a body
 			r.Body, r.Whole, r.ended = buffer, true, true
 			return r.response.Body.Close()
 		}
@@ -147,7 +154,7 @@
 
 var pieces = sync.Pool{New: func() any { return new([readPiece]byte) }}
 
-// WriteTo passes the answer on to the caller. An error of the upstream is a *Failure, other errors are the caller's. If
+// WriteTo passes the answer on to the caller. An error of the upstream is a *AttemptError, other errors are the caller's. If
 // an error occurs the caller has got a part of the answer and its connection must be broken.
 func (r *Answer) WriteTo(w http.ResponseWriter) error {
 	r.writeHeader(w)
@@ -205,7 +212,7 @@
 				return flushErr
 			}
 		}
-		if err == io.EOF {
+		if err == io.EOF { //nolint:errorlint // a wrapped EOF is not the proper end of a body
 			r.ended = true
 			return nil
 		}
--- a/traffic/forward/doc.go
+++ b/traffic/forward/doc.go
@@ -1,7 +1,7 @@
 // Package forward makes one attempt at one upstream over http.Transport.
 //
 // It removes the caller's key and hop-by-hop headers, carries the deadline and a request id, and returns either a whole
-// answer or a Failure that says what is known about the execution. Answers up to a limit are read to their end before
+// answer or an AttemptError that says what is known about the execution. Answers up to a limit are read to their end before
 // they are returned, so that the caller of this package can still try again. Longer answers are streamed; one that
 // breaks is reported by Answer.WriteTo, and the caller's connection must then be broken visibly.
 //
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// Failure is the error of an attempt.
-type Failure struct {
+// AttemptError is the error of an attempt.
+type AttemptError struct {
 	Kind FailureKind
 	// Connected is false only if no connection was obtained, so that no byte can have reached the upstream.
 	Connected bool
@@ -52,10 +52,10 @@
 }
 
 // Error implements error.
-func (f *Failure) Error() string { return "attempt " + f.Kind.String() + ": " + f.Cause.Error() }
+func (f *AttemptError) Error() string { return "attempt " + f.Kind.String() + ": " + f.Cause.Error() }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Cause }
+func (f *AttemptError) Unwrap() error { return f.Cause }
 
 // The causes that this package itself gives.
 var (
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -20,6 +20,9 @@
 	IdleTimeout time.Duration
 	// PooledIdle is for how long an idle connection is kept for another request. Default 5 s.
 	PooledIdle time.Duration
+	// SilentAfter is the time without an answer from which a reused connection is taken to be silent; the other idle
+	// connections to its upstream are then closed. Default 500 ms.
+	SilentAfter time.Duration
 	// BufferedAnswer is the largest answer in bytes that is read to its end before it is passed on. Default 256 KiB.
 	BufferedAnswer int64
 	// Budget bounds the memory of buffered bodies. Default 64 MiB.
@@ -33,6 +36,7 @@
 	defaultConnectTimeout  = time.Second
 	defaultIdleTimeout     = 5 * time.Second
 	defaultPooledIdle      = 5 * time.Second
+	defaultSilentAfter     = 500 * time.Millisecond
 	defaultBufferedAnswer  = 256 << 10
 	defaultBudget          = 64 << 20
 	defaultIdlePerUpstream = 32
@@ -42,6 +46,7 @@
 	o.ConnectTimeout = defaultTo(o.ConnectTimeout, defaultConnectTimeout)
 	o.IdleTimeout = defaultTo(o.IdleTimeout, defaultIdleTimeout)
 	o.PooledIdle = defaultTo(o.PooledIdle, defaultPooledIdle)
+	o.SilentAfter = defaultTo(o.SilentAfter, defaultSilentAfter)
 	o.BufferedAnswer = defaultTo(o.BufferedAnswer, defaultBufferedAnswer)
 	o.IdlePerUpstream = defaultTo(o.IdlePerUpstream, defaultIdlePerUpstream)
 	if o.Budget == nil {
@@ -82,7 +87,7 @@
 func (f *Forwarder) CloseIdle() { f.pooled.closeIdle() }
 
 // Do makes one attempt. The context bounds the attempt including the reading of a streamed answer; its deadline is
-// stated to the upstream. The error is a *Failure. A returned Answer must be closed.
+// stated to the upstream. The error is a *AttemptError. A returned Answer must be closed.
 func (f *Forwarder) Do(ctx context.Context, q *Request, target Target) (*Answer, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{forwarder: f, ctx: attemptCtx, cancel: cancel, start: time.Now(), attemptID: f.attemptID(q.ID)}
@@ -102,7 +107,7 @@
 	if err != nil {
 		failure := a.failure(err)
 		cancel(errEnded)
-		if failure.Kind == TimedOut && failure.Reused {
+		if failure.Reused && time.Since(a.start) >= f.options.SilentAfter {
 			// The other pooled connections may be as silent as this one while new ones work.
 			transport.CloseIdleConnections()
 		}
@@ -189,8 +194,8 @@
 }
 
 // failure explains an error of the exchange.
-func (a *attempt) failure(err error) *Failure {
-	failure := &Failure{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
+func (a *attempt) failure(err error) *AttemptError {
+	failure := &AttemptError{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
 	cause := context.Cause(a.ctx)
 	switch {
 	case errors.Is(err, errEcho), errors.Is(err, errSwitching):
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -51,10 +51,11 @@
 	}
 }
 
-// StreamBody makes the request send the caller's body as it arrives. The request can then be sent once only.
-func (q *Request) StreamBody(r *http.Request, keys []string) {
+// StreamBody makes the request send body, which reads the body of r, as it arrives. The request can then be sent once
+// only.
+func (q *Request) StreamBody(r *http.Request, body io.Reader, keys []string) {
 	q.StreamLength = r.ContentLength
-	q.Stream = r.Body
+	q.Stream = body
 	if len(r.Trailer) == 0 {
 		return
 	}
@@ -64,7 +65,7 @@
 			q.Trailer[name] = nil
 		}
 	}
-	q.Stream = &trailerReader{body: r.Body, from: r, to: q.Trailer, keys: keys}
+	q.Stream = &trailerReader{body: body, from: r, to: q.Trailer, keys: keys}
 }
 
 // BufferBody makes the request send body. trailer is the caller's trailer after the body was read.
--- /dev/null
+++ b/traffic/proxy/body.go
@@ -0,0 +1,166 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+)
+
+const (
+	// defaultMaxRequest is the size limit in bytes of a policy that states none.
+	defaultMaxRequest = 1 << 20
+	// bodyPiece is the first buffer in bytes of a body of unknown length. The buffer doubles as the body arrives, so that
+	// a caller that sends slowly holds little more than it has sent.
+	bodyPiece = 4 << 10
+)
+
+var (
+	errBudget  = errors.New("the buffer budget of the host is used up")
+	errTooLong = errors.New("the body is longer than the route allows")
+)
+
+// readBody reads the caller's body into the request. A body of at most keep bytes is buffered whole. Of a longer one,
+// the rest stays to be streamed, or the request is refused if mustKeep.
+func (x *exchange) readBody(keep int64, mustKeep bool) *errkind.Error {
+	limit := x.policy.MaxRequestBytes
+	if limit <= 0 {
+		limit = defaultMaxRequest
+	}
+	if x.r.ContentLength > limit {
+		return errkind.New(errkind.RequestTooLarge, errTooLong)
+	}
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return nil
+	}
+	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	if x.r.ContentLength > keep && !mustKeep {
+		x.stream(nil)
+		return nil
+	}
+	control := http.NewResponseController(x.w)
+	// Fails only for writers that are not net/http's, which have no connection to wait for.
+	_ = control.SetReadDeadline(x.deadline)
+	buffer, whole, err := x.buffer(min(keep, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return err
+	}
+	if !whole {
+		x.stream(buffer)
+		return nil
+	}
+	x.bodyRead = true
+	x.request.BufferBody(buffer, x.r.Trailer, x.keys)
+	return nil
+}
+
+// buffer reads up to keep bytes and reports whether the body ended within them.
+func (x *exchange) buffer(keep int64) ([]byte, bool, *errkind.Error) {
+	buffer, err := x.grow(nil, min(keep, bodyPiece))
+	if err != nil {
+		return nil, false, err
+	}
+	for {
+		if len(buffer) == cap(buffer) {
+			if int64(len(buffer)) > keep {
+				return buffer, false, nil
+			}
+			if buffer, err = x.grow(buffer, min(keep, 2*int64(len(buffer)))); err != nil {
+				return nil, false, err
+			}
+		}
+		n, readErr := x.r.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if readErr == io.EOF {
+			return buffer, true, nil
+		}
+		if readErr != nil {
+			return nil, false, bodyError(readErr)
+		}
+	}
+}
+
+// grow copies the buffer to one of size+1 bytes; the further byte shows whether a body of exactly size bytes has ended.
+func (x *exchange) grow(buffer []byte, size int64) ([]byte, *errkind.Error) {
+	more := size + 1 - int64(cap(buffer))
+	if !x.h.options.Forwarder.Budget().Reserve(more) {
+		return nil, &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Second, Cause: errBudget}
+	}
+	x.reserved += more
+	return append(make([]byte, 0, size+1), buffer...), nil
+}
+
+// releaseBody gives the buffer back to the budget.
+func (x *exchange) releaseBody() {
+	x.h.options.Forwarder.Budget().Release(x.reserved)
+	x.reserved = 0
+}
+
+// bodyError explains why the caller's body could not be read. Nothing was sent to an upstream then.
+func bodyError(err error) *errkind.Error {
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return errkind.New(errkind.RequestTooLarge, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.New(errkind.DeadlineNotRun, err)
+	default:
+		return errkind.New(errkind.RequestMalformed, err)
+	}
+}
+
+// stream makes the request send what was read already and then the rest as it arrives.
+func (x *exchange) stream(begin []byte) {
+	x.body = &streamedBody{reader: x.r.Body}
+	if len(begin) > 0 {
+		x.body.reader = io.MultiReader(bytes.NewReader(begin), x.r.Body)
+	}
+	x.request.StreamBody(x.r, x.body, x.keys)
+	// Without full duplex, net/http reads the rest of the body before it sends the answer. Other writers need nothing.
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+}
+
+// streamedBody notes whether the caller's body was read to its end.
+type streamedBody struct {
+	reader io.Reader
+	ended  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// stopStream unblocks a transport that still waits for the caller's body when the request has ended: net/http does not
+// end a request as long as a Read of its body is blocked.
+func (x *exchange) stopStream() {
+	if x.body == nil || x.body.ended.Load() {
+		return
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// smallUnread is the largest unread body in bytes that is left to net/http to read after a refusal.
+const smallUnread = 64 << 10
+
+// closeUnread gives up the caller's connection if a part of the request may be unread when the answer begins. net/http
+// would otherwise wait for the rest before it answers, or take what follows for the next request.
+func (x *exchange) closeUnread() {
+	unread := x.body != nil && !x.body.ended.Load()
+	if x.body == nil && !x.bodyRead {
+		unread = x.r.ContentLength < 0 || x.r.ContentLength > smallUnread
+	}
+	if unread {
+		x.w.Header().Set("Connection", "close")
+	}
+}
--- a/traffic/proxy/collaborators.go
+++ b/traffic/proxy/collaborators.go
@@ -64,6 +64,8 @@
 	Draining bool
 	// Connected is false if no connection to the upstream was obtained.
 	Connected bool
+	// Reused is true if the connection had carried earlier requests, so that a timeout may be the connection's fault.
+	Reused bool
 }
 
 // Attempt is a chosen upstream. Done must be called exactly once.
--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -26,6 +26,9 @@
 	Forwarder *forward.Forwarder
 	// Observe is called once for each finished request. It must not block. Default none.
 	Observe func(Event)
+	// FirstByte bounds the time from the start of an attempt of an idempotent request to the header of its answer.
+	// Default none but the request's deadline.
+	FirstByte time.Duration
 	// ReplayableBody is the largest body in bytes of an idempotent request that is kept for a retry. Longer bodies are
 	// streamed to one attempt. Default 64 KiB.
 	ReplayableBody int64
@@ -96,6 +99,9 @@
 	policy   settings.Policy
 	customer *settings.Customer // nil on open routes
 	request  *forward.Request
+	body     *streamedBody // the caller's body if it is streamed
+	bodyRead bool          // the caller's body was read to its end before the first attempt
+	tried    []settings.UpstreamID
 	reserved int64 // bytes of the buffer budget
 	event    Event
 }
@@ -233,6 +239,7 @@
 func (x *exchange) refuse(e *errkind.Error) {
 	x.event.Kind, x.event.Cause = e.Kind, e.Cause
 	x.event.Status = errkind.Table(e.Kind).Status
+	x.closeUnread()
 	errkind.Write(x.w, x.id, e)
 	x.observe()
 }
--- a/traffic/proxy/harness_test.go
+++ b/traffic/proxy/harness_test.go
@@ -33,7 +33,6 @@
 	mu      sync.Mutex
 	results []proxy.Result
 	events  []proxy.Event
-	next    int
 }
 
 func (w *world) Current() *settings.Snapshot { return w.snapshot.Load() }
--- a/traffic/proxy/inflight.go
+++ b/traffic/proxy/inflight.go
@@ -24,13 +24,6 @@
 	return true
 }
 
-// add counts work that outlives the request that started it. The caller must itself be counted.
-func (f *inflight) add() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.requests++
-}
-
 func (f *inflight) leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/traffic/proxy/run.go
+++ b/traffic/proxy/run.go
@@ -10,46 +10,69 @@
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
-// run makes one attempt and answers.
+// run does the work of an admitted request and answers it.
 func (x *exchange) run() {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
-	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, x.policy.MaxRequestBytes)
-	x.request.StreamBody(x.r, x.keys)
-	service, kindErr := x.stillAllowed()
-	if kindErr != nil {
-		x.refuse(kindErr)
+	defer x.releaseBody()
+	defer x.stopStream()
+	if x.policy.Idempotent {
+		x.runIdempotent()
 		return
 	}
-	release, err := x.h.options.Queue.Acquire(ctx, service, x.customer)
-	if err != nil {
-		x.refuse(asKind(err, errkind.Overloaded))
-		return
+	x.runOperation()
+}
+
+// enqueue waits for a slot of the service.
+func (x *exchange) enqueue(ctx context.Context) (release func(), refusal *errkind.Error) {
+	service, refusal := x.stillAllowed()
+	if refusal != nil {
+		return nil, refusal
 	}
-	defer release()
-	service, kindErr = x.stillAllowed()
-	if kindErr != nil {
-		x.refuse(kindErr)
-		return
+	release, err := x.h.options.Queue.Acquire(ctx, service, x.customer)
+	if err == nil {
+		return release, nil
 	}
-	attempt, err := x.h.options.Selector.Pick(service, &x.policy, nil)
-	if err != nil {
-		x.refuse(asKind(err, errkind.NoUpstream))
-		return
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, asKind(err, errkind.DeadlineNotRun)
 	}
-	start := time.Now()
-	answer, err := x.h.options.Forwarder.Do(ctx, x.request, forward.Target{Address: attempt.Upstream.Address})
-	if err != nil {
-		attempt.Done(Result{Outcome: OutcomeFailed, Total: time.Since(start)})
-		x.refuse(errkind.New(errkind.OutcomeUnknown, err))
-		return
+	return nil, asKind(err, errkind.Overloaded)
+}
+
+// pass writes an upstream's answer to the caller. A part of an answer is never left looking whole: if the answer breaks,
+// the caller's connection is broken by a panic with http.ErrAbortHandler.
+func (x *exchange) pass(t *try) error {
+	if !t.answer.Whole && t.answer.Length < 0 && !x.r.ProtoAtLeast(1, 1) {
+		// The end of such an answer would be the close of the connection, so a break could not be seen.
+		return errUnboundedForHTTP10
 	}
-	defer answer.Close()
-	attempt.Done(Result{Outcome: OutcomeOK, Status: answer.Status, FirstByte: answer.FirstByte, Total: time.Since(start), Connected: true})
+	x.closeUnread()
+	// Fails only for writers that are not net/http's. The deadline is taken back because it would outlive the request.
+	control := http.NewResponseController(x.w)
+	_ = control.SetWriteDeadline(x.deadline.Add(writeGrace))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	x.w.Header().Set(errkind.RequestIDHeader, x.id)
-	if err := answer.WriteTo(x.w); err != nil && !errors.Is(err, context.Canceled) {
-		panic(http.ErrAbortHandler)
+	x.event.Status, x.event.Upstream = t.answer.Status, t.answer.FirstByte
+	err := t.answer.WriteTo(x.w)
+	if err == nil {
+		return nil
 	}
-	x.event.Status = answer.Status
+	x.event.Status, x.event.Cause = 0, err
+	var broken *forward.AttemptError
+	if errors.As(err, &broken) {
+		t.failure = broken
+	}
+	return err
+}
+
+// writeGrace is for how long after the deadline a caller may take to accept its answer.
+const writeGrace = 10 * time.Second
+
+var errUnboundedForHTTP10 = errors.New("an answer of unknown length cannot be passed to an HTTP/1.0 caller as it comes")
+
+// abort breaks the caller's connection.
+func (x *exchange) abort() {
 	x.observe()
+	panic(http.ErrAbortHandler)
 }
+
+// callerGone reports whether the caller's connection is closed.
+func (x *exchange) callerGone() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
