fleet/peer/peertest: in-memory network with faults per direction

Cause: the packages that make calls between hosts need tests with one-way cuts, lost answers and late messages in fake time. Change: package peertest.

--- /dev/null
+++ b/fleet/peer/peertest/call.go
@@ -0,0 +1,137 @@
+package peertest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+)
+
+// answer is the result of one handled request.
+type answer struct {
+	body []byte
+	err  error
+}
+
+// request is one call on its way.
+type request struct {
+	caller   *Host
+	address  string
+	method   peer.Method
+	body     []byte
+	deadline time.Time
+}
+
+// Call implements peer.Caller.
+func (h *Host) Call(ctx context.Context, address string, method peer.Method, req, resp proto.Message) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return fmt.Errorf("%w: the context of a call to %q has no deadline", peer.ErrNotSent, method)
+	}
+	if ctx.Err() != nil {
+		return errors.Join(peer.ErrNotSent, ctx.Err())
+	}
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return errors.Join(peer.ErrNotSent, err)
+	}
+	if !h.network.listening(h) || h.network.hostAt(address) == nil {
+		return fmt.Errorf("%w: connection from %s to %s refused", peer.ErrNotSent, h.address, address)
+	}
+	answers := make(chan answer, 1)
+	h.network.launch(&request{caller: h, address: address, method: method, body: body, deadline: deadline}, answers)
+	select {
+	case a := <-answers:
+		if a.err != nil {
+			return a.err
+		}
+		return proto.Unmarshal(a.body, resp)
+	case <-ctx.Done():
+		return errors.Join(peer.ErrNoAnswer, ctx.Err())
+	case <-h.network.ctx.Done():
+		return fmt.Errorf("%w: the network is closed", peer.ErrNoAnswer)
+	}
+}
+
+func (n *Network) hostAt(address string) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hosts[address]
+}
+
+// listening reports whether the host has not been replaced or removed.
+func (n *Network) listening(h *Host) bool { return n.hostAt(h.address) == h }
+
+// launch starts the delivery of the request, twice if the direction duplicates.
+func (n *Network) launch(r *request, answers chan<- answer) {
+	n.mu.Lock()
+	l := n.link(r.caller.address, r.address)
+	dropRequest := take(&l.dropRequests)
+	dropAnswer := !dropRequest && take(&l.dropAnswers)
+	twice := !dropRequest && take(&l.duplicate)
+	n.mu.Unlock()
+	if dropRequest {
+		return
+	}
+	if dropAnswer {
+		answers = nil
+	}
+	n.deliver(r, answers)
+	if twice {
+		n.deliver(r, nil)
+	}
+}
+
+func take(count *int) bool {
+	if *count <= 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+// deliver carries the request to the host and its answer back. No answer is sent if answers is nil.
+func (n *Network) deliver(r *request, answers chan<- answer) {
+	n.tasks.Go(func() {
+		if !n.travel(r.caller.address, r.address, len(r.body)) {
+			return
+		}
+		callee := n.hostAt(r.address)
+		if callee == nil {
+			return
+		}
+		a := callee.serve(n.ctx, r)
+		if answers == nil || !n.listening(callee) || !n.travel(r.address, r.caller.address, len(a.body)) {
+			return
+		}
+		answers <- a
+	})
+}
+
+func (h *Host) serve(ctx context.Context, r *request) answer {
+	h.mu.Lock()
+	registered, ok := h.handlers[r.method]
+	h.mu.Unlock()
+	if !ok {
+		return answer{err: fmt.Errorf("%w: method %q has no handler", peer.ErrRefused, r.method)}
+	}
+	message := registered.newRequest()
+	if err := proto.Unmarshal(r.body, message); err != nil {
+		return answer{err: errors.Join(peer.ErrRefused, err)}
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	resp, err := registered.handle(ctx, r.caller.self, message)
+	if err != nil {
+		return answer{err: peer.RemoteError(err)}
+	}
+	body, err := proto.Marshal(resp)
+	if err != nil {
+		return answer{err: errors.Join(peer.ErrRefused, err)}
+	}
+	return answer{body: body}
+}
