fleet/peer: transport over yamux with mutual TLS

Cause: the modules of a host need calls to other hosts with a truthful statement of what was sent. Change: peer.Transport (New, Call, Handle, Serve, Close, SetIdentity), headers in peerpb, a fuzz target with a corpus of two, SetIdentity of peertest.Host. Check: without the comparison of certificate and stated host id TestIdentity fails; without the closing of a silent session TestSilentSessionIsReplaced fails (times out).

--- /dev/null
+++ b/fleet/peer/bench_test.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// BenchmarkCall measures one exchange with TLS over loopback.
+func BenchmarkCall(b *testing.B) {
+	issuer := newAuthority(b)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, err := New(Options{Self: fleet.Identity{ID: "server"}, Listener: listener, TLS: issuer.config(b, "server")})
+	if err != nil {
+		b.Fatal(err)
+	}
+	server.Handle("echo", func() proto.Message { return &wrapperspb.StringValue{} }, handleEcho)
+	go func() { _ = server.Serve(b.Context()) }()
+	caller, err := New(Options{Self: fleet.Identity{ID: "client"}, TLS: issuer.config(b, "client")})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	defer func() { _ = caller.Close() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, cancel := context.WithTimeout(b.Context(), 10*time.Second)
+		if err := caller.Call(ctx, listener.Addr().String(), "echo", wrapperspb.String("x"), &wrapperspb.StringValue{}); err != nil {
+			b.Fatal(err)
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/fleet/peer/call.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/peer/peerpb"
+)
+
+// The progress of a call. Only one side can move it from waiting: the writer to written, or the caller to abandoned.
+const (
+	callWaiting int32 = iota
+	callWritten
+	callAbandoned
+)
+
+// call is one exchange on a session.
+type call struct {
+	session  *session
+	frame    []byte
+	maxBody  int64
+	deadline time.Time
+	progress atomic.Int32
+	done     chan error
+	resp     proto.Message
+}
+
+// Call implements Caller. It returns ErrNotSent without a deadline on the context.
+func (t *Transport) Call(ctx context.Context, address string, method Method, req, resp proto.Message) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return fmt.Errorf("%w: the context of a call to %q has no deadline", ErrNotSent, method)
+	}
+	l, err := t.link(address)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	s, err := l.session(ctx)
+	if err != nil {
+		return fmt.Errorf("%w to %s: %w", ErrNotSent, address, err)
+	}
+	frame, err := t.requestFrame(method, deadline, req)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	c := &call{
+		session: s, frame: frame, maxBody: t.options.MaxMessageBytes, deadline: deadline,
+		done: make(chan error, 1), resp: resp.ProtoReflect().New().Interface(),
+	}
+	reads := s.conn.reads.Load()
+	if !t.launch(func() { c.done <- c.exchange() }) {
+		return errors.Join(ErrNotSent, errClosed)
+	}
+	err = c.wait(ctx)
+	if errors.Is(err, context.DeadlineExceeded) && s.silentSince(reads, t.options.MinSilence) {
+		// Closing waits for the session's goroutines, which the caller must not.
+		t.launch(func() { _ = s.Close() })
+	}
+	if err == nil {
+		proto.Merge(resp, c.resp)
+	}
+	return err
+}
+
+func (t *Transport) requestFrame(method Method, deadline time.Time, req proto.Message) ([]byte, error) {
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > t.options.MaxMessageBytes {
+		return nil, fmt.Errorf("%w: request %q has %d bytes", errTooLarge, method, len(body))
+	}
+	left := time.Until(deadline)
+	if left <= 0 {
+		return nil, context.DeadlineExceeded
+	}
+	self := t.self.Load()
+	return encode(&peerpb.RequestHeader{
+		Method: string(method), HostId: string(self.ID), Incarnation: uint64(self.Incarnation),
+		TimeoutUs: uint64(left.Microseconds()), BodyBytes: uint64(len(body)),
+	}, body)
+}
+
+// wait returns the result of the exchange or, when the context ends first, what is known about it.
+func (c *call) wait(ctx context.Context) error {
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+	}
+	if c.progress.CompareAndSwap(callWaiting, callAbandoned) {
+		return errors.Join(ErrNotSent, ctx.Err())
+	}
+	return errors.Join(ErrNoAnswer, ctx.Err())
+}
+
+// exchange writes the request and reads the answer.
+func (c *call) exchange() error {
+	stream, err := c.session.OpenStream()
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(c.deadline)
+	if !c.progress.CompareAndSwap(callWaiting, callWritten) {
+		return ErrNotSent
+	}
+	if _, err := stream.Write(c.frame); err != nil {
+		return noAnswer(err, c.deadline)
+	}
+	r := bufio.NewReader(stream)
+	header, err := readResponseHeader(r, c.maxBody)
+	if err != nil {
+		return noAnswer(err, c.deadline)
+	}
+	if err := c.session.names.check(fleet.HostID(header.GetHostId())); err != nil {
+		return errors.Join(ErrNoAnswer, err)
+	}
+	if err := errorOf(Status(header.GetStatus()), header.GetError()); err != nil {
+		return err
+	}
+	if err := readBody(r, header.GetBodyBytes(), c.resp); err != nil {
+		return noAnswer(err, c.deadline)
+	}
+	return nil
+}
+
+// noAnswer adds context.DeadlineExceeded if the stream's deadline ended the exchange, whatever error yamux returned.
+func noAnswer(err error, deadline time.Time) error {
+	if !time.Now().Before(deadline) {
+		return errors.Join(ErrNoAnswer, context.DeadlineExceeded)
+	}
+	return errors.Join(ErrNoAnswer, err)
+}
--- /dev/null
+++ b/fleet/peer/options.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// DialFunc opens a connection to an address before the context ends.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Options configure a Transport.
+type Options struct {
+	// Self is the identity stated in calls; see Transport.SetIdentity.
+	Self fleet.Identity
+	// Listen is the address that Serve listens on, IP number and port. Unused if Listener is set.
+	Listen string
+	// Listener is accepted from by Serve, which closes it. Default: a TCP listener at Listen.
+	Listener net.Listener
+	// TLS holds the host's certificate, RootCAs and ClientCAs. Certificates of peers are required in both directions.
+	// Nil sends plain text and is for tests on loopback only.
+	TLS *tls.Config
+	// Dial opens outbound connections, without TLS. Default: net.Dialer.
+	Dial DialFunc
+	// DialTimeout bounds dialling including the TLS handshake. Default 1 s.
+	DialTimeout time.Duration
+	// KeepAlive is the interval of keepalives on each session. Default 10 s.
+	KeepAlive time.Duration
+	// MinSilence is how long a session must have been without inbound traffic before a call that timed out closes it.
+	// Default 600 ms, two heartbeats.
+	MinSilence time.Duration
+	// MaxMessageBytes bounds one request or answer. Default 8 MiB.
+	MaxMessageBytes int64
+	// MaxInboundBytes bounds all requests together that are being read or handled. Default 64 MiB.
+	MaxInboundBytes int64
+	// MaxSessions bounds inbound sessions. Default 256.
+	MaxSessions int
+	// MaxCallsPerSession bounds the calls of one inbound session that are handled at a time. Default 256.
+	MaxCallsPerSession int
+	// MaxCallTime bounds the time left that a caller can state. Default 60 s.
+	MaxCallTime time.Duration
+	// Logger receives one line per session that is refused. Default: none.
+	Logger *zerolog.Logger
+}
+
+// Defaults and limits that are not configurable.
+const (
+	defaultDialTimeout        = time.Second
+	defaultKeepAlive          = 10 * time.Second
+	defaultMinSilence         = 600 * time.Millisecond
+	defaultMaxMessageBytes    = 8 << 20
+	defaultMaxInboundBytes    = 64 << 20
+	defaultMaxSessions        = 256
+	defaultMaxCallsPerSession = 256
+	defaultMaxCallTime        = 60 * time.Second
+
+	// maxHeaderBytes bounds the header of a call; a header has about 60 bytes plus the error text.
+	maxHeaderBytes = 4 << 10
+	// maxErrorBytes bounds the error text of an answer.
+	maxErrorBytes = 1 << 10
+	// readTimeout bounds the time in which a request must have arrived after its stream was opened.
+	readTimeout = 10 * time.Second
+	// handshakeTimeout bounds the TLS handshake of an inbound connection.
+	handshakeTimeout = 5 * time.Second
+	// idleTimeout is the time without calls after which an outbound session is closed.
+	idleTimeout = 2 * time.Minute
+)
+
+func (o *Options) setDefaults() {
+	if o.Dial == nil {
+		dialer := &net.Dialer{}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	if o.Logger == nil {
+		nop := zerolog.Nop()
+		o.Logger = &nop
+	}
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.KeepAlive, defaultKeepAlive)
+	setDefault(&o.MinSilence, defaultMinSilence)
+	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
+	setDefault(&o.MaxInboundBytes, defaultMaxInboundBytes)
+	setDefault(&o.MaxSessions, defaultMaxSessions)
+	setDefault(&o.MaxCallsPerSession, defaultMaxCallsPerSession)
+	setDefault(&o.MaxCallTime, defaultMaxCallTime)
+}
+
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func (o *Options) validate() error {
+	if o.Self.ID == "" {
+		return errors.New("peer: Options.Self has no host id")
+	}
+	if o.MaxMessageBytes > o.MaxInboundBytes {
+		return fmt.Errorf("peer: MaxMessageBytes %d exceeds MaxInboundBytes %d", o.MaxMessageBytes, o.MaxInboundBytes)
+	}
+	if o.TLS != nil && (o.TLS.ClientCAs == nil || o.TLS.RootCAs == nil) {
+		return errors.New("peer: Options.TLS must have RootCAs and ClientCAs")
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the headers of calls between hosts.
+package peerpb
--- a/fleet/peer/peertest/call.go
+++ b/fleet/peer/peertest/call.go
@@ -125,7 +125,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	resp, err := registered.handle(ctx, r.caller.self, message)
+	resp, err := registered.handle(ctx, r.caller.identity(), message)
 	if err != nil {
 		return answer{err: peer.RemoteError(err)}
 	}
--- a/fleet/peer/peertest/network.go
+++ b/fleet/peer/peertest/network.go
@@ -82,7 +82,7 @@
 	n.mu.Lock()
 	h := n.hosts[address]
 	n.mu.Unlock()
-	if h != nil && h.self == self {
+	if h != nil && h.identity() == self {
 		return h
 	}
 	return n.Host(self, address)
@@ -272,6 +272,19 @@
 // Address returns the address at which the host listens.
 func (h *Host) Address() string { return h.address }
 
+// SetIdentity changes the identity that later calls state.
+func (h *Host) SetIdentity(self fleet.Identity) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.self = self
+}
+
+func (h *Host) identity() fleet.Identity {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
 // Handle implements peer.Registrar.
 func (h *Host) Handle(method peer.Method, newRequest func() proto.Message, handle peer.HandlerFunc) {
 	h.mu.Lock()
--- /dev/null
+++ b/fleet/peer/tls.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// serverConfig requires and verifies the certificate of the caller.
+func serverConfig(base *tls.Config) *tls.Config {
+	config := base.Clone()
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	config.MinVersion = tls.VersionTLS13
+	return config
+}
+
+// clientConfig verifies the chain of the peer's certificate but not a host name, because peers are dialled by IP number;
+// the host id in each answer is compared with the certificate instead.
+func clientConfig(base *tls.Config) *tls.Config {
+	config := base.Clone()
+	config.MinVersion = tls.VersionTLS13
+	config.InsecureSkipVerify = true
+	config.VerifyConnection = func(state tls.ConnectionState) error { return verifyChain(state, base.RootCAs) }
+	return config
+}
+
+func verifyChain(state tls.ConnectionState, roots *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer: the peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: intermediates})
+	return err
+}
+
+// names are the host ids that a connection's certificate vouches for. Nil stands for a connection without TLS.
+type names []string
+
+func namesOf(conn net.Conn) names {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certificate := secured.ConnectionState().PeerCertificates[0]
+	return append(names{certificate.Subject.CommonName}, certificate.DNSNames...)
+}
+
+// check returns an error if the stated host id is not vouched for.
+func (n names) check(id fleet.HostID) error {
+	if n == nil || (id != "" && slices.Contains(n, string(id))) {
+		return nil
+	}
+	return fmt.Errorf("peer: the certificate is for %q and not for host %q", n, id)
+}
--- /dev/null
+++ b/fleet/peer/transport_test.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"math/big"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start serves a transport on loopback that answers "echo" and returns it with its address.
+func start(t *testing.T, options Options) (*Transport, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Listener = listener
+	if options.Self.ID == "" {
+		options.Self = fleet.Identity{ID: "server", Incarnation: 1}
+	}
+	transport, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport.Handle("echo", func() proto.Message { return &wrapperspb.StringValue{} }, handleEcho)
+	served := make(chan error, 1)
+	go func() { served <- transport.Serve(t.Context()) }()
+	t.Cleanup(func() {
+		_ = transport.Close()
+		if err := <-served; err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+	})
+	return transport, listener.Addr().String()
+}
+
+func handleEcho(ctx context.Context, from fleet.Identity, req proto.Message) (proto.Message, error) {
+	switch text := req.(*wrapperspb.StringValue).GetValue(); text {
+	case "inactive":
+		return nil, ErrInactive
+	case "not owner":
+		return nil, ErrNotOwner
+	case "fails":
+		return nil, errors.New("broken")
+	case "hangs":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case "large":
+		return wrapperspb.String(strings.Repeat("x", 2000)), nil
+	default:
+		return wrapperspb.String(string(from.ID) + ":" + text), nil
+	}
+}
+
+func client(t *testing.T, options Options) *Transport {
+	t.Helper()
+	options.Self = fleet.Identity{ID: "client", Incarnation: 2}
+	transport, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = transport.Close() })
+	return transport
+}
+
+func ask(t *testing.T, c *Transport, address, text string, timeout time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	resp := &wrapperspb.StringValue{}
+	err := c.Call(ctx, address, "echo", wrapperspb.String(text), resp)
+	return resp.GetValue(), err
+}
+
+// TestOutcomes guards against an outcome that is reported as another one; ErrNotSent for a call that was handled would let
+// an operation run twice.
+func TestOutcomes(t *testing.T) {
+	const limit = 1000
+	_, address := start(t, Options{MaxMessageBytes: limit})
+	c := client(t, Options{MaxMessageBytes: 4 * limit})
+	cases := []struct {
+		text string
+		want error
+	}{
+		{"x", nil},
+		{"inactive", ErrInactive},
+		{"not owner", ErrNotOwner},
+		{"fails", ErrRefused},
+		{"large", ErrRefused},
+		{strings.Repeat("y", 2*limit), ErrRefused},
+		{strings.Repeat("y", 5*limit), ErrNotSent},
+		{"hangs", ErrNoAnswer},
+		{"x", nil},
+	}
+	for _, test := range cases {
+		timeout := 30 * time.Second
+		if test.text == "hangs" {
+			timeout = 50 * time.Millisecond
+		}
+		answer, err := ask(t, c, address, test.text, timeout)
+		if !errors.Is(err, test.want) || (err == nil) != (test.want == nil) {
+			t.Errorf("%.20s: error %v, want %v", test.text, err, test.want)
+		}
+		if err == nil && answer != "client:x" {
+			t.Errorf("answer %q", answer)
+		}
+	}
+	if err := c.Call(t.Context(), address, "echo", wrapperspb.String("x"), &wrapperspb.StringValue{}); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call without a deadline: %v", err)
+	}
+	if _, err := ask(t, c, "127.0.0.1:1", "x", 30*time.Second); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call to a closed port: %v", err)
+	}
+}
+
+// silentConn stops passing data in both directions without closing, once told to.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+	closed chan struct{}
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentConn) Close() error {
+	close(c.closed)
+	return c.Conn.Close()
+}
+
+// TestSilentSessionIsReplaced guards against a connection that has gone silent and fails all later calls.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	_, address := start(t, Options{})
+	var dials atomic.Int32
+	var silent atomic.Bool
+	c := client(t, Options{
+		MinSilence: time.Millisecond,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if dials.Add(1) > 1 {
+				return conn, err
+			}
+			return &silentConn{Conn: conn, silent: &silent, closed: make(chan struct{})}, err
+		},
+	})
+	if _, err := ask(t, c, address, "x", 30*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	silent.Store(true)
+	if _, err := ask(t, c, address, "x", 100*time.Millisecond); !errors.Is(err, ErrNoAnswer) {
+		t.Fatalf("call on a silent session: %v, want ErrNoAnswer", err)
+	}
+	l, err := c.link(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-l.current.CloseChan()
+	if _, err := ask(t, c, address, "x", 30*time.Second); err != nil || dials.Load() != 2 {
+		t.Fatalf("call after the silence: %v with %d dials, want success with 2", err, dials.Load())
+	}
+}
+
+// authority issues certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         ed25519.PrivateKey
+	pool        *x509.CertPool
+}
+
+func newAuthority(t testing.TB) *authority {
+	t.Helper()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour),
+	}
+	public, key, _ := ed25519.GenerateKey(rand.Reader)
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, _ := x509.ParseCertificate(der)
+	pool := x509.NewCertPool()
+	pool.AddCert(certificate)
+	return &authority{certificate: certificate, key: key, pool: pool}
+}
+
+func (a *authority) config(t testing.TB, name string, dnsNames ...string) *tls.Config {
+	t.Helper()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: dnsNames,
+		NotAfter:    time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	public, key, _ := ed25519.GenerateKey(rand.Reader)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, public, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      a.pool, ClientCAs: a.pool,
+	}
+}
+
+// TestIdentity guards against a host that speaks under the name of another one.
+func TestIdentity(t *testing.T) {
+	trusted, other := newAuthority(t), newAuthority(t)
+	cases := []struct {
+		name           string
+		server, client *tls.Config
+		want           error
+	}{
+		{"both named", trusted.config(t, "server"), trusted.config(t, "client"), nil},
+		{"DNS name", trusted.config(t, "x", "server"), trusted.config(t, "y", "client"), nil},
+		{"caller has another name", trusted.config(t, "server"), trusted.config(t, "server"), ErrRefused},
+		{"callee has another name", trusted.config(t, "client"), trusted.config(t, "client"), ErrNoAnswer},
+		{"callee of another authority", other.config(t, "server"), trusted.config(t, "client"), ErrNotSent},
+		{"caller of another authority", trusted.config(t, "server"), foreignClient(t, trusted, other), ErrNoAnswer},
+		{"caller without TLS", trusted.config(t, "server"), nil, ErrNoAnswer},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, address := start(t, Options{TLS: test.server})
+			_, err := ask(t, client(t, Options{TLS: test.client}), address, "x", 30*time.Second)
+			refused := errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent)
+			if !errors.Is(err, test.want) && (!errors.Is(test.want, ErrNoAnswer) || !refused) {
+				t.Fatalf("error %v, want %v", err, test.want)
+			}
+			if (err == nil) != (test.want == nil) {
+				t.Fatalf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// foreignClient trusts one authority and has a certificate of the other.
+func foreignClient(t *testing.T, trusted, other *authority) *tls.Config {
+	t.Helper()
+	config := other.config(t, "client")
+	config.RootCAs = trusted.pool
+	return config
+}
+
+// FuzzReadRequest guards against a panic or a large allocation on hostile input.
+func FuzzReadRequest(f *testing.F) {
+	body, _ := proto.Marshal(wrapperspb.String("x"))
+	frame, _ := encode(&peerpb.RequestHeader{Method: "echo", HostId: "a", BodyBytes: uint64(len(body))}, body)
+	f.Add(frame)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	const limit = 1 << 10
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		header, err := readRequestHeader(r, limit)
+		if err != nil {
+			return
+		}
+		if header.GetBodyBytes() > limit {
+			t.Fatalf("header with a body of %d bytes was accepted", header.GetBodyBytes())
+		}
+		_ = readBody(r, header.GetBodyBytes(), &wrapperspb.StringValue{})
+	})
+}
