--- a/emulator/load/check_test.go
+++ b/emulator/load/check_test.go
@@ -45,17 +45,20 @@
 		},
 		{
 			"half an answer",
-			[]Response{{Method: "GET", Path: "/logbook", Status: 200, Body: "GET /logbook ser"}}, nil,
+			[]Response{{Method: "GET", Path: "/logbook", Status: 200, Body: "GET /logbook ser"}},
+			nil,
 			func(s *Summary) int { return s.WrongAnswers },
 		},
 		{
 			"answer to another request",
-			[]Response{{Method: "GET", Path: "/logbook", Status: 200, Body: "GET /benchcards served by b-1\n"}}, nil,
+			[]Response{{Method: "GET", Path: "/logbook", Status: 200, Body: "GET /benchcards served by b-1\n"}},
+			nil,
 			func(s *Summary) int { return s.WrongAnswers },
 		},
 		{
 			"cut connection",
-			[]Response{{Method: "GET", Path: "/logbook", Err: "unexpected EOF"}}, nil,
+			[]Response{{Method: "GET", Path: "/logbook", Err: "unexpected EOF"}},
+			nil,
 			func(s *Summary) int { return s.CutRequests },
 		},
 	}
--- /dev/null
+++ b/emulator/local/local.go
@@ -0,0 +1,253 @@
+package local
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeyard/bronzeyard/emulator/deployment"
+	"github.com/bronzeyard/bronzeyard/emulator/upstream"
+	"github.com/bronzeyard/bronzeyard/host"
+	"github.com/bronzeyard/bronzeyard/host/config"
+	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/settings/store"
+)
+
+// Options of a local deployment.
+type Options struct {
+	Deployment *deployment.Deployment
+	// Hosts is the number of hosts, 1 to 16. Default 3.
+	Hosts int
+	// ServiceTime is the median service time of upstreams. Default 5 ms.
+	ServiceTime time.Duration
+	Seed        uint64
+	Logger      zerolog.Logger
+}
+
+// OperatorToken is the bearer token of the operator "local". It is for loopback only.
+const OperatorToken = "local-operator-token"
+
+// Limits of a local deployment.
+const (
+	MaxHosts     = 16
+	defaultHosts = 3
+)
+
+// Fleet is a running local deployment.
+type Fleet struct {
+	Options   Options
+	Table     *memory.Table
+	Objects   *memory.ObjectStore
+	Upstreams map[string][]*upstream.Server
+
+	nodes []*Node
+}
+
+// Node is one host of a local deployment.
+type Node struct {
+	Host   *host.Host
+	Config *config.Config
+
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Start starts platform, upstreams and hosts.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	if options.Hosts == 0 {
+		options.Hosts = defaultHosts
+	}
+	if options.Hosts < 1 || options.Hosts > MaxHosts {
+		return nil, fmt.Errorf("local: 1 to %d hosts can run, not %d", MaxHosts, options.Hosts)
+	}
+	f := &Fleet{
+		Options: options, Table: memory.NewTable(), Objects: memory.NewObjectStore(),
+		Upstreams: make(map[string][]*upstream.Server),
+	}
+	for _, start := range []func(context.Context) error{f.startUpstreams, f.applySettings, f.startHosts} {
+		if err := start(ctx); err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startUpstreams(context.Context) error {
+	d := f.Options.Deployment
+	for s := range d.Services {
+		for i := range d.Services[s].Upstreams {
+			server, err := upstream.Start("127.0.0.1:0", upstream.Options{
+				ID: fmt.Sprintf("%s-%02d", d.Services[s].Name, i+1), Slots: d.Slots, Connections: d.Connections,
+				ServiceTime: f.Options.ServiceTime, Seed: f.Options.Seed + uint64(100*s+i),
+			})
+			if err != nil {
+				return err
+			}
+			f.Upstreams[d.Services[s].Name] = append(f.Upstreams[d.Services[s].Name], server)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) applySettings(ctx context.Context) error {
+	edits, err := settings.Diff(&settings.Tree{}, Tree(f.Options.Deployment, f.Upstreams))
+	if err != nil {
+		return err
+	}
+	st := store.New(store.Options{Table: f.Table, Objects: f.Objects})
+	_, err = st.Apply(ctx, store.Change{ID: "local-settings", Operator: "local", Edits: edits})
+	return err
+}
+
+func (f *Fleet) startHosts(ctx context.Context) error {
+	configs, err := f.configs(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range configs {
+		if _, err := f.StartHost(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) configs(ctx context.Context) ([]*config.Config, error) {
+	token := sha256.Sum256([]byte(OperatorToken))
+	configs := make([]*config.Config, f.Options.Hosts)
+	var seeds []string
+	for i := range configs {
+		id, dataCentre := hostID(f.Options.Deployment, i)
+		addresses, err := freeAddresses(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c := &config.Config{
+			HostID: id, DataCentre: dataCentre, Cell: config.DefaultCell, Capacity: 1, LogLevel: "info",
+			Caller: config.Listener{Listen: addresses[0]}, Peer: config.Listener{Listen: addresses[1]},
+			DrainTime: config.Duration(config.DefaultDrainTime),
+		}
+		c.Admin.Listen = addresses[2]
+		c.Admin.Operators = []config.Operator{{Name: "local", TokenSHA256: hex.EncodeToString(token[:])}}
+		seeds = append(seeds, c.Peer.Listen)
+		configs[i] = c
+	}
+	for _, c := range configs {
+		c.Seeds = seeds
+	}
+	return configs, nil
+}
+
+// freeAddresses returns addresses on loopback for callers, peers and operators. All are held open until the last one is
+// chosen, so that they differ.
+func freeAddresses(ctx context.Context) (addresses [3]string, err error) {
+	var config net.ListenConfig
+	for i := range addresses {
+		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
+
+// StartHost starts a host and adds it to the fleet. The host lives until Stop or Close, independently of ctx.
+func (f *Fleet) StartHost(ctx context.Context, c *config.Config) (*Node, error) {
+	logger := f.Options.Logger.With().Str("host", c.HostID).Logger()
+	h, err := host.New(ctx, host.Options{Config: c, Table: f.Table, Objects: f.Objects, Logger: logger})
+	if err != nil {
+		return nil, err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	node := &Node{Host: h, Config: c, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(node.done)
+		node.err = errors.Join(h.Run(running), h.Cleanup())
+	}()
+	f.nodes = append(f.nodes, node)
+	return node, nil
+}
+
+// Nodes returns the hosts that were started and not stopped.
+func (f *Fleet) Nodes() []*Node { return append([]*Node(nil), f.nodes...) }
+
+// CallerAddresses returns the caller addresses of all hosts.
+func (f *Fleet) CallerAddresses() []string {
+	addresses := make([]string, len(f.nodes))
+	for i, node := range f.nodes {
+		addresses[i] = node.Config.Caller.Listen
+	}
+	return addresses
+}
+
+// Records returns what all upstream stand-ins received.
+func (f *Fleet) Records() []upstream.Record {
+	var records []upstream.Record
+	for _, servers := range f.Upstreams {
+		for _, server := range servers {
+			records = append(records, server.Records()...)
+		}
+	}
+	return records
+}
+
+// Stop ends a host without a graceful leave, as a crash does, and removes it from the fleet.
+func (f *Fleet) Stop(node *Node) error {
+	for i, other := range f.nodes {
+		if other == node {
+			f.nodes = append(f.nodes[:i:i], f.nodes[i+1:]...)
+		}
+	}
+	node.cancel()
+	<-node.done
+	return node.err
+}
+
+// Close stops all hosts and upstreams.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, node := range f.Nodes() {
+		errs = append(errs, f.Stop(node))
+	}
+	for _, servers := range f.Upstreams {
+		for _, server := range servers {
+			errs = append(errs, server.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// readyInterval is the time between two looks at hosts that are starting.
+const readyInterval = 20 * time.Millisecond
+
+// WaitReady waits until every host is ready to serve.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for _, node := range f.Nodes() {
+		for !node.Host.Ready() {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("local: host %s is not ready: %w", node.Config.HostID, ctx.Err())
+			case <-node.done:
+				return fmt.Errorf("local: host %s has ended: %w", node.Config.HostID, node.err)
+			case <-ticker.C:
+			}
+		}
+	}
+	return nil
+}
+
+// NewOperationID returns a new UUID version 7.
+func NewOperationID() string { return uuid.Must(uuid.NewV7()).String() }
--- a/host/host.go
+++ b/host/host.go
@@ -146,3 +146,6 @@
 	}
 	return errors.Join(errs...)
 }
+
+// Ready reports whether the host has settings and may act on them.
+func (h *Host) Ready() bool { return h.snapshots.Current() != nil }
