--- a/settings/store/store.go
+++ b/settings/store/store.go
@@ -133,9 +133,9 @@
 
 // install puts a tree in force if its revision is newer, and keeps the records that led to it. It must be called with
 // mu held.
-func (s *Store) install(tree *settings.Tree, revision uint64, records []Record) bool {
+func (s *Store) install(tree *settings.Tree, revision uint64, records []Record) {
 	if revision <= s.current.Load().revision {
-		return false
+		return
 	}
 	s.current.Store(&state{tree: tree, revision: revision})
 	s.head = max(s.head, revision)
@@ -143,7 +143,6 @@
 	for _, id := range s.observerIDs() {
 		s.observers[id](tree, revision)
 	}
-	return true
 }
 
 func (s *Store) observerIDs() []int {
--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -245,3 +245,23 @@
 		`"edits":[{"op":"set","path":"customers/harbour/burst","value":0}]}`)
 	return item
 }
+
+// Guards against panics on damaged rows, and against accepted rows that do not survive a round trip.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, err := store.DecodeRecord(data)
+		if err != nil {
+			return
+		}
+		if record.Revision == 0 || len(record.Edits) > 0 && record.Object != "" {
+			t.Fatalf("accepted %+v", record)
+		}
+		encoded, err := json.Marshal(record)
+		if err != nil {
+			t.Fatalf("accepted %+v, which cannot be encoded: %v", record, err)
+		}
+		if _, err := store.DecodeRecord(encoded); err != nil {
+			t.Fatalf("%v in %s", err, encoded)
+		}
+	})
+}
