Add the clients of the platform and a server for their tests

Cause: hosts reach the table, the object store and the host list over published wire formats. Change: clients for DynamoDB, S3 and HTTP service discovery; a handler that serves platform/memory over the same formats. Conclusion: the clients hold to the contract of platform.Table.

--- /dev/null
+++ b/emulator/platformserver/s3.go
@@ -0,0 +1,65 @@
+package platformserver
+
+import (
+	"encoding/xml"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/gorilla/mux"
+
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+type s3Error struct {
+	XMLName xml.Name `xml:"Error"`
+	Code    string   `xml:"Code"`
+	Message string   `xml:"Message"`
+}
+
+func refuseS3(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", "application/xml")
+	w.WriteHeader(status)
+	_ = xml.NewEncoder(w).Encode(s3Error{Code: code, Message: message})
+}
+
+// objectName is bucket and key, so that buckets are separate.
+func objectName(r *http.Request) string {
+	variables := mux.Vars(r)
+	key, err := url.PathUnescape(variables["key"])
+	if err != nil {
+		key = variables["key"]
+	}
+	return variables["bucket"] + "/" + key
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := s.Objects.Get(r.Context(), objectName(r))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		refuseS3(w, http.StatusNotFound, "NoSuchKey", "The specified key does not exist.")
+	case err != nil:
+		refuseS3(w, http.StatusServiceUnavailable, "ServiceUnavailable", err.Error())
+	default:
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(data)
+	}
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Content-Encoding") == "aws-chunked" {
+		refuseS3(w, http.StatusNotImplemented, "NotImplemented", "chunked signatures are not supported")
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		refuseS3(w, http.StatusBadRequest, "IncompleteBody", err.Error())
+		return
+	}
+	if err := s.Objects.Put(r.Context(), objectName(r), data); err != nil {
+		refuseS3(w, http.StatusServiceUnavailable, "ServiceUnavailable", err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/emulator/platformserver/server_test.go
@@ -0,0 +1,221 @@
+package platformserver_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/bronzeyard/bronzeyard/emulator/platformserver"
+	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/platform/dynamo"
+	"github.com/bronzeyard/bronzeyard/platform/httpsd"
+	"github.com/bronzeyard/bronzeyard/platform/s3"
+)
+
+type clients struct {
+	server  *platformserver.Server
+	table   *dynamo.Table
+	objects *s3.ObjectStore
+	hosts   *httpsd.HostList
+	url     string
+}
+
+func start(t *testing.T, timeout time.Duration) *clients {
+	server := platformserver.New()
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	provider := credentials.NewStaticCredentialsProvider("id", "secret", "")
+	return &clients{
+		server:  server,
+		url:     listener.URL,
+		table:   dynamo.New(dynamo.Options{Endpoint: listener.URL + platformserver.DynamoDBPath, TableName: "t", Credentials: provider, CallTimeout: timeout}),
+		objects: s3.New(s3.Options{Endpoint: listener.URL + platformserver.S3Path, Bucket: "b", Credentials: provider, CallTimeout: timeout}),
+		hosts:   httpsd.New(httpsd.Options{URL: listener.URL + platformserver.HostsPath, CallTimeout: timeout}),
+	}
+}
+
+const generous = 30 * time.Second
+
+func put(sort string, version uint64, condition platform.Condition) platform.Write {
+	return platform.Write{
+		Kind: platform.Put, Key: platform.Key{Partition: "p", Sort: sort}, Value: []byte{0, 0xff, 'x'},
+		Version: version, WriteID: fmt.Sprintf("w-%s-%d", sort, version), Condition: condition,
+	}
+}
+
+// Guards against a client that loses attributes, breaks the order of keys, or drops pages of a long query.
+func TestTableRoundTrip(t *testing.T) {
+	c := start(t, generous)
+	const rows = 250
+	for i := range rows {
+		if err := c.table.Transact(t.Context(), []platform.Write{put(fmt.Sprintf("%03d", i), 1, platform.Condition{Kind: platform.Absent})}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	item, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: "007"})
+	want := platform.Item{Key: platform.Key{Partition: "p", Sort: "007"}, Value: []byte{0, 0xff, 'x'}, Version: 1, WriteID: "w-007-1"}
+	if err != nil || !cmp.Equal(item, want) {
+		t.Fatalf("%v\n%s", err, cmp.Diff(want, item))
+	}
+	if _, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: "none"}); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("got %v, want not found", err)
+	}
+	for _, test := range []struct {
+		after      string
+		limit, got int
+	}{{"", 1000, rows}, {"009", 1000, rows - 10}, {"", 120, 120}, {"249", 10, 0}} {
+		items, err := c.table.Query(t.Context(), "p", test.after, test.limit)
+		if err != nil || len(items) != test.got {
+			t.Fatalf("after %q with limit %d: %d items, %v", test.after, test.limit, len(items), err)
+		}
+		for i := 1; i < len(items); i++ {
+			if items[i-1].Key.Sort >= items[i].Key.Sort {
+				t.Fatalf("%q comes before %q", items[i-1].Key.Sort, items[i].Key.Sort)
+			}
+		}
+	}
+}
+
+// Guards against conditions that are not sent, and against a conflict that names the wrong write.
+func TestTableConditions(t *testing.T) {
+	c := start(t, generous)
+	absent, second := platform.Condition{Kind: platform.Absent}, platform.Condition{Kind: platform.VersionIs, Version: 2}
+	key := platform.Key{Partition: "p", Sort: "a"}
+	if err := c.table.Transact(t.Context(), []platform.Write{put("a", 2, absent)}); err != nil {
+		t.Fatal(err)
+	}
+	for name, test := range map[string]struct {
+		writes []platform.Write
+		index  int
+	}{
+		"present":       {[]platform.Write{put("b", 1, absent), put("a", 3, absent)}, 1},
+		"other version": {[]platform.Write{put("a", 3, platform.Condition{Kind: platform.VersionIs, Version: 1})}, 0},
+		"check":         {[]platform.Write{put("b", 1, absent), {Kind: platform.Check, Key: key, Condition: absent}}, 1},
+		"delete":        {[]platform.Write{{Kind: platform.Delete, Key: key, Condition: platform.Condition{Kind: platform.VersionIs, Version: 7}}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var conflict *platform.ConflictError
+			if err := c.table.Transact(t.Context(), test.writes); !errors.As(err, &conflict) || conflict.Index != test.index {
+				t.Fatalf("got %v, want a conflict at write %d", err, test.index)
+			}
+		})
+	}
+	if err := c.table.Transact(t.Context(), []platform.Write{{Kind: platform.Delete, Key: key, Condition: second}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, sort := range []string{"a", "b"} {
+		if _, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: sort}); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("%s: got %v, want not found", sort, err)
+		}
+	}
+}
+
+// Guards against a write that may have been applied and is reported as not applied, and the reverse.
+func TestWriteOutcomes(t *testing.T) {
+	for name, test := range map[string]struct {
+		inject func(*clients)
+		want   error
+		stored bool
+	}{
+		"one lost answer is resolved": {func(c *clients) { c.server.Table.Faults.LoseAnswers(1) }, nil, true},
+		"one lost write is repeated":  {func(c *clients) { c.server.Table.Faults.LoseWrites(1) }, nil, true},
+		"two lost writes":             {func(c *clients) { c.server.Table.Faults.LoseWrites(2) }, platform.ErrUnknownOutcome, false},
+		"status 503":                  {func(c *clients) { c.server.Table.Faults.SetDown(true) }, platform.ErrUnknownOutcome, false},
+		"timeout":                     {func(c *clients) { c.server.Table.Faults.SetDelay(time.Hour) }, platform.ErrUnknownOutcome, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			timeout := generous
+			if name == "timeout" {
+				timeout = 100 * time.Millisecond
+			}
+			c := start(t, timeout)
+			test.inject(c)
+			err := c.table.Transact(t.Context(), []platform.Write{put("a", 1, platform.Condition{Kind: platform.Absent})})
+			if !errors.Is(err, test.want) || errors.Is(err, platform.ErrUnavailable) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
+			c.server.Table.Faults.SetDown(false)
+			c.server.Table.Faults.SetDelay(0)
+			if _, err := c.server.Table.Get(t.Context(), platform.Key{Partition: "p", Sort: "a"}); (err == nil) != test.stored {
+				t.Fatalf("stored: %v, want %v", err == nil, test.stored)
+			}
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		listener := httptest.NewServer(http.NotFoundHandler())
+		listener.Close()
+		table := dynamo.New(dynamo.Options{Endpoint: listener.URL, TableName: "t", Credentials: credentials.NewStaticCredentialsProvider("id", "secret", "")})
+		err := table.Transact(t.Context(), []platform.Write{put("a", 1, platform.Condition{})})
+		if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Fatalf("got %v, want unavailable: nothing was sent", err)
+		}
+	})
+}
+
+// Guards against objects that are changed on the way, and against an outage that reads as a missing object.
+func TestObjects(t *testing.T) {
+	c := start(t, generous)
+	data := bytes.Repeat([]byte{0, 1, 0xff, '%'}, 1<<18)
+	name := "settings/chunk/sha256 of+something%2F"
+	if err := c.objects.Put(t.Context(), name, data); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := c.objects.Get(t.Context(), name); err != nil || !bytes.Equal(got, data) {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+	if _, err := c.objects.Get(t.Context(), "none"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("got %v, want not found", err)
+	}
+	c.server.Objects.Faults.SetDown(true)
+	if _, err := c.objects.Get(t.Context(), name); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("got %v, want unavailable", err)
+	}
+}
+
+// Guards against a leaving host that is read as live, and against a malformed document that is read in part.
+func TestHostList(t *testing.T) {
+	c := start(t, generous)
+	want := []platform.ListedHost{{Address: "127.0.0.1:7", State: platform.HostLive}, {Address: "127.0.0.2", State: platform.HostLeaving}}
+	c.server.Hosts.Set(want)
+	got, err := c.hosts.Hosts(t.Context())
+	if err != nil || !cmp.Equal(got, want) {
+		t.Fatalf("%v, %v", got, err)
+	}
+	for _, hosts := range [][]platform.ListedHost{{{Address: "host.example:1"}}, {{Address: "127.0.0.1", State: "gone"}}} {
+		c.server.Hosts.Set(hosts)
+		if got, err := c.hosts.Hosts(t.Context()); err == nil {
+			t.Fatalf("%v was accepted as %v", hosts, got)
+		}
+	}
+}
+
+// Guards against an admin endpoint that does not reach the service it names.
+func TestAdmin(t *testing.T) {
+	c := start(t, generous)
+	post := func(body string) int {
+		response, err := http.Post(c.url+"/admin/faults", "application/json", bytes.NewBufferString(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode
+	}
+	if status := post(`{"service":"hosts","down":true}`); status != http.StatusNoContent {
+		t.Fatalf("status %d", status)
+	}
+	if _, err := c.hosts.Hosts(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("got %v, want unavailable", err)
+	}
+	for _, body := range []string{`{"service":"clock"}`, `{"service":"hosts","dwn":true}`} {
+		if status := post(body); status != http.StatusBadRequest {
+			t.Fatalf("%s: status %d", body, status)
+		}
+	}
+}
