Add the operators' API of a host

Cause: operators change settings, keys and upstreams, and read them, over HTTP. Conclusion: the host has to provide admin.Fleet.

--- /dev/null
+++ b/host/admin/customers.go
@@ -0,0 +1,224 @@
+package admin
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+const (
+	keyBytes     = 32
+	defaultLimit = 100
+	maxLimit     = 1000
+)
+
+// LimitsRequest is the body of POST /v1/customers/ID and PUT /v1/customers/ID/limits.
+type LimitsRequest struct {
+	ChangeHeader `json:",inline"`
+	Rate         settings.Rate `json:"rate"`
+	Burst        float64       `json:"burst"`
+	// Weight of 0 stands for the default of 1.
+	Weight float64 `json:"weight,omitzero"`
+}
+
+// CustomerAnswer is one customer of a list.
+type CustomerAnswer struct {
+	ID     string        `json:"id"`
+	Rate   settings.Rate `json:"rate"`
+	Burst  float64       `json:"burst"`
+	Weight float64       `json:"weight"`
+	// Keys is the number of valid keys.
+	Keys int `json:"keys"`
+}
+
+// CustomersAnswer is the answer to GET /v1/customers, sorted by ID.
+type CustomersAnswer struct {
+	Revision  uint64           `json:"revision"`
+	Customers []CustomerAnswer `json:"customers"`
+	// Next is the value of "after" that continues the list.
+	Next string `json:"next,omitzero"`
+}
+
+// KeyAnswer is one key of a list.
+type KeyAnswer struct {
+	ID        string        `json:"id"`
+	Granted   settings.Time `json:"granted,omitzero"`
+	Withdrawn settings.Time `json:"withdrawn,omitzero"`
+}
+
+// KeysAnswer is the answer to GET /v1/customers/ID/keys.
+type KeysAnswer struct {
+	Revision uint64      `json:"revision"`
+	Keys     []KeyAnswer `json:"keys"`
+}
+
+// GrantRequest is the body of POST /v1/customers/ID/keys/KEY.
+type GrantRequest struct {
+	ChangeHeader `json:",inline"`
+	// Hash is that of a key that the client drew. If it is missing, the host draws one and the answer shows it.
+	Hash *settings.KeyHash `json:"hash,omitzero"`
+}
+
+func (h *Handler) createCustomer(r *request) (any, error) {
+	var body LimitsRequest
+	if err := r.decode(&body); err != nil {
+		return nil, err
+	}
+	spec := &settings.CustomerSpec{Rate: body.Rate, Burst: body.Burst, Weight: body.Weight}
+	return h.change(r, body.ChangeHeader, settings.Edit{
+		Op: settings.Add, Path: "customers/" + r.variable("customer"), Value: encode(spec),
+	})
+}
+
+func (h *Handler) setLimits(r *request) (any, error) {
+	var body LimitsRequest
+	if err := r.decode(&body); err != nil {
+		return nil, err
+	}
+	path := "customers/" + r.variable("customer")
+	if _, err := h.customer(r.variable("customer")); err != nil {
+		return nil, err
+	}
+	edits := []settings.Edit{
+		{Op: settings.Set, Path: path + "/rate", Value: encode(body.Rate)},
+		{Op: settings.Set, Path: path + "/burst", Value: encode(body.Burst)},
+	}
+	if body.Weight != 0 {
+		edits = append(edits, settings.Edit{Op: settings.Set, Path: path + "/weight", Value: encode(body.Weight)})
+	}
+	return h.change(r, body.ChangeHeader, edits...)
+}
+
+func (h *Handler) customer(id string) (*settings.CustomerSpec, error) {
+	tree, _ := h.options.Settings.Current()
+	customer := tree.Customers[id]
+	if customer == nil {
+		return nil, notFound("the customer %q does not exist", id)
+	}
+	return customer, nil
+}
+
+func (h *Handler) listCustomers(r *request) (any, error) {
+	limit, err := limitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	after := r.URL.Query().Get("after")
+	tree, revision := h.options.Settings.Current()
+	answer := &CustomersAnswer{Revision: revision, Customers: []CustomerAnswer{}}
+	ids := slices.Sorted(maps.Keys(tree.Customers))
+	from, found := slices.BinarySearch(ids, after)
+	if found {
+		from++
+	}
+	for _, id := range ids[from:] {
+		if len(answer.Customers) == limit {
+			answer.Next = answer.Customers[limit-1].ID
+			break
+		}
+		answer.Customers = append(answer.Customers, customerAnswer(id, tree.Customers[id]))
+	}
+	return answer, nil
+}
+
+func customerAnswer(id string, spec *settings.CustomerSpec) CustomerAnswer {
+	answer := CustomerAnswer{ID: id, Rate: spec.Rate, Burst: spec.Burst, Weight: spec.Weight}
+	if answer.Weight == 0 {
+		answer.Weight = 1
+	}
+	for i := range spec.Keys {
+		if spec.Keys[i].Withdrawn == 0 {
+			answer.Keys++
+		}
+	}
+	return answer
+}
+
+func limitOf(r *request) (int, error) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return defaultLimit, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > maxLimit {
+		return 0, badRequest("limit is not a number from 1 to %d", maxLimit)
+	}
+	return limit, nil
+}
+
+func (h *Handler) listKeys(r *request) (any, error) {
+	customer, err := h.customer(r.variable("customer"))
+	if err != nil {
+		return nil, err
+	}
+	_, revision := h.options.Settings.Current()
+	answer := &KeysAnswer{Revision: revision, Keys: []KeyAnswer{}}
+	for i := range customer.Keys {
+		key := &customer.Keys[i]
+		answer.Keys = append(answer.Keys, KeyAnswer{ID: key.ID, Granted: key.Granted, Withdrawn: key.Withdrawn})
+	}
+	return answer, nil
+}
+
+func (h *Handler) grantKey(r *request) (any, error) {
+	var body GrantRequest
+	if err := r.decode(&body); err != nil {
+		return nil, err
+	}
+	shown, hash := "", settings.KeyHash{}
+	if body.Hash != nil {
+		hash = *body.Hash
+	} else {
+		var drawn [keyBytes]byte
+		_, _ = rand.Read(drawn[:]) // crypto/rand.Read never returns an error.
+		shown = base64.RawURLEncoding.EncodeToString(drawn[:])
+		hash = settings.HashKey(shown)
+	}
+	customer, key := r.variable("customer"), r.variable("key")
+	spec := settings.KeySpec{Hash: hash, Granted: settings.Time(h.options.Clock.Wall().Unix())}
+	granted := func(tree *settings.Tree) bool {
+		is := findKey(tree, customer, key)
+		return is != nil && is.Hash == hash && is.Withdrawn == 0
+	}
+	result, err := h.repeatable(r, body.ChangeHeader, granted, settings.Edit{
+		Op: settings.Add, Path: "customers/" + customer + "/keys/" + key, Value: encode(&spec),
+	})
+	if err != nil {
+		return nil, err
+	}
+	result.Key = shown
+	return result, nil
+}
+
+func findKey(tree *settings.Tree, customer, key string) *settings.KeySpec {
+	spec := tree.Customers[customer]
+	if spec == nil {
+		return nil
+	}
+	for i := range spec.Keys {
+		if spec.Keys[i].ID == key {
+			return &spec.Keys[i]
+		}
+	}
+	return nil
+}
+
+func (h *Handler) withdrawKey(r *request) (any, error) {
+	var header ChangeHeader
+	if err := r.decode(&header); err != nil {
+		return nil, err
+	}
+	customer, key := r.variable("customer"), r.variable("key")
+	withdrawn := func(tree *settings.Tree) bool {
+		is := findKey(tree, customer, key)
+		return is != nil && is.Withdrawn != 0
+	}
+	return h.repeatable(r, header, withdrawn, settings.Edit{
+		Op: settings.Set, Path: "customers/" + customer + "/keys/" + key + "/withdrawn",
+		Value: encode(settings.Time(h.options.Clock.Wall().Unix())),
+	})
+}
--- /dev/null
+++ b/host/admin/services.go
@@ -0,0 +1,163 @@
+package admin
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/settings/store"
+)
+
+// ServiceAnswer is one service of a list.
+type ServiceAnswer struct {
+	Name      string           `json:"name"`
+	Upstreams []UpstreamAnswer `json:"upstreams"`
+	Routes    int              `json:"routes"`
+}
+
+// UpstreamAnswer is one upstream of a list.
+type UpstreamAnswer struct {
+	ID                     string `json:"id"`
+	*settings.UpstreamSpec `json:",inline"`
+}
+
+// ServicesAnswer is the answer to GET /v1/services.
+type ServicesAnswer struct {
+	Revision uint64          `json:"revision"`
+	Services []ServiceAnswer `json:"services"`
+	// Next is the value of "after" that continues the list.
+	Next string `json:"next,omitzero"`
+}
+
+// SpecRequest is the body of PUT /v1/services/NAME and of PUT for an upstream. The spec is that of the settings.
+type SpecRequest struct {
+	ChangeHeader `json:",inline"`
+	Spec         jsontext.Value `json:"spec"`
+}
+
+// LeavingRequest is the body of PUT .../leaving.
+type LeavingRequest struct {
+	ChangeHeader `json:",inline"`
+	Leaving      bool `json:"leaving"`
+}
+
+func (h *Handler) listServices(r *request) (any, error) {
+	limit, err := limitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	tree, revision := h.options.Settings.Current()
+	answer := &ServicesAnswer{Revision: revision, Services: []ServiceAnswer{}}
+	names := slices.Sorted(maps.Keys(tree.Services))
+	from, found := slices.BinarySearch(names, r.URL.Query().Get("after"))
+	if found {
+		from++
+	}
+	for _, name := range names[from:] {
+		if len(answer.Services) == limit {
+			answer.Next = answer.Services[limit-1].Name
+			break
+		}
+		answer.Services = append(answer.Services, serviceAnswer(name, tree.Services[name]))
+	}
+	return answer, nil
+}
+
+func serviceAnswer(name string, spec *settings.ServiceSpec) ServiceAnswer {
+	answer := ServiceAnswer{Name: name, Routes: len(spec.Routes), Upstreams: []UpstreamAnswer{}}
+	for _, id := range slices.Sorted(maps.Keys(spec.Upstreams)) {
+		answer.Upstreams = append(answer.Upstreams, UpstreamAnswer{ID: id, UpstreamSpec: spec.Upstreams[id]})
+	}
+	return answer
+}
+
+func (h *Handler) setService(r *request) (any, error) {
+	return h.setSpec(r, "services/"+r.variable("service"))
+}
+
+func (h *Handler) setUpstream(r *request) (any, error) {
+	return h.setSpec(r, upstreamPath(r))
+}
+
+func upstreamPath(r *request) string {
+	return "services/" + r.variable("service") + "/upstreams/" + r.variable("upstream")
+}
+
+func (h *Handler) setSpec(r *request, path string) (any, error) {
+	var body SpecRequest
+	if err := r.decode(&body); err != nil {
+		return nil, err
+	}
+	return h.change(r, body.ChangeHeader, settings.Edit{Op: settings.Set, Path: path, Value: []byte(body.Spec)})
+}
+
+func (h *Handler) removeUpstream(r *request) (any, error) {
+	var header ChangeHeader
+	if err := r.decode(&header); err != nil {
+		return nil, err
+	}
+	return h.change(r, header, settings.Edit{Op: settings.Unset, Path: upstreamPath(r)})
+}
+
+func (h *Handler) setLeaving(r *request) (any, error) {
+	var body LeavingRequest
+	if err := r.decode(&body); err != nil {
+		return nil, err
+	}
+	return h.change(r, body.ChangeHeader, settings.Edit{
+		Op: settings.Set, Path: upstreamPath(r) + "/leaving", Value: encode(body.Leaving),
+	})
+}
+
+func (h *Handler) audit(r *request) (any, error) {
+	query := r.URL.Query()
+	limit, err := limitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	filter := store.AuditFilter{Operator: query.Get("operator"), Path: query.Get("path"), Limit: limit}
+	for name, target := range map[string]*time.Time{"since": &filter.Since, "until": &filter.Until} {
+		if text := query.Get(name); text != "" {
+			if *target, err = time.Parse(time.RFC3339, text); err != nil {
+				return nil, badRequest("%s is not a time in RFC 3339", name)
+			}
+		}
+	}
+	if text := query.Get("before"); text != "" {
+		if filter.Before, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, badRequest("before is not a revision")
+		}
+	}
+	page, err := h.options.Settings.Audit(r.Context(), filter)
+	if err != nil {
+		return nil, err
+	}
+	return &page, nil
+}
+
+// StatusAnswer is the answer to GET /v1/status.
+type StatusAnswer struct {
+	Settings store.Status `json:"settings"`
+	// Host is what Fleet.Status returns.
+	Host any `json:"host"`
+}
+
+func (h *Handler) status(*request) (any, error) {
+	return &StatusAnswer{Settings: h.options.Settings.Status(), Host: h.options.Fleet.Status()}, nil
+}
+
+// DrainAnswer is the answer to POST /v1/drain.
+type DrainAnswer struct {
+	Draining bool `json:"draining"`
+}
+
+func (h *Handler) drain(r *request) (any, error) {
+	if err := h.options.Fleet.Drain(r.Context()); err != nil {
+		return nil, err
+	}
+	return &DrainAnswer{Draining: true}, nil
+}
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -301,3 +301,44 @@
 	}
 	return nil
 }
+
+// Lookup returns the value at a path as JSON; "" is the whole tree. It returns an *InvalidError if there is no value.
+func (t *Tree) Lookup(path string) (stdjson.RawMessage, error) {
+	value := reflect.ValueOf(t)
+	var names []string
+	if path = strings.Trim(path, "/"); path != "" {
+		parsed, err := ParsePath(path)
+		if err != nil {
+			return nil, err
+		}
+		names = parsed
+	}
+	for _, name := range names {
+		value = child(value, name)
+		if !value.IsValid() {
+			return nil, invalid(path, "there is no value")
+		}
+	}
+	if (value.Kind() == reflect.Pointer || value.Kind() == reflect.Map) && value.IsNil() {
+		return nil, invalid(path, "there is no value")
+	}
+	return json.Marshal(value.Interface(), json.Deterministic(true))
+}
+
+func child(value reflect.Value, name string) reflect.Value {
+	if keys, ok := value.Interface().(KeyList); ok {
+		if index, found := keys.find(name); found {
+			return reflect.ValueOf(&keys[index])
+		}
+		return reflect.Value{}
+	}
+	switch {
+	case value.Kind() == reflect.Map:
+		return value.MapIndex(reflect.ValueOf(name))
+	case value.Kind() == reflect.Pointer && !value.IsNil() && value.Type().Elem().Kind() == reflect.Struct:
+		field, _ := fieldByName(value.Elem(), name)
+		return field
+	default:
+		return reflect.Value{}
+	}
+}
--- a/settings/store/apply.go
+++ b/settings/store/apply.go
@@ -31,6 +31,10 @@
 	maxAttempts = 8
 )
 
+// ErrBadChange means that the change lacks an id, an operator or edits, or has too many, or has a base revision that does
+// not exist.
+var ErrBadChange = errors.New("settings: malformed change")
+
 // ErrChangeIDReused means that the change id was used before with a different operator or different edits.
 var ErrChangeIDReused = errors.New("settings: the change id was used for a different change")
 
@@ -89,12 +93,12 @@
 func checkChange(change *Change) error {
 	switch {
 	case !settings.IsName(change.ID):
-		return fmt.Errorf("settings: the change id %q is not 1 to %d letters, digits, \".\", \"_\" and \"-\"",
-			change.ID, settings.MaxNameBytes)
+		return fmt.Errorf("%w: the change id %q is not 1 to %d letters, digits, \".\", \"_\" and \"-\"",
+			ErrBadChange, change.ID, settings.MaxNameBytes)
 	case change.Operator == "" || len(change.Operator) > settings.MaxNameBytes:
-		return errors.New("settings: a change needs the name of an operator")
+		return fmt.Errorf("%w: it needs the name of an operator", ErrBadChange)
 	case len(change.Edits) == 0 || len(change.Edits) > MaxEdits:
-		return fmt.Errorf("settings: a change has 1 to %d edits, not %d", MaxEdits, len(change.Edits))
+		return fmt.Errorf("%w: it has 1 to %d edits, not %d", ErrBadChange, MaxEdits, len(change.Edits))
 	}
 	return nil
 }
@@ -173,7 +177,7 @@
 			return 0, true, classify(err)
 		}
 		if now = a.store.current.Load(); a.change.Base > now.revision {
-			return 0, true, fmt.Errorf("settings: the base revision %d is newer than the newest, %d", a.change.Base, now.revision)
+			return 0, true, fmt.Errorf("%w: the base revision %d is newer than the newest, %d", ErrBadChange, a.change.Base, now.revision)
 		}
 	}
 	if err := a.store.conflicts(ctx, a.change, now.revision); err != nil {
