--- /dev/null
+++ b/cmd/internal/ctl/ctl.go
@@ -0,0 +1,181 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// ExitCode is the exit code of the program.
+type ExitCode int
+
+// The exit codes. flaggy itself ends the program with ExitUsage.
+const (
+	ExitOK          ExitCode = 0
+	ExitFailed      ExitCode = 1
+	ExitUsage       ExitCode = 2
+	ExitConflict    ExitCode = 3
+	ExitNotInForce  ExitCode = 4
+	ExitUnavailable ExitCode = 5
+)
+
+const helpText = `Hosts: --admin or BRONZEYARD_ADMIN, several URLs separated by commas.
+Token: in the file --token-file or BRONZEYARD_TOKEN_FILE, or in BRONZEYARD_TOKEN.
+Exit codes: 0 ok, 1 failed, 2 bad usage, 3 conflict, 4 not yet in force everywhere, 5 unavailable.`
+
+const (
+	defaultAdmin   = "http://127.0.0.1:9902"
+	defaultTimeout = 30 * time.Second
+)
+
+// Environment is what the commands use of the process.
+type Environment struct {
+	Stdout, Stderr io.Writer
+	Stdin          io.Reader
+	Getenv         func(string) string
+	ReadFile       func(string) ([]byte, error)
+}
+
+// Commands are the operators' commands that were attached to a parser.
+type Commands struct {
+	env      Environment
+	flags    flags
+	commands []*command
+}
+
+// flags are those of all commands.
+type flags struct {
+	admin, tokenFile, changeID, base string
+	asJSON                           bool
+	timeout                          time.Duration
+}
+
+// command is one command with its subcommand of the parser.
+type command struct {
+	*flaggy.Subcommand
+	run func(*session) error
+}
+
+// Attach adds the commands and their common flags to the parser. Run is to be called after parsing.
+func Attach(parser *flaggy.Parser, env Environment) *Commands {
+	c := &Commands{env: env, flags: flags{timeout: defaultTimeout}}
+	parser.AdditionalHelpAppend = helpText
+	parser.String(&c.flags.admin, "", "admin", "URLs of the admin API of hosts (default "+defaultAdmin+")")
+	parser.String(&c.flags.tokenFile, "", "token-file", "file with the operator's token")
+	parser.String(&c.flags.changeID, "", "change-id", "change id of an earlier attempt (default: a new one)")
+	parser.String(&c.flags.base, "", "base", "revision that the change is based on (default: the newest)")
+	parser.Bool(&c.flags.asJSON, "", "json", "print the host's answer as JSON")
+	parser.Duration(&c.flags.timeout, "", "timeout", "time limit of the command")
+	c.attachSettings(parser)
+	c.attachCustomers(parser)
+	c.attachServices(parser)
+	c.attachOperations(parser)
+	return c
+}
+
+// group adds a command that only has subcommands.
+func group(parser *flaggy.Parser, name, description string) *flaggy.Subcommand {
+	subcommand := flaggy.NewSubcommand(name)
+	subcommand.Description = description
+	parser.AttachSubcommand(subcommand, 1)
+	return subcommand
+}
+
+// attacher is a parser or a group.
+type attacher interface {
+	AttachSubcommand(subcommand *flaggy.Subcommand, position int)
+}
+
+func (c *Commands) add(to attacher, name, description string, run func(*session) error) *flaggy.Subcommand {
+	subcommand := flaggy.NewSubcommand(name)
+	subcommand.Description = description
+	to.AttachSubcommand(subcommand, 1)
+	c.commands = append(c.commands, &command{Subcommand: subcommand, run: run})
+	return subcommand
+}
+
+// Run runs the command that was parsed. It returns false if that is none of the operators' commands.
+func (c *Commands) Run(ctx context.Context) (ExitCode, bool) {
+	for _, command := range c.commands {
+		if command.Used {
+			ctx, cancel := context.WithTimeout(ctx, c.flags.timeout)
+			defer cancel()
+			return c.runCommand(ctx, command), true
+		}
+	}
+	return ExitOK, false
+}
+
+func (c *Commands) runCommand(ctx context.Context, command *command) ExitCode {
+	s, err := c.session(ctx)
+	if err == nil {
+		err = command.run(s)
+	}
+	if err == nil {
+		return ExitOK
+	}
+	var failure *failed
+	if !errors.As(err, &failure) {
+		failure = &failed{code: ExitFailed, message: err.Error()}
+	}
+	if failure.message != "" {
+		_, _ = fmt.Fprintln(c.env.Stderr, "bronzeyardctl: "+failure.message)
+	}
+	if failure.next != "" {
+		_, _ = fmt.Fprintln(c.env.Stderr, "next: "+failure.next)
+	}
+	return failure.code
+}
+
+// failed ends a command with an exit code.
+type failed struct {
+	code          ExitCode
+	message, next string
+}
+
+func (f *failed) Error() string { return f.message }
+
+func usage(format string, args ...any) error {
+	return &failed{code: ExitUsage, message: fmt.Sprintf(format, args...), next: "see --help"}
+}
+
+func (c *Commands) session(ctx context.Context) (*session, error) {
+	admin := firstOf(c.flags.admin, c.env.Getenv("BRONZEYARD_ADMIN"), defaultAdmin)
+	token, err := c.token()
+	if err != nil {
+		return nil, err
+	}
+	return &session{
+		ctx: ctx, env: &c.env, flags: &c.flags, token: token,
+		hosts: strings.Split(admin, ","), changeID: firstOf(c.flags.changeID, newID("change-")),
+	}, nil
+}
+
+func (c *Commands) token() (string, error) {
+	file := firstOf(c.flags.tokenFile, c.env.Getenv("BRONZEYARD_TOKEN_FILE"))
+	if file == "" {
+		if token := c.env.Getenv("BRONZEYARD_TOKEN"); token != "" {
+			return token, nil
+		}
+		return "", usage("no token: name a file with --token-file or set BRONZEYARD_TOKEN")
+	}
+	data, err := c.env.ReadFile(file)
+	if err != nil {
+		return "", usage("the token file cannot be read: %v", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+func firstOf(texts ...string) string {
+	for _, text := range texts {
+		if text != "" {
+			return text
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/cmd/internal/ctl/operations.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+func (c *Commands) attachOperations(parser *flaggy.Parser) {
+	names := []string{"operator", "path", "since", "until", "before", "limit"}
+	descriptions := []string{
+		"only changes by this operator", "only changes at, below or above this path", "only changes since this time in RFC 3339",
+		"only changes until this time in RFC 3339", "only revisions before this one", "number of changes (default 100)",
+	}
+	values := make([]string, len(names))
+	audit := c.add(parser, "audit", "list who changed what, the newest first", func(s *session) error {
+		query := url.Values{}
+		for i, value := range values {
+			if value != "" {
+				query.Set(names[i], value)
+			}
+		}
+		return s.audit(query)
+	})
+	for i := range names {
+		audit.String(&values[i], "", names[i], descriptions[i])
+	}
+	c.add(parser, "status", "show the state of the host and its settings", (*session).status)
+	c.add(parser, "drain", "let the host leave the fleet without cutting requests", (*session).drain)
+}
+
+func (s *session) audit(query url.Values) error {
+	type answer struct {
+		Entries []struct {
+			Revision uint64    `json:"revision"`
+			Operator string    `json:"operator"`
+			Time     time.Time `json:"time"`
+			Effects  []struct {
+				Path string          `json:"path"`
+				Old  json.RawMessage `json:"old"`
+				New  json.RawMessage `json:"new"`
+			} `json:"effects"`
+		} `json:"entries"`
+		Next uint64 `json:"next"`
+	}
+	return show(s, "/v1/audit", query, func(a *answer) error {
+		var rows [][]string
+		for _, entry := range a.Entries {
+			for _, effect := range entry.Effects {
+				rows = append(rows, []string{
+					strconv.FormatUint(entry.Revision, 10), entry.Time.UTC().Format(time.RFC3339), entry.Operator, effect.Path,
+					firstOf(string(effect.Old), "-"), firstOf(string(effect.New), "-"),
+				})
+			}
+		}
+		if err := s.table("REVISION\tTIME\tOPERATOR\tPATH\tOLD\tNEW", rows); err != nil || a.Next == 0 {
+			return err
+		}
+		_, err := fmt.Fprintf(s.env.Stderr, "older changes: --before %d\n", a.Next)
+		return err
+	})
+}
+
+func (s *session) status() error {
+	return show(s, "/v1/status", nil, func(a *json.RawMessage) error { return s.printJSON(*a) })
+}
+
+func (s *session) drain() error {
+	var answer struct {
+		Draining bool `json:"draining"`
+	}
+	if len(s.hosts) > 1 {
+		return usage("drain needs exactly one host in --admin")
+	}
+	if err := s.call(http.MethodPost, "/v1/drain", nil, struct{}{}, &answer); err != nil {
+		return err
+	}
+	if s.flags.asJSON {
+		return s.printJSON(answer)
+	}
+	_, err := fmt.Fprintln(s.env.Stdout, "the host is leaving")
+	return err
+}
