--- /dev/null
+++ b/traffic/loadbalancer/subset.go
@@ -0,0 +1,77 @@
+package loadbalancer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// minConnectionShare is how many connections to an upstream a host needs to be of use: one request in flight, one
+// fresh connection for a non-idempotent request, and one of each being closed.
+const minConnectionShare = 4
+
+// Host is a host that sends requests to a service.
+type Host struct {
+	ID         fleet.HostID
+	DataCentre string
+}
+
+// Subset returns the hosts that may connect to the upstream. While each host can have minConnectionShare connections,
+// these are all hosts. Otherwise the upstream's limit is divided among the hosts that rank first for it: those of its
+// own data centre before others, each group by rendezvous hashing. The result depends on the arguments alone, so all
+// hosts of an epoch agree on it and together stay within the limit.
+func Subset(u settings.Upstream, hosts []Host) []Host {
+	most := max(1, u.Connections/minConnectionShare)
+	if u.Connections <= 0 || len(hosts) <= most {
+		return hosts
+	}
+	type scored struct {
+		host     Host
+		distance int
+		score    uint64
+	}
+	ranked := make([]scored, len(hosts))
+	for i, h := range hosts {
+		ranked[i] = scored{host: h, score: subsetScore(u, h)}
+		if h.DataCentre != u.DataCentre {
+			ranked[i].distance = 1
+		}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	members := make([]Host, most)
+	for i := range members {
+		members[i] = ranked[i].host
+	}
+	return members
+}
+
+func subsetScore(u settings.Upstream, h Host) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(u.ID))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(h.ID))
+	return d.Sum64()
+}
+
+// ConnectionShare is how many connections one host may have to the upstream when the given hosts send to the service.
+// It is 0 for a host outside the upstream's subset.
+func ConnectionShare(u settings.Upstream, hosts []Host, self fleet.HostID) int {
+	members := Subset(u, hosts)
+	if !slices.ContainsFunc(members, func(h Host) bool { return h.ID == self }) {
+		return 0
+	}
+	return connectionShare(u, len(members))
+}
+
+func connectionShare(u settings.Upstream, hosts int) int {
+	if u.Connections <= 0 {
+		return max(1, u.Slots)
+	}
+	return u.Connections / max(1, hosts)
+}
