--- /dev/null
+++ b/cmd/internal/serve/serve.go
@@ -0,0 +1,102 @@
+// Package serve runs one host process: it builds the clients of the platform from the static settings and serves until a
+// signal asks the host to leave.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeyard/bronzeyard/host"
+	"github.com/bronzeyard/bronzeyard/host/config"
+	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/platform/dynamo"
+	"github.com/bronzeyard/bronzeyard/platform/httpsd"
+	"github.com/bronzeyard/bronzeyard/platform/s3"
+)
+
+// leaveAllowance is how long a leave may take beyond the drain time before the process ends anyway.
+const leaveAllowance = 30 * time.Second
+
+// Run serves with the static settings at the path. When ctx ends, the host leaves the fleet gracefully.
+func Run(ctx context.Context, path string, logOutput io.Writer) error {
+	c, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(c, logOutput)
+	if err != nil {
+		return err
+	}
+	options, err := hostOptions(c, logger)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	h, err := host.New(running, options)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() {
+		leaving, cancel := context.WithTimeout(running, time.Duration(c.DrainTime)+leaveAllowance)
+		defer cancel()
+		if err := h.Leave(leaving); err != nil {
+			logger.Warn().Err(err).Msg("leaving the fleet was not completed")
+		}
+		stop()
+	})
+	return errors.Join(h.Run(running), h.Cleanup())
+}
+
+func newLogger(c *config.Config, output io.Writer) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(c.LogLevel)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	return zerolog.New(output).Level(level).With().Timestamp().Str("host", c.HostID).Logger(), nil
+}
+
+func hostOptions(c *config.Config, logger zerolog.Logger) (host.Options, error) {
+	options := host.Options{Config: c, Logger: logger}
+	provider, err := platformCredentials(&c.Platform.Credentials)
+	if err != nil {
+		return options, err
+	}
+	options.Table = dynamo.New(dynamo.Options{
+		Endpoint: c.Platform.Table.Endpoint, Region: c.Platform.Table.Region, TableName: c.Platform.Table.Name,
+		Credentials: provider,
+	})
+	options.Objects = s3.New(s3.Options{
+		Endpoint: c.Platform.Objects.Endpoint, Region: c.Platform.Objects.Region, Bucket: c.Platform.Objects.Bucket,
+		Credentials: provider,
+	})
+	options.HostList = hostList(c.Platform.HostList)
+	return options, nil
+}
+
+func hostList(url string) platform.HostList {
+	if url == "" {
+		return nil
+	}
+	return httpsd.New(httpsd.Options{URL: url})
+}
+
+func platformCredentials(c *config.Credentials) (aws.CredentialsProvider, error) {
+	if c.SecretFile == "" {
+		return credentials.NewStaticCredentialsProvider(c.AccessKeyID, "none", ""), nil
+	}
+	secret, err := os.ReadFile(c.SecretFile)
+	if err != nil {
+		return nil, fmt.Errorf("platform.credentials.secret_file: %w", err)
+	}
+	return credentials.NewStaticCredentialsProvider(c.AccessKeyID, strings.TrimSpace(string(secret)), ""), nil
+}
