Add the rate limiter's runtime

Cause: the pure state machines need calls, renewals, epochs and an admission path. Conclusion: the limiter works over calls in memory; its policy is not measured yet.

--- /dev/null
+++ b/fleet/ratelimit/limiter.go
@@ -0,0 +1,254 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+)
+
+// Reason says why a request was admitted or refused.
+type Reason int
+
+// The reasons of a decision.
+const (
+	// Allowed means that the customer's token was taken.
+	Allowed Reason = iota + 1
+	// RateLimited means that the customer is over its limit.
+	RateLimited
+	// Unavailable means that the host has no slice and the owner cannot lend it one.
+	Unavailable
+	// Inactive means that the host holds no activity lease or is leaving.
+	Inactive
+)
+
+// Decision is the answer to one request.
+type Decision struct {
+	Allowed bool
+	Reason  Reason
+	// RetryAfter is the time until a token is due; 0 if it is unknown.
+	RetryAfter time.Duration
+}
+
+// Options configure a Limiter. All fields but Record and Logger are required.
+type Options struct {
+	Views     fleet.ViewSource
+	Caller    peer.Caller
+	Registrar peer.Registrar
+	Clock     clock.Clock
+	// Limits returns a customer's rate in requests per second and its burst in requests. It must be cheap and safe for
+	// concurrent use.
+	Limits func(customer string) (rate, burst float64, ok bool)
+	// Logger receives changes of state. Default: no log.
+	Logger zerolog.Logger
+	// Record, if set, is called with each admission and the time at which its token was taken, for checks and experiments.
+	// It is called under a lock and must not call the limiter.
+	Record func(at time.Time, customer string)
+}
+
+// shardCount is the number of locks over the customers; each host has few cores.
+const shardCount = 64
+
+// held is what this host keeps of a customer that it serves.
+type held struct {
+	holder Holder
+	// blockedUntil is the time before which the owner is not asked again.
+	blockedUntil int64
+	measuredAt   int64
+	// done is closed when the outstanding call has ended; nil if there is none.
+	done chan struct{}
+	// demand is the smoothed number of requests per second.
+	demand float32
+	// requests counts since measuredAt.
+	requests uint32
+	waiters  int32
+	// unreachable is true if the last call to the owner failed or lent nothing because the owner is not granting.
+	unreachable bool
+}
+
+type shard struct {
+	mu        sync.Mutex
+	customers map[string]*held
+	// decisions counts by Reason.
+	decisions [Inactive + 1]uint64
+}
+
+// Limiter is the runtime of rate limits on one host: the holder of every customer that the host serves and the owner of
+// the customers that the epoch assigns to it. It is safe for concurrent use.
+type Limiter struct {
+	options Options
+	shards  [shardCount]shard
+	seq     atomic.Uint64
+	closing atomic.Bool
+	kick    chan struct{}
+	calls   sync.WaitGroup
+	// current is the view that the limiter acts on; it is replaced under viewMu.
+	current atomic.Pointer[fleet.View]
+	// viewMu is held for reading while a report is handled and for writing while the epoch changes. Admit does not use it.
+	viewMu sync.RWMutex
+	owned  ownedCustomers
+	// reported is the epoch in which each owner has this host's complete report; renewing marks outstanding renewals.
+	peersMu  sync.Mutex
+	reported map[fleet.Identity]uint64
+	renewing map[fleet.Identity]bool
+
+	borrows, renewals atomic.Uint64
+}
+
+// New returns a limiter and registers its handler. It renews nothing until Run.
+func New(options Options) *Limiter {
+	l := &Limiter{
+		options:  options,
+		kick:     make(chan struct{}, 1),
+		reported: make(map[fleet.Identity]uint64),
+		renewing: make(map[fleet.Identity]bool),
+	}
+	for i := range l.shards {
+		l.shards[i].customers = make(map[string]*held)
+	}
+	l.owned.init()
+	l.register()
+	return l
+}
+
+func shardIndex(customer string) uint64 { return xxhash.Sum64String(customer) % shardCount }
+
+// Admit decides on one request of a customer. It waits at most BorrowWait, only if the host's tokens are used up and the
+// owner may lend some. The activity lease is checked at the moment at which the token is taken.
+func (l *Limiter) Admit(ctx context.Context, customer string) Decision {
+	s := &l.shards[shardIndex(customer)]
+	s.mu.Lock()
+	c, now, decision := l.try(s, customer, true)
+	if decision.Reason == 0 {
+		decision = l.wait(ctx, s, customer, c, now)
+	}
+	s.decisions[decision.Reason]++
+	s.mu.Unlock()
+	return decision
+}
+
+// try decides on a request from what the host knows. A decision without a reason means that the owner may be asked. The
+// shard is locked.
+func (l *Limiter) try(s *shard, customer string, first bool) (*held, time.Time, Decision) {
+	now := l.options.Clock.Now()
+	if !l.activeAt(now) {
+		return nil, now, Decision{Reason: Inactive}
+	}
+	c := s.customers[customer]
+	if c == nil {
+		if c = l.addHeld(s, customer, now); c == nil {
+			return nil, now, Decision{Reason: Unavailable}
+		}
+	}
+	if first {
+		c.requests++
+	}
+	if c.holder.Take(now) {
+		if l.options.Record != nil {
+			l.options.Record(now, customer)
+		}
+		return c, now, Decision{Allowed: true, Reason: Allowed}
+	}
+	if now.UnixNano() < c.blockedUntil {
+		return c, now, c.refuse(now, c.unreachable)
+	}
+	return c, now, Decision{}
+}
+
+// activeAt reports whether the host may admit requests. A view of another incarnation is not acted on before OnView has
+// dropped the slices of the former one.
+func (l *Limiter) activeAt(now time.Time) bool {
+	view := l.options.Views.View()
+	current := l.current.Load()
+	return view != nil && current != nil && view.Self == current.Self && view.ActiveAt(now) && !l.closing.Load()
+}
+
+func (l *Limiter) addHeld(s *shard, customer string, now time.Time) *held {
+	limits, ok := l.limitsOf(customer)
+	if !ok {
+		return nil
+	}
+	c := &held{holder: NewHolder(now, limits), measuredAt: now.UnixNano()}
+	s.customers[customer] = c
+	return c
+}
+
+func (l *Limiter) limitsOf(customer string) (Limits, bool) {
+	rate, burst, ok := l.options.Limits(customer)
+	limits := Limits{Rate: rate, Burst: burst}
+	return limits, ok && limits.valid()
+}
+
+// refuse returns the refusal with the time until the own slice or the owner's reserve has a token.
+func (c *held) refuse(now time.Time, unreachable bool) Decision {
+	wait := c.holder.NextToken(now)
+	if blocked := time.Duration(c.blockedUntil - now.UnixNano()); blocked > 0 {
+		wait = min(wait, blocked)
+	}
+	if wait == never {
+		wait = retryUnknown
+	}
+	if unreachable && !c.holder.HasSlice(now) {
+		return Decision{Reason: Unavailable, RetryAfter: wait}
+	}
+	return Decision{Reason: RateLimited, RetryAfter: wait}
+}
+
+// wait waits for the outstanding call about the customer, which it starts if there is none, and tries again. The shard is
+// locked on entry and on return.
+func (l *Limiter) wait(ctx context.Context, s *shard, customer string, c *held, now time.Time) Decision {
+	timer := time.NewTimer(BorrowWait)
+	defer timer.Stop()
+	for {
+		c.waiters++
+		done := c.done
+		if done == nil {
+			done = l.borrow(s, customer, c, now)
+		}
+		s.mu.Unlock()
+		ended := false
+		select {
+		case <-done:
+		case <-timer.C:
+			ended = true
+		case <-ctx.Done():
+			ended = true
+		}
+		s.mu.Lock()
+		c.waiters--
+		latest, at, decision := l.try(s, customer, false)
+		if decision.Reason != 0 {
+			return decision
+		}
+		if c, now = latest, at; ended {
+			// The owner has not answered in time.
+			return c.refuse(now, true)
+		}
+	}
+}
+
+// OnLimitsChanged applies the limits of a new settings revision to slices and reserves. Slices of customers without
+// limits are dropped.
+func (l *Limiter) OnLimitsChanged() {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		now := l.options.Clock.Now()
+		for customer, c := range s.customers {
+			if limits, ok := l.limitsOf(customer); ok {
+				c.holder.SetLimits(now, limits)
+			} else {
+				delete(s.customers, customer)
+			}
+		}
+		s.mu.Unlock()
+	}
+	l.owned.setLimits(l.options.Clock, l.limitsOf)
+}
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -56,6 +56,8 @@
 	Tokens, Borrowed uint32
 	// Life is how long the slice lasts from the moment at which the report was sent.
 	Life time.Duration
+	// NotGranting is true while the owner follows another and grants nothing new.
+	NotGranting bool
 	// RetryAfter is set if nothing could be borrowed: the time until a token is due in the reserve.
 	RetryAfter time.Duration
 }
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -112,7 +112,8 @@
 		o.grantSlice(now, l, report, &grant)
 		o.grantBorrow(now, l, report, &grant)
 	} else {
-		grant.Rate, grant.Burst, grant.RetryAfter = l.rate, l.burst, retryUnknown
+		grant.Rate, grant.Burst, grant.NotGranting = l.rate, l.burst, true
+		grant.RetryAfter = retryUnknown
 	}
 	l.expiry = now.Add(life + Margin).UnixNano()
 	if report.empty() && grant.empty() {
--- /dev/null
+++ b/fleet/ratelimit/status.go
@@ -0,0 +1,121 @@
+package ratelimit
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// HeldStatus describes a slice that this host holds.
+type HeldStatus struct {
+	Customer string
+	// RateShare and BurstShare are parts of the customer's limits between 0 and 1.
+	RateShare, BurstShare float64
+	// Tokens are the requests that can be admitted at once, borrowed tokens included.
+	Tokens float64
+	// Demand is in requests per second.
+	Demand float64
+}
+
+// LoanStatus describes what an owner counts for one holder.
+type LoanStatus struct {
+	Holder                fleet.Identity
+	RateShare, BurstShare float64
+	Demand                float64
+}
+
+// OwnedStatus describes a customer that this host owns.
+type OwnedStatus struct {
+	Customer string
+	// Granting is false while the owner waits for the reports of a former owner's slices.
+	Granting bool
+	// ReserveTokens are in requests.
+	ReserveTokens float64
+	Loans         []LoanStatus
+}
+
+// Status describes a limiter for the admin page.
+type Status struct {
+	// Epoch is the number of the epoch that the limiter acts on.
+	Epoch uint64
+	// Missing are the members whose complete report this host waits for.
+	Missing []fleet.HostID
+	// Held and Owned are sorted by customer.
+	Held  []HeldStatus
+	Owned []OwnedStatus
+	// Decisions counts the decisions since the start by reason.
+	Decisions map[Reason]uint64
+	// Borrows and Renewals count the calls to owners since the start.
+	Borrows, Renewals uint64
+}
+
+// Status returns the state of the limiter. It locks one part of the customers at a time, so the parts may be from
+// slightly different moments.
+func (l *Limiter) Status() Status {
+	status := Status{
+		Decisions: make(map[Reason]uint64),
+		Borrows:   l.borrows.Load(),
+		Renewals:  l.renewals.Load(),
+	}
+	if view := l.current.Load(); view != nil {
+		status.Epoch = view.Epoch.Number
+	}
+	for i := range l.shards {
+		l.shards[i].addStatus(l, &status)
+	}
+	status.Missing = l.owned.missing()
+	l.owned.each(func(customer string, owner *Owner) bool {
+		status.Owned = append(status.Owned, owner.status(customer, l))
+		return true
+	})
+	slices.SortFunc(status.Held, func(a, b HeldStatus) int { return strings.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(status.Owned, func(a, b OwnedStatus) int { return strings.Compare(a.Customer, b.Customer) })
+	return status
+}
+
+func (s *shard) addStatus(l *Limiter, status *Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := l.options.Clock.Now()
+	for customer, c := range s.customers {
+		c.holder.expire(now)
+		status.Held = append(status.Held, HeldStatus{
+			Customer:   customer,
+			RateShare:  shareOf(c.holder.rate),
+			BurstShare: shareOf(c.holder.burst),
+			Tokens:     (c.holder.bucket.Tokens(now) + c.holder.borrowed) * c.holder.limits.Burst,
+			Demand:     float64(c.demand),
+		})
+	}
+	for reason, count := range s.decisions {
+		if count > 0 {
+			status.Decisions[Reason(reason)] += count
+		}
+	}
+}
+
+func (o *ownedCustomers) missing() []fleet.HostID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.history) == 0 {
+		return nil
+	}
+	return o.history[len(o.history)-1].missing()
+}
+
+func (o *Owner) status(customer string, l *Limiter) OwnedStatus {
+	now := l.options.Clock.Now()
+	o.settle(now)
+	status := OwnedStatus{Customer: customer, Granting: o.granting, ReserveTokens: o.reserve.Tokens(now) * o.limits.Burst}
+	for i := range o.loans {
+		loan := &o.loans[i]
+		status.Loans = append(status.Loans, LoanStatus{
+			Holder:     loan.holder,
+			RateShare:  shareOf(loan.rate),
+			BurstShare: shareOf(loan.burst),
+			Demand:     float64(loan.demand),
+		})
+	}
+	return status
+}
--- /dev/null
+++ b/fleet/ratelimit/wire.go
@@ -0,0 +1,43 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit/ratelimitpb"
+)
+
+func reportMessage(customer string, r *Report) *ratelimitpb.Report {
+	return &ratelimitpb.Report{
+		Customer: customer, Seq: r.Seq, Rate: r.Rate, Burst: r.Burst, Cap: r.Cap, Borrowed: r.Borrowed,
+		Returned: r.Returned, Need: r.Need, Want: r.Want, Demand: r.Demand,
+	}
+}
+
+func reportOf(m *ratelimitpb.Report) Report {
+	return Report{
+		Seq: m.GetSeq(), Rate: min(m.GetRate(), WholeShare), Burst: min(m.GetBurst(), WholeShare),
+		Cap: min(m.GetCap(), WholeTokens), Borrowed: min(m.GetBorrowed(), WholeTokens),
+		Returned: min(m.GetReturned(), WholeTokens), Need: min(m.GetNeed(), WholeTokens),
+		Want: min(m.GetWant(), WholeTokens), Demand: m.GetDemand(),
+	}
+}
+
+func grantMessage(g *Grant) *ratelimitpb.Grant {
+	return &ratelimitpb.Grant{
+		Seq: g.Seq, Stale: g.Stale, Rate: g.Rate, Burst: g.Burst, Tokens: g.Tokens, Borrowed: g.Borrowed,
+		// Rounded down: the holder's slice must not outlast the owner's count.
+		LifeMs:       uint32(g.Life / time.Millisecond),
+		RetryAfterUs: uint32(g.RetryAfter / time.Microsecond),
+		NotGranting:  g.NotGranting,
+	}
+}
+
+func grantOf(m *ratelimitpb.Grant) Grant {
+	return Grant{
+		Seq: m.GetSeq(), Stale: m.GetStale(), Rate: min(m.GetRate(), WholeShare), Burst: min(m.GetBurst(), WholeShare),
+		Tokens: min(m.GetTokens(), WholeTokens), Borrowed: min(m.GetBorrowed(), WholeTokens),
+		Life:        min(time.Duration(m.GetLifeMs())*time.Millisecond, SliceLife),
+		RetryAfter:  time.Duration(m.GetRetryAfterUs()) * time.Microsecond,
+		NotGranting: m.GetNotGranting(),
+	}
+}
