--- a/host/services.go
+++ b/host/services.go
@@ -2,62 +2,172 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"errors"
+	"sync"
 	"time"
 
+	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+	"github.com/bronzeyard/bronzeyard/traffic/loadbalancer"
 	"github.com/bronzeyard/bronzeyard/traffic/proxy"
+	"github.com/bronzeyard/bronzeyard/traffic/queue"
+	"github.com/bronzeyard/bronzeyard/traffic/retry"
 )
 
-// roundRobin is the first selector of the thin path.
-type roundRobin struct{ next atomic.Uint64 }
+// service is what a host keeps for one service.
+type service struct {
+	balancer *loadbalancer.Balancer
+	queue    *queue.Queue
+	budget   *retry.Budget
+}
 
-// Pick implements proxy.Selector.
-func (s *roundRobin) Pick(service *settings.Service, _ *settings.Policy, exclude []settings.UpstreamID) (proxy.Attempt, error) {
-	n := len(service.Upstreams)
-	start := int(s.next.Add(1))
-	for i := range n {
-		upstream := &service.Upstreams[(start+i)%n]
-		if upstream.Leaving || contains(exclude, upstream.ID) {
-			continue
-		}
-		return proxy.Attempt{Upstream: *upstream, Done: func(proxy.Result) {}}, nil
-	}
-	return proxy.Attempt{}, errkind.New(errkind.NoUpstream, nil)
+// services joins balancers, queues and retry budgets by service. It implements proxy.Selector, proxy.Queue and
+// proxy.RetryBudget.
+type services struct {
+	dataCentre string
+	health     health
+
+	mu    sync.RWMutex
+	byID  map[settings.ServiceName]*service
+	hosts []loadbalancer.Host
+	self  loadbalancer.Host
+	shown *settings.Snapshot
 }
 
-func contains(ids []settings.UpstreamID, id settings.UpstreamID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
+// health is what the balancers know of ejections, and where attempts are reported.
+type health interface {
+	loadbalancerWeights(name settings.ServiceName) loadbalancer.Weighter
+	started(name settings.ServiceName, id settings.UpstreamID) (done func(proxy.Result))
+	draining(name settings.ServiceName, ids []settings.UpstreamID)
 }
 
-type openQueue struct{}
+func newServices(dataCentre string, health health) *services {
+	return &services{dataCentre: dataCentre, health: health, byID: make(map[settings.ServiceName]*service)}
+}
 
-// Acquire implements proxy.Queue.
-func (openQueue) Acquire(context.Context, *settings.Service, *settings.Customer) (func(), error) {
-	return func() {}, nil
+// onSettings follows new settings.
+func (s *services) onSettings(_, snapshot *settings.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shown = snapshot
+	s.update()
 }
 
-type noRetries struct{}
+// onView follows a new epoch: the hosts decide how many connections each may open.
+func (s *services) onView(_, view *fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = s.hosts[:0:0]
+	for i := range view.Epoch.Members {
+		member := &view.Epoch.Members[i]
+		host := loadbalancer.Host{ID: member.ID, DataCentre: member.DataCentre}
+		s.hosts = append(s.hosts, host)
+	}
+	s.self = loadbalancer.Host{ID: view.Self.ID, DataCentre: s.dataCentre}
+	s.update()
+}
+
+// update brings all services in line with settings and hosts. s.mu is held.
+func (s *services) update() {
+	if s.shown == nil {
+		return
+	}
+	now := time.Now()
+	for spec := range s.shown.Services {
+		entry := s.byID[spec.Name]
+		if entry == nil {
+			entry = s.newService(spec.Name)
+			s.byID[spec.Name] = entry
+		}
+		entry.queue.SetLength(spec.Policy.QueueLength)
+		entry.balancer.Update(now, loadbalancer.Config{Upstreams: spec.Upstreams, Hosts: s.hosts, Self: s.self})
+	}
+	for name := range s.byID {
+		if _, ok := s.shown.Service(name); !ok {
+			delete(s.byID, name)
+		}
+	}
+}
 
-func (noRetries) OnSuccess(settings.ServiceName)     {}
-func (noRetries) TryRetry(settings.ServiceName) bool { return false }
+func (s *services) newService(name settings.ServiceName) *service {
+	balancer := loadbalancer.New(loadbalancer.Options{DataCentre: s.dataCentre, Seed: uint64(time.Now().UnixNano())})
+	limit := func() int { return balancer.Capacity(time.Now(), s.health.loadbalancerWeights(name)) }
+	return &service{
+		balancer: balancer,
+		queue:    queue.New(queue.Options{Limit: limit}),
+		budget:   retry.NewBudget(retry.BudgetOptions{}),
+	}
+}
 
-type openLimiter struct{}
+func (s *services) lookup(name settings.ServiceName) (*service, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	entry, ok := s.byID[name]
+	return entry, ok
+}
 
-// Admit implements proxy.Limiter.
-func (openLimiter) Admit(context.Context, settings.CustomerID) proxy.LimitDecision {
-	return proxy.LimitDecision{Allowed: true}
+// Pick implements proxy.Selector.
+func (s *services) Pick(
+	spec *settings.Service, _ *settings.Policy, exclude []settings.UpstreamID,
+) (proxy.Attempt, error) {
+	entry, ok := s.lookup(spec.Name)
+	if !ok {
+		return proxy.Attempt{}, errkind.New(errkind.NoUpstream, nil)
+	}
+	chosen, err := entry.balancer.Pick(time.Now(), s.health.loadbalancerWeights(spec.Name), exclude)
+	switch {
+	case errors.Is(err, loadbalancer.ErrBusy):
+		return proxy.Attempt{}, errkind.New(errkind.Overloaded, err)
+	case err != nil:
+		return proxy.Attempt{}, errkind.New(errkind.NoUpstream, err)
+	}
+	report := s.health.started(spec.Name, chosen.ID)
+	done := func(result proxy.Result) {
+		report(result)
+		now := time.Now()
+		entry.balancer.Done(now, chosen.ID, loadbalancer.Result{
+			Shed: result.Outcome == proxy.OutcomeShed, OK: result.Outcome == proxy.OutcomeOK,
+			Load: result.Load, HasLoad: result.LoadKnown, Draining: result.Draining,
+		})
+		if result.Draining {
+			s.health.draining(spec.Name, entry.balancer.Draining(now))
+		}
+	}
+	return proxy.Attempt{Upstream: chosen, Done: done}, nil
 }
 
-type alwaysActive struct{}
+// Acquire implements proxy.Queue.
+func (s *services) Acquire(
+	ctx context.Context, spec *settings.Service, customer *settings.Customer,
+) (release func(), err error) {
+	entry, ok := s.lookup(spec.Name)
+	if !ok {
+		return nil, errkind.New(errkind.NoUpstream, nil)
+	}
+	id, weight := settings.CustomerID(""), 1.0
+	if customer != nil {
+		id, weight = customer.ID, customer.Weight
+	}
+	release, err = entry.queue.Acquire(ctx, id, weight)
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return nil, errkind.New(errkind.DeadlineNotRun, err)
+	case err != nil:
+		return nil, errkind.New(errkind.Overloaded, err)
+	}
+	return release, nil
+}
 
-// Active implements proxy.Lease.
-func (alwaysActive) Active() bool { return true }
+// OnSuccess implements proxy.RetryBudget.
+func (s *services) OnSuccess(name settings.ServiceName) {
+	if entry, ok := s.lookup(name); ok {
+		entry.budget.OnSuccess(time.Now())
+	}
+}
 
-const shutdownGrace = 5 * time.Second
+// TryRetry implements proxy.RetryBudget.
+func (s *services) TryRetry(name settings.ServiceName) bool {
+	entry, ok := s.lookup(name)
+	return ok && entry.budget.TryRetry(time.Now())
+}
