--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -116,8 +116,9 @@
 		grant.RetryAfter = retryUnknown
 	}
 	l.expiry = now.Add(life + Margin).UnixNano()
+	// The loan of a holder that has nothing is kept only for its sequence number, until older reports have timed out.
 	if report.empty() && grant.empty() {
-		o.loans = slices.DeleteFunc(o.loans, func(l loan) bool { return l.holder == from })
+		l.expiry = now.Add(Margin).UnixNano()
 	}
 	return grant
 }
--- /dev/null
+++ b/fleet/ratelimit/owner_test.go
@@ -0,0 +1,47 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// TestReturnAfterExpiry guards against tokens that come back in a delayed report after the owner has already counted the
+// whole slice as free.
+func TestReturnAfterExpiry(t *testing.T) {
+	start := time.Unix(1000, 0)
+	limits := Limits{Rate: 1, Burst: 100}
+	owner := NewOwner(start, limits, 1)
+	a, b := fleet.Identity{ID: "a", Incarnation: 1}, fleet.Identity{ID: "b", Incarnation: 1}
+	owner.Handle(start, a, Report{Seq: 1, Demand: 10}, SliceLife)
+	late := start.Add(SliceLife + Margin)
+	borrowed := owner.Handle(late, b, Report{Seq: 1, Want: WholeTokens, Need: WholeTokens / 2}, SliceLife).Borrowed
+	before := owner.reserve.Tokens(late)
+	owner.Handle(late, a, Report{Seq: 2, Returned: WholeTokens / 10}, SliceLife)
+	if borrowed == 0 || owner.reserve.Tokens(late) > before {
+		t.Errorf("lent %d, reserve %v before and %v after the delayed return", borrowed, before, owner.reserve.Tokens(late))
+	}
+}
+
+// TestDivideMaxMin guards against a division that favours large demands or leaves rate unused.
+func TestDivideMaxMin(t *testing.T) {
+	for _, test := range []struct {
+		total         float64
+		demands, want []float64
+	}{
+		{1, []float64{0.1, 0.2}, []float64{0.1, 0.2}},
+		{1, []float64{5, 0.2, 5}, []float64{0.4, 0.2, 0.4}},
+		{0.9, []float64{1, 1, 0, 1}, []float64{0.3, 0.3, 0, 0.3}},
+		{1, []float64{0, 0}, []float64{0, 0}},
+	} {
+		shares := make([]float64, len(test.demands))
+		divideMaxMin(test.total, test.demands, shares)
+		for i, share := range shares {
+			if diff := share - test.want[i]; diff > 1e-9 || diff < -1e-9 {
+				t.Errorf("divideMaxMin(%v, %v) = %v, want %v", test.total, test.demands, shares, test.want)
+				break
+			}
+		}
+	}
+}
