Test the start of a new owner and the loans of excluded hosts

Cause: two deliberate faults survived: a new owner of an unknown customer that starts with a full reserve, and loans of excluded hosts that stay until they expire. Change: a test for each.

--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -364,6 +364,24 @@
 	})
 }
 
+// TestNewOwnerStartsEmpty guards against a burst that is given twice because the new owner has never heard of the
+// customer.
+func TestNewOwnerStartsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(4, Limits{Rate: 0.1, Burst: 20})
+		f.load(allHosts, "zoo", 30, time.Second)
+		time.Sleep(30 * time.Second)
+		f.exclude(f.ownerOf("zoo"))
+		time.Sleep(10 * time.Second)
+		f.load(allHosts, "zoo", 30, time.Second)
+		f.stop()
+		f.checkBound(t)
+		if got := len(f.recorded); got < 20 {
+			t.Errorf("admitted %d, want at least the burst of 20", got)
+		}
+	})
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	h := &testHost{fleet: &testFleet{limits: Limits{Rate: 1e9, Burst: 1e9}}}
 	h.member = fleet.Member{ID: "a", Incarnation: 1, Capacity: 1, State: fleet.Active}
--- a/fleet/ratelimit/owner_test.go
+++ b/fleet/ratelimit/owner_test.go
@@ -24,6 +24,26 @@
 	}
 }
 
+// TestExcludeFreesLoans guards against a slice of an excluded host that stays lent after the free time, or is lent again
+// before.
+func TestExcludeFreesLoans(t *testing.T) {
+	start := time.Unix(1000, 0)
+	owner := NewOwner(start, Limits{Rate: 100, Burst: 100}, 1)
+	owner.Handle(start, fleet.Identity{ID: "a", Incarnation: 1}, Report{Seq: 1, Demand: 50}, SliceLife)
+	lent, _ := owner.unlent()
+	free := start.Add(2 * time.Second)
+	owner.Exclude(free, func(fleet.Identity) bool { return false })
+	for _, test := range []struct {
+		at   time.Time
+		want uint32
+	}{{free.Add(-1), lent}, {free, WholeShare}} {
+		owner.settle(test.at)
+		if got, _ := owner.unlent(); got != test.want || lent == WholeShare {
+			t.Errorf("%v before the free time %d of the rate is free, want %d", free.Sub(test.at), got, test.want)
+		}
+	}
+}
+
 // TestDivideMaxMin guards against a division that favours large demands or leaves rate unused.
 func TestDivideMaxMin(t *testing.T) {
 	for _, test := range []struct {
