Give small slices half of the measured demand

Change: slices with a burst under 8 requests get 0.5 of the demand, holders under 1 request/s get none; the rest borrows. The two smallest customers still flap around the least demand.

--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -15,6 +15,13 @@
 	spareToSlices = 0.5
 	// burstPerRate is a slice's share of the burst for each share of the rate.
 	burstPerRate = 0.5
+	// leastSliceDemand is the smallest demand in requests per second for which a holder gets a slice. Below it, requests
+	// borrow one token each.
+	leastSliceDemand = 1
+	// smallBurst is the burst of a slice, in requests, up to which it gets only smallHeadroom of the demand: a small bucket
+	// is often full, and the refill that it loses is missed elsewhere. The rest is borrowed.
+	smallBurst    = 8
+	smallHeadroom = 0.5
 	// leastSliceBurst is the smallest burst of a slice in requests. A slice that cannot hold one token strands its tokens.
 	leastSliceBurst = 2
 )
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -186,11 +186,15 @@
 		demands = append(demands, float64(o.loans[i].demand)*headroom/o.limits.Rate)
 	}
 	share := targetRate(demands, index)
-	if share <= 0 {
+	if share <= 0 || l.demand < leastSliceDemand {
 		return 0, 0
 	}
 	least := leastSliceBurst / o.limits.Burst
-	return uint32(share * WholeShare), uint32(min(1, max(share*burstPerRate, least)) * WholeShare)
+	burstShare := min(1, max(share*burstPerRate, least))
+	if burstShare*o.limits.Burst < smallBurst {
+		share *= smallHeadroom / headroom
+	}
+	return uint32(share * WholeShare), uint32(burstShare * WholeShare)
 }
 
 // grantBorrow lends tokens of the reserve, or tells when one is due.
