Give no slice below a demand of 3 requests per second

Cause: measured demand of less than one request per half second flaps around the least demand of 1. Change: the least demand of a slice is 3 requests per second.

--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -17,7 +17,7 @@
 	burstPerRate = 0.5
 	// leastSliceDemand is the smallest demand in requests per second for which a holder gets a slice. Below it, requests
 	// borrow one token each.
-	leastSliceDemand = 1
+	leastSliceDemand = 3
 	// smallBurst is the burst of a slice, in requests, up to which it gets only smallHeadroom of the demand: a small bucket
 	// is often full, and the refill that it loses is missed elsewhere. The rest is borrowed.
 	smallBurst    = 8
