fleet/membership: runtime over peer calls and the platform's table

Cause: the state machine needs heartbeats, table reads, changes of the epoch and reports to the other modules. The property test of the state machine does not find all deliberate faults yet.

--- /dev/null
+++ b/fleet/membership/exchange.go
@@ -0,0 +1,169 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	pb "github.com/bronzeyard/bronzeyard/fleet/membership/membershippb"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+// The methods of the membership protocol.
+const (
+	MethodHeartbeat peer.Method = "membership.heartbeat"
+	MethodPromise   peer.Method = "membership.promise"
+	MethodRevision  peer.Method = "membership.revision"
+)
+
+var errWrongSender = errors.New("membership: the message names another host than its sender")
+
+func (r *Runtime) register() {
+	r.options.Registrar.Handle(MethodHeartbeat, func() proto.Message { return &pb.Heartbeat{} }, r.handleHeartbeat)
+	r.options.Registrar.Handle(MethodPromise, func() proto.Message { return &pb.PromiseRequest{} }, r.handlePromise)
+	r.options.Registrar.Handle(MethodRevision, func() proto.Message { return &pb.RevisionNotice{} }, r.handleRevision)
+}
+
+func (r *Runtime) handleHeartbeat(_ context.Context, from fleet.Identity, req proto.Message) (proto.Message, error) {
+	hb := req.(*pb.Heartbeat)
+	if hb.GetFrom().GetHostId() != string(from.ID) {
+		return nil, errWrongSender
+	}
+	var ack *pb.Ack
+	r.update(r.addressOf(from.ID), func(m *Machine, at Moment) { ack = m.HandleHeartbeat(hb, at) })
+	return ack, nil
+}
+
+func (r *Runtime) handlePromise(_ context.Context, _ fleet.Identity, req proto.Message) (proto.Message, error) {
+	var resp *pb.PromiseResponse
+	r.update("", func(m *Machine, at Moment) { resp = m.HandlePromiseRequest(req.(*pb.PromiseRequest), at) })
+	return resp, nil
+}
+
+func (r *Runtime) handleRevision(_ context.Context, from fleet.Identity, req proto.Message) (proto.Message, error) {
+	notice := req.(*pb.RevisionNotice)
+	r.update(r.addressOf(from.ID), func(m *Machine, _ Moment) { m.hear(notice.GetRevision()) })
+	return &pb.RevisionNoticeResponse{}, nil
+}
+
+// addressOf returns the peer address of a member, or "" if the host is none.
+func (r *Runtime) addressOf(id fleet.HostID) string {
+	view := r.View()
+	for i := range view.Epoch.Members {
+		if view.Epoch.Members[i].ID == id {
+			return view.Epoch.Members[i].PeerAddress
+		}
+	}
+	return ""
+}
+
+// heartbeats sends one heartbeat to each target and does not wait for the answers.
+func (r *Runtime) heartbeats(ctx context.Context) {
+	var targets []Target
+	r.update("", func(m *Machine, at Moment) {
+		m.Tick(at)
+		targets = m.Targets(r.options.Seeds, at)
+	})
+	for _, target := range targets {
+		r.tasks.Go(func() { r.heartbeat(ctx, target) })
+	}
+}
+
+func (r *Runtime) heartbeat(ctx context.Context, target Target) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.Lease)
+	defer cancel()
+	r.mu.Lock()
+	hb, sent := r.machine.Heartbeat(target, r.moment())
+	r.mu.Unlock()
+	ack := &pb.Ack{}
+	if err := r.options.Caller.Call(ctx, target.Address, MethodHeartbeat, hb, ack); err != nil {
+		return
+	}
+	r.update(target.Address, func(m *Machine, at Moment) { m.HandleAck(sent, ack, at) })
+}
+
+// askPromises asks all members for promises to exclude the suspects and waits for the answers.
+func (r *Runtime) askPromises(ctx context.Context) {
+	var req *pb.PromiseRequest
+	r.update("", func(m *Machine, at Moment) { req = m.PromiseRequest(at) })
+	if len(req.GetExclude()) == 0 {
+		return
+	}
+	suspects := make(map[fleet.Identity]bool)
+	for _, id := range req.GetExclude() {
+		suspects[identityFromProto(id)] = true
+	}
+	r.toAll(ctx, func(ctx context.Context, member *fleet.Member) {
+		if suspects[member.Identity()] {
+			return
+		}
+		resp := &pb.PromiseResponse{}
+		if err := r.options.Caller.Call(ctx, member.PeerAddress, MethodPromise, req, resp); err == nil {
+			r.update("", func(m *Machine, _ Moment) { m.HandlePromise(req, resp) })
+		}
+	})
+}
+
+// NotifyRevision tells all other members at once that a settings revision exists, and returns when all have answered or
+// have had the time of one turn to answer.
+func (r *Runtime) NotifyRevision(ctx context.Context, revision uint64) {
+	r.update("", func(m *Machine, _ Moment) { m.hear(revision) })
+	r.toAll(ctx, func(ctx context.Context, member *fleet.Member) {
+		notice := &pb.RevisionNotice{Revision: revision}
+		// A member that misses the notice hears of the revision by the next heartbeat.
+		_ = r.options.Caller.Call(ctx, member.PeerAddress, MethodRevision, notice, &pb.RevisionNoticeResponse{})
+	})
+}
+
+// toAll makes a call to each other member and waits for all of them, for at most the time of one turn.
+func (r *Runtime) toAll(ctx context.Context, call func(context.Context, *fleet.Member)) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.turnDelay())
+	defer cancel()
+	view := r.View()
+	done := make(chan struct{}, len(view.Epoch.Members))
+	calls := 0
+	for i := range view.Epoch.Members {
+		member := &view.Epoch.Members[i]
+		if member.Identity() == view.Self {
+			continue
+		}
+		calls++
+		go func() {
+			call(ctx, member)
+			done <- struct{}{}
+		}()
+	}
+	for range calls {
+		<-done
+	}
+}
+
+func (r *Runtime) readHostList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.TableTimeout)
+	defer cancel()
+	hosts, err := r.options.HostList.Hosts(ctx)
+	var live map[netip.Addr]bool
+	if err == nil && len(hosts) > 0 {
+		live = liveAddresses(hosts)
+	}
+	r.update("", func(m *Machine, _ Moment) { m.SetUnlisted(live) })
+}
+
+func liveAddresses(hosts []platform.ListedHost) map[netip.Addr]bool {
+	live := make(map[netip.Addr]bool, len(hosts))
+	for _, host := range hosts {
+		if host.State != platform.HostLive {
+			continue
+		}
+		if withPort, err := netip.ParseAddrPort(host.Address); err == nil {
+			live[withPort.Addr()] = true
+		} else if address, err := netip.ParseAddr(host.Address); err == nil {
+			live[address] = true
+		}
+	}
+	return live
+}
--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -196,10 +196,10 @@
 	return ok
 }
 
-// learn adopts a newer epoch and reports whether it was newer.
-func (m *Machine) learn(e *epochState, at Moment) bool {
+// learn adopts an epoch if it is newer than the known one.
+func (m *Machine) learn(e *epochState, at Moment) {
 	if e == nil || e.Number <= m.epoch.Number {
-		return false
+		return
 	}
 	m.epoch = *e
 	m.learnedAt = at.Now
@@ -219,7 +219,6 @@
 		m.raiseFreeAt(at.Now.Add(m.durations.outlast()))
 	}
 	m.settle(at)
-	return true
 }
 
 // track keeps a state for each other member of the epoch and of the one before.
--- /dev/null
+++ b/fleet/membership/table.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"context"
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+// headKey is the row whose version is the newest settings revision. The row is absent at revision 0.
+var headKey = platform.Key{Partition: "settings", Sort: "head"}
+
+// epochKey is the row of a cell's epoch.
+func epochKey(cell string) platform.Key {
+	return platform.Key{Partition: "cell/" + cell, Sort: "epoch"}
+}
+
+// readCell reads the epoch row, nil if absent, and the settings head.
+func readCell(ctx context.Context, table platform.Table, cell string) (epoch *epochState, head uint64, err error) {
+	reads, ctx := errgroup.WithContext(ctx)
+	reads.Go(func() error {
+		item, err := getOrZero(ctx, table, epochKey(cell))
+		if err != nil || item.Version == 0 {
+			return err
+		}
+		epoch, err = decodeEpoch(item.Value, item.Version)
+		return err
+	})
+	reads.Go(func() error {
+		item, err := getOrZero(ctx, table, headKey)
+		head = item.Version
+		return err
+	})
+	if err := reads.Wait(); err != nil {
+		return nil, 0, err
+	}
+	return epoch, head, nil
+}
+
+// getOrZero returns the zero Item if none is stored.
+func getOrZero(ctx context.Context, table platform.Table, key platform.Key) (platform.Item, error) {
+	item, err := table.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Item{}, nil
+	}
+	return item, err
+}
+
+// storeEpoch stores a proposal if neither the epoch nor the settings head has changed since it was made.
+func storeEpoch(ctx context.Context, table platform.Table, cell string, p *Proposal) error {
+	value, err := proto.Marshal(epochToProto(&p.epoch))
+	if err != nil {
+		return err
+	}
+	return platform.TransactOnce(ctx, table, []platform.Write{
+		{
+			Kind: platform.Put, Key: epochKey(cell), Value: value, Version: p.epoch.Number, WriteID: p.epoch.WriteID,
+			Condition: versionIs(p.base),
+		},
+		{Kind: platform.Check, Key: headKey, Condition: versionIs(p.head)},
+	})
+}
+
+func versionIs(version uint64) platform.Condition {
+	if version == 0 {
+		return platform.Condition{Kind: platform.Absent}
+	}
+	return platform.Condition{Kind: platform.VersionIs, Version: version}
+}
