--- a/traffic/loadbalancer/balancer_test.go
+++ b/traffic/loadbalancer/balancer_test.go
@@ -69,8 +69,8 @@
 	list[1].Leaving = true
 	b := New(Options{DataCentre: "dc0", Seed: 1})
 	b.Update(start, Config{Upstreams: list, Self: Host{ID: "h00"}})
-	b.Done(start, "u2", Result{OK: true, Draining: true})
-	ejected := weights{"u3": 0}
+	b.Done(start, "u3", Result{OK: true, Draining: true})
+	ejected := weights{"u2": 0}
 	for range 500 {
 		u, err := b.Pick(start, ejected, []settings.UpstreamID{"u4"})
 		if err != nil {
@@ -81,7 +81,7 @@
 		}
 		b.Done(start, u.ID, Result{OK: true})
 	}
-	if _, err := b.Pick(start, ejected, []settings.UpstreamID{"u0", "u4", "u5", "u2"}); !errors.Is(err, ErrNoUpstream) {
+	if _, err := b.Pick(start, ejected, []settings.UpstreamID{"u0", "u3", "u4", "u5"}); !errors.Is(err, ErrNoUpstream) {
 		t.Errorf("nothing usable: %v, want ErrNoUpstream", err)
 	}
 }
