Add the ledger of operations, its transfer between owners and the runtime

A non-idempotent operation must run at most once while owners change, messages are lost or late, and hosts die. Ledger is the pure state of an owner; a slot is served again once the last owner that served it has reported, or once every other member has declared to grant nothing and the leases of excluded members are over. Records that were handed over by other owners than the last are distrusted then. errkind.Error gets an Outcome that replaces the outcome of its kind.

--- /dev/null
+++ b/fleet/idempotency/convert.go
@@ -0,0 +1,160 @@
+package idempotency
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+)
+
+var errMessage = errors.New("idempotency: malformed message")
+
+func operationToProto(c *ClaimRequest) *idempotencypb.Operation {
+	return &idempotencypb.Operation{
+		Customer: string(c.Key.Customer), Id: c.Key.ID[:], Fingerprint: c.Fingerprint[:], Attempt: c.Attempt[:],
+	}
+}
+
+func operationFromProto(m *idempotencypb.Operation) (ClaimRequest, error) {
+	id, err := uuid.FromBytes(m.GetId())
+	if err != nil {
+		return ClaimRequest{}, errors.Join(errMessage, err)
+	}
+	attempt, err := uuid.FromBytes(m.GetAttempt())
+	if err != nil {
+		return ClaimRequest{}, errors.Join(errMessage, err)
+	}
+	if len(m.GetFingerprint()) != len(Fingerprint{}) {
+		return ClaimRequest{}, errMessage
+	}
+	return ClaimRequest{
+		Key:         Key{Customer: settings.CustomerID(m.GetCustomer()), ID: id},
+		Fingerprint: Fingerprint(m.GetFingerprint()), Attempt: attempt,
+	}, nil
+}
+
+func resultToProto(r *Result) *idempotencypb.Result {
+	return &idempotencypb.Result{
+		State: idempotencypb.State(r.State), Status: int32(r.Status), Header: headerToProto(r.Header),
+		Trailer: headerToProto(r.Trailer), Body: r.Body, BodyLost: r.BodyLost,
+	}
+}
+
+// resultFromProto reads a result. A state that this version does not know is taken for unknown.
+func resultFromProto(m *idempotencypb.Result) Result {
+	state := State(m.GetState())
+	if state < Running || state > Unknown {
+		state = Unknown
+	}
+	return Result{
+		State: state, Status: int(m.GetStatus()), Header: headerFromProto(m.GetHeader()),
+		Trailer: headerFromProto(m.GetTrailer()), Body: m.GetBody(), BodyLost: m.GetBodyLost(),
+	}
+}
+
+func headerToProto(header http.Header) map[string]*idempotencypb.Values {
+	if len(header) == 0 {
+		return nil
+	}
+	values := make(map[string]*idempotencypb.Values, len(header))
+	for name, list := range header {
+		values[name] = &idempotencypb.Values{Values: list}
+	}
+	return values
+}
+
+func headerFromProto(values map[string]*idempotencypb.Values) http.Header {
+	if len(values) == 0 {
+		return nil
+	}
+	header := make(http.Header, len(values))
+	for name, list := range values {
+		header[name] = list.GetValues()
+	}
+	return header
+}
+
+func decisionToProto(d Decision) *idempotencypb.ClaimAnswer {
+	answer := &idempotencypb.ClaimAnswer{
+		Verdict: idempotencypb.Verdict(d.Verdict), Kind: string(d.Kind), Outcome: string(d.Outcome),
+	}
+	if d.Result != nil {
+		answer.Result = resultToProto(d.Result)
+	}
+	return answer
+}
+
+// decisionFromProto reads an answer. One that makes no sense is a refusal with unknown outcome.
+func decisionFromProto(m *idempotencypb.ClaimAnswer) Decision {
+	d := Decision{Verdict: Verdict(m.GetVerdict()), Kind: errkind.Kind(m.GetKind()), Outcome: errkind.Outcome(m.GetOutcome())}
+	if d.Verdict == Replayed && m.GetResult() != nil {
+		result := resultFromProto(m.GetResult())
+		d.Result = &result
+		return d
+	}
+	if d.Verdict < Granted || d.Verdict > NotOwner || d.Verdict == Replayed {
+		return Decision{Verdict: Refused, Kind: errkind.OutcomeUnknown}
+	}
+	return d
+}
+
+func recordToProto(r *TransferredRecord) *idempotencypb.Record {
+	return &idempotencypb.Record{
+		Operation: operationToProto(&ClaimRequest{Key: r.Key, Fingerprint: r.Fingerprint, Attempt: r.Attempt}),
+		Result:    resultToProto(&r.Result), RemainingMs: r.Remaining.Milliseconds(), Version: r.Version,
+	}
+}
+
+func reportsToProto(reports []Report) []*idempotencypb.Report {
+	messages := make([]*idempotencypb.Report, len(reports))
+	for i, r := range reports {
+		messages[i] = &idempotencypb.Report{
+			Through: r.Through, Served: r.Served, Need: r.Need, VouchedSinceNs: unixNano(r.VouchedSince),
+		}
+	}
+	return messages
+}
+
+func transferFromProto(m *idempotencypb.SlotTransfer) (Transfer, error) {
+	if m.GetSlot() >= Slots {
+		return Transfer{}, errMessage
+	}
+	transfer := Transfer{Slot: int(m.GetSlot()), EvictedTo: fromUnixNano(m.GetEvictedToNs())}
+	for _, r := range m.GetRecords() {
+		operation, err := operationFromProto(r.GetOperation())
+		if err != nil {
+			return Transfer{}, err
+		}
+		transfer.Records = append(transfer.Records, TransferredRecord{
+			Key: operation.Key, Fingerprint: operation.Fingerprint, Attempt: operation.Attempt,
+			Result: resultFromProto(r.GetResult()), Version: r.GetVersion(),
+			Remaining: time.Duration(r.GetRemainingMs()) * time.Millisecond,
+		})
+	}
+	for _, r := range m.GetReports() {
+		transfer.Reports = append(transfer.Reports, Report{
+			Through: r.GetThrough(), Served: r.GetServed(), Need: r.GetNeed(), VouchedSince: fromUnixNano(r.GetVouchedSinceNs()),
+		})
+	}
+	return transfer, nil
+}
+
+// unixNano writes a time; the zero time is 0.
+func unixNano(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromUnixNano(ns int64) time.Time {
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns).UTC()
+}
--- /dev/null
+++ b/fleet/idempotency/transfer.go
@@ -0,0 +1,259 @@
+package idempotency
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
+)
+
+// transferPiece is the size in bytes at which a message with records is sent, so that none grows without bound.
+const transferPiece = 256 << 10
+
+// Run hands over slots and lets deadlines pass until ctx ends. Results that no owner has taken by then are lost; call
+// HandOver before on a graceful leave.
+func (o *Operations) Run(ctx context.Context) error {
+	defer o.stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		o.tick()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-o.poke:
+		}
+	}
+}
+
+// OnView tells Operations a new view. It should be called for each epoch in turn: an owner that misses an epoch must
+// assume that somebody else has granted claims meanwhile.
+func (o *Operations) OnView(_, current *fleet.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if current.Epoch.Number > o.ledger.epoch {
+		o.enterEpoch(o.moment(), current)
+	}
+}
+
+// enterEpoch changes the ledger's epoch. The caller holds mu.
+func (o *Operations) enterEpoch(t Moment, view *fleet.View) {
+	o.ledger.EnterEpoch(t, view, func(slot int) bool { return view.Owns(SlotKey(slot)) })
+	o.view = view
+	for key := range o.waiters {
+		o.wake(key)
+	}
+	for member := range o.delivered {
+		if _, ok := view.Epoch.Member(member); !ok {
+			delete(o.delivered, member)
+		}
+	}
+	o.options.Logger.Info().Uint64("epoch", view.Epoch.Number).Int("owned_slots", o.ledger.owned()).
+		Msg("operation slots follow a new epoch")
+	select {
+	case o.poke <- struct{}{}:
+	default:
+	}
+}
+
+// tick lets time pass in the ledger and starts the transfers that are due.
+func (o *Operations) tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t, _ := o.enter()
+	if o.ledger.Tick(t) {
+		for key := range o.waiters {
+			o.wake(key)
+		}
+	}
+	view := o.view
+	for i := range view.Epoch.Members {
+		member := view.Epoch.Members[i]
+		id := member.Identity()
+		if id == view.Self || o.sending[id] || o.delivered[id] >= o.ledger.epoch {
+			continue
+		}
+		o.sending[id] = true
+		go o.handTo(member, o.ledger.epoch)
+	}
+}
+
+// handTo sends a member everything about its slots, and then the declaration that this host grants nothing in them.
+func (o *Operations) handTo(member fleet.Member, epoch uint64) {
+	slots, requests := o.requestsFor(member, epoch)
+	done := true
+	for _, request := range requests {
+		if done = o.transferTo(o.base, member.PeerAddress, request); !done {
+			break
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.sending, member.Identity())
+	if !done || o.ledger.epoch != epoch {
+		return
+	}
+	o.delivered[member.Identity()] = epoch
+	for _, slot := range slots {
+		o.ledger.Forget(slot, epoch)
+	}
+}
+
+// requestsFor makes the messages for a member. The last one is final.
+func (o *Operations) requestsFor(member fleet.Member, epoch uint64) ([]int, []*idempotencypb.TransferRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ledger.epoch != epoch {
+		return nil, []*idempotencypb.TransferRequest{{Epoch: epoch}}
+	}
+	t := o.moment()
+	var slots []int
+	pieces := &pieces{epoch: epoch}
+	for slot := range Slots {
+		owner, ok := o.view.Epoch.Owner(SlotKey(slot))
+		if !ok || owner.Identity() != member.Identity() {
+			continue
+		}
+		if transfer, ok := o.ledger.Outgoing(t, slot); ok {
+			pieces.add(&transfer)
+			slots = append(slots, slot)
+		}
+	}
+	return slots, pieces.finish()
+}
+
+// pieces cuts transfers into messages. The reports of a slot follow its last record, because they let the owner start.
+type pieces struct {
+	epoch uint64
+	done  []*idempotencypb.TransferRequest
+	slots []*idempotencypb.SlotTransfer
+	bytes int
+}
+
+func (p *pieces) add(transfer *Transfer) {
+	message := &idempotencypb.SlotTransfer{Slot: uint32(transfer.Slot), EvictedToNs: unixNano(transfer.EvictedTo)}
+	p.slots = append(p.slots, message)
+	for i := range transfer.Records {
+		r := &transfer.Records[i]
+		message.Records = append(message.Records, recordToProto(r))
+		p.bytes += recordBytes + len(r.Result.Body)
+		if p.bytes >= transferPiece {
+			p.cut()
+			message = &idempotencypb.SlotTransfer{Slot: uint32(transfer.Slot), EvictedToNs: unixNano(transfer.EvictedTo)}
+			p.slots = append(p.slots, message)
+		}
+	}
+	message.Reports = reportsToProto(transfer.Reports)
+}
+
+func (p *pieces) cut() {
+	p.done = append(p.done, &idempotencypb.TransferRequest{Epoch: p.epoch, Slots: p.slots})
+	p.slots, p.bytes = nil, 0
+}
+
+func (p *pieces) finish() []*idempotencypb.TransferRequest {
+	p.cut()
+	p.done[len(p.done)-1].Final = true
+	return p.done
+}
+
+// accept takes a message of transfers from another host.
+func (o *Operations) accept(from fleet.Identity, request *idempotencypb.TransferRequest) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t, _ := o.enter()
+	if request.GetEpoch() != o.ledger.epoch {
+		return false
+	}
+	for _, slot := range request.GetSlots() {
+		transfer, err := transferFromProto(slot)
+		if err != nil || !o.ledger.Accept(t, request.GetEpoch(), &transfer) {
+			return false
+		}
+	}
+	if request.GetFinal() {
+		o.ledger.Release(from, request.GetEpoch())
+	}
+	if o.ledger.Tick(t) {
+		for key := range o.waiters {
+			o.wake(key)
+		}
+	}
+	return true
+}
+
+// HandOver waits until every other member has taken over what this host knows and every result has been taken by an
+// owner. The host must have left or be leaving the epoch, so that it owns no slot. It returns the error of ctx if that
+// ends first.
+func (o *Operations) HandOver(ctx context.Context) error {
+	for !o.handedOver() {
+		pause(ctx, o.options.Retry)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (o *Operations) handedOver() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.enter()
+	if o.pending.Load() > 0 || o.ledger.owned() > 0 {
+		return false
+	}
+	view := o.view
+	for i := range view.Epoch.Members {
+		member := &view.Epoch.Members[i]
+		owns := member.State == fleet.Active && member.Identity() != view.Self
+		if owns && o.delivered[member.Identity()] < o.ledger.epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// Status describes the state of Operations, for metrics and the admin API.
+type Status struct {
+	Epoch uint64
+	// OwnedSlots and ServingSlots count slots; an owned slot is served once all earlier grants are known or void.
+	OwnedSlots, ServingSlots int
+	Records                  int
+	// Bytes is the memory of the records.
+	Bytes int64
+	// Evicted counts records that were dropped for lack of memory.
+	Evicted uint64
+	// PendingResults counts results that no owner has taken yet.
+	PendingResults int64
+	// Granted, Replayed and Refused count the answers that this host got to its claims.
+	Granted, Replayed, Refused int64
+}
+
+// Status returns the current state.
+func (o *Operations) Status() Status {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	status := Status{
+		Epoch: o.ledger.epoch, OwnedSlots: o.ledger.owned(), Bytes: o.ledger.used, Evicted: o.ledger.evicted,
+		Records: len(o.ledger.idle) + len(o.ledger.running), PendingResults: o.pending.Load(),
+		Granted: o.granted.Load(), Replayed: o.replayed.Load(), Refused: o.refused.Load(),
+	}
+	for i := range o.ledger.slots {
+		if o.ledger.slots[i].serving {
+			status.ServingSlots++
+		}
+	}
+	return status
+}
+
+func (l *Ledger) owned() int {
+	n := 0
+	for i := range l.slots {
+		if l.slots[i].owned {
+			n++
+		}
+	}
+	return n
+}
--- a/traffic/errkind/errkind.go
+++ b/traffic/errkind/errkind.go
@@ -124,6 +124,9 @@
 	Kind Kind
 	// RetryAfter is how long the caller should wait; 0 if nothing is known.
 	RetryAfter time.Duration
+	// Outcome replaces the outcome of the kind where less is known than the kind says, for example about an earlier
+	// attempt with the same operation id. Default the outcome of the kind.
+	Outcome Outcome
 	// Cause is for logs and tests and is never shown to callers.
 	Cause error
 }
@@ -154,6 +157,9 @@
 // Write answers a request with the answer of the error's kind.
 func Write(w http.ResponseWriter, requestID string, e *Error) {
 	answer := Table(e.Kind)
+	if e.Outcome != "" {
+		answer.Outcome = e.Outcome
+	}
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(OutcomeHeader, string(answer.Outcome))
