--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
@@ -176,7 +177,12 @@
 	sh.must(ctl.ExitUnavailable, "set customers/harbour/burst 80 --base 3")
 	sh.table.Faults.SetDown(false)
 	live := sh.admin
-	sh.admin = "http://127.0.0.1:1," + live
+	ailing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":"outcome_unknown","message":"?","next":"?"}`))
+	}))
+	defer ailing.Close()
+	sh.admin = "http://127.0.0.1:1," + ailing.URL + "," + live
 	sh.must(ctl.ExitOK, "set customers/harbour/burst 90")
 	sh.admin = "http://127.0.0.1:1"
 	sh.must(ctl.ExitUnavailable, "set customers/harbour/burst 90 --base 4")
--- a/host/admin/admin_test.go
+++ b/host/admin/admin_test.go
@@ -128,6 +128,10 @@
 	if again["revision"] != 3.0 {
 		t.Fatalf("a repeated withdrawal: %v", again)
 	}
+	twice := a.must(http.StatusOK, http.MethodPost, "/v1/customers/harbour/keys/k1/withdraw", `{"change_id":"c5","base":3}`)
+	if twice["unchanged"] != true {
+		t.Fatalf("a second withdrawal: %v", twice)
+	}
 	a.must(http.StatusUnprocessableEntity, http.MethodPost, "/v1/customers/harbour/keys/k1", `{"change_id":"c4","base":3}`)
 
 	hash, _ := settings.HashKey(key).MarshalText()
--- a/settings/diff.go
+++ b/settings/diff.go
@@ -26,7 +26,7 @@
 func (d *differ) fields(path string, from, to reflect.Value) error {
 	for i := range from.NumField() {
 		name, _, _ := strings.Cut(from.Type().Field(i).Tag.Get("json"), ",")
-		if name == "-" {
+		if name == "-" || name == "" {
 			continue
 		}
 		if err := d.value(strings.TrimPrefix(path+"/"+name, "/"), from.Field(i), to.Field(i)); err != nil {
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -19,6 +19,9 @@
 // A Tree is never changed in place: Apply returns a new one that shares the unchanged branches. A withdrawn key can't be
 // made valid again, and the hash of a key can't be replaced.
 //
+// What is computed from a tree (the index of keys, the effective services) is handed on to the trees that Apply makes from
+// it, and Validate looks only at what the edits may have affected. A test compares both with the whole tree.
+//
 // # Limits
 //
 // MaxDocumentBytes, MaxCustomers, MaxServices, MaxUpstreams, MaxRoutes and MaxKeysPerCustomer bound the tree; they are at
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -95,6 +95,9 @@
 // Apply returns the tree with the edits applied in order, and what each did. The receiver is unchanged and shares its
 // unchanged branches with the result, which is not yet validated. It returns an *InvalidError.
 func (t *Tree) Apply(edits []Edit) (*Tree, []Effect, error) {
+	if len(edits) == 0 {
+		return t, nil, nil
+	}
 	effects := make([]Effect, 0, len(edits))
 	current := reflect.ValueOf(t)
 	owned := make(map[uintptr]bool)
@@ -117,6 +120,7 @@
 	if err := checkKeys(t, edited, edits); err != nil {
 		return nil, nil, err
 	}
+	edited.derived = t.derived.next(t, edited, edits)
 	return edited, effects, nil
 }
 
@@ -150,10 +154,7 @@
 }
 
 func (e *editing) inStruct(pointer reflect.Value, names []string) (reflect.Value, error) {
-	fresh := reflect.New(pointer.Type().Elem())
-	if !pointer.IsNil() {
-		fresh.Elem().Set(pointer.Elem())
-	}
+	fresh := copyStruct(pointer)
 	field, ok := fieldByName(fresh.Elem(), names[0])
 	if !ok {
 		return pointer, invalid(e.edit.Path, "%q does not exist here", names[0])
@@ -169,6 +170,19 @@
 	return fresh, nil
 }
 
+// copyStruct returns a pointer to a copy, or to a zero value for nil.
+func copyStruct(pointer reflect.Value) reflect.Value {
+	if customer, ok := pointer.Interface().(*CustomerSpec); ok && customer != nil {
+		// The effective customer is of the old values, and other goroutines may be storing it.
+		return reflect.ValueOf(&CustomerSpec{Rate: customer.Rate, Burst: customer.Burst, Weight: customer.Weight, Keys: customer.Keys})
+	}
+	fresh := reflect.New(pointer.Type().Elem())
+	if !pointer.IsNil() {
+		fresh.Elem().Set(pointer.Elem())
+	}
+	return fresh
+}
+
 func (e *editing) inMap(value reflect.Value, names []string) (reflect.Value, error) {
 	key := reflect.ValueOf(names[0])
 	entry := reflect.Zero(value.Type().Elem())
@@ -270,7 +284,7 @@
 func fieldByName(value reflect.Value, name string) (reflect.Value, bool) {
 	for i := range value.NumField() {
 		tag := value.Type().Field(i).Tag.Get("json")
-		if tagName, _, _ := strings.Cut(tag, ","); tagName == name && tag != "-" {
+		if tagName, _, _ := strings.Cut(tag, ","); tagName == name && tagName != "-" && tagName != "" {
 			return value.Field(i), true
 		}
 	}
--- a/settings/inherit.go
+++ b/settings/inherit.go
@@ -63,6 +63,11 @@
 // Snapshot computes the effective settings at a data centre. The data centre may be undeclared, in which case only the
 // fleet, service and route levels apply. The tree must be valid.
 func (t *Tree) Snapshot(revision uint64, dataCentre string) (*Snapshot, error) {
+	return &Snapshot{Revision: revision, part: t.part(dataCentre), customers: t.Customers, keys: t.keyIndex()}, nil
+}
+
+// newPart computes the effective services and routes.
+func (t *Tree) newPart(dataCentre string) *servicePart {
 	base := DefaultPolicy()
 	overlay(&base, t.Policy)
 	if at := t.DataCentres[dataCentre]; at != nil {
@@ -75,7 +80,7 @@
 		services = append(services, service)
 		routes = append(routes, serviceRoutes...)
 	}
-	return NewSnapshot(revision, routes, services, effectiveCustomers(t.Customers)), nil
+	return newServicePart(routes, services)
 }
 
 func effectiveService(name ServiceName, spec *ServiceSpec, base Policy, dataCentre string, t *Tree) (Service, []Route) {
@@ -111,24 +116,25 @@
 	return upstreams
 }
 
-func effectiveCustomers(specs map[string]*CustomerSpec) []Customer {
-	customers := make([]Customer, 0, len(specs))
-	for id, spec := range specs {
-		customers = append(customers, effectiveCustomer(id, spec))
+// customer returns the effective customer.
+func (c *CustomerSpec) customer(id CustomerID) *Customer {
+	if cached := c.effective.Load(); cached != nil && cached.ID == id {
+		return cached
 	}
-	return customers
-}
-
-func effectiveCustomer(id string, spec *CustomerSpec) Customer {
-	customer := Customer{ID: CustomerID(id), Rate: float64(spec.Rate), Burst: spec.Burst, Weight: spec.Weight}
+	customer := &Customer{ID: id, Rate: float64(c.Rate), Burst: c.Burst, Weight: c.Weight}
 	if customer.Weight == 0 {
 		customer.Weight = 1
 	}
-	for i := range spec.Keys {
-		if key := &spec.Keys[i]; key.Withdrawn == 0 {
+	for i := range c.Keys {
+		if key := &c.Keys[i]; key.Withdrawn == 0 {
 			customer.Keys = append(customer.Keys, Key{ID: key.ID, Hash: key.Hash})
 		}
 	}
+	if !c.effective.CompareAndSwap(nil, customer) {
+		if cached := c.effective.Load(); cached.ID == id {
+			return cached
+		}
+	}
 	return customer
 }
 
--- /dev/null
+++ b/settings/keyindex.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"encoding/binary"
+	"maps"
+)
+
+const keyShards = 1024
+
+// keyIndex finds the customer of a key hash by the hash's first 8 bytes. Indexes share unchanged shards, so that a change
+// of one customer copies 0.1% of the index. It includes withdrawn keys, so that a hash is never granted twice.
+type keyIndex struct {
+	shards [keyShards]map[uint64]string
+}
+
+// collision is a hash prefix that two customers, or one customer twice, would have.
+type collision struct{ first, second string }
+
+func prefixOf(hash *KeyHash) uint64 { return binary.LittleEndian.Uint64(hash[:]) }
+
+func newKeyIndex(customers map[string]*CustomerSpec) (*keyIndex, []collision) {
+	e := keyIndexEdit{index: new(keyIndex)}
+	for id, customer := range customers {
+		e.add(id, customer)
+	}
+	return e.index, e.collisions
+}
+
+// with returns an index in which the touched customers, given as they were, are as in the given map.
+func (x *keyIndex) with(touched, customers map[string]*CustomerSpec) (*keyIndex, []collision) {
+	fresh := *x
+	e := keyIndexEdit{index: &fresh, shared: true}
+	for _, customer := range touched {
+		e.remove(customer)
+	}
+	for id := range touched {
+		e.add(id, customers[id])
+	}
+	return e.index, e.collisions
+}
+
+// keyIndexEdit changes an index and copies each shared shard once.
+type keyIndexEdit struct {
+	index      *keyIndex
+	shared     bool
+	owned      [keyShards]bool
+	collisions []collision
+}
+
+func (e *keyIndexEdit) shard(prefix uint64) map[uint64]string {
+	number := prefix % keyShards
+	if e.shared && !e.owned[number] {
+		e.index.shards[number] = maps.Clone(e.index.shards[number])
+		e.owned[number] = true
+	}
+	if e.index.shards[number] == nil {
+		e.index.shards[number] = make(map[uint64]string)
+	}
+	return e.index.shards[number]
+}
+
+func (e *keyIndexEdit) add(id string, customer *CustomerSpec) {
+	if customer == nil {
+		return
+	}
+	for i := range customer.Keys {
+		prefix := prefixOf(&customer.Keys[i].Hash)
+		shard := e.shard(prefix)
+		if other, found := shard[prefix]; found {
+			e.collisions = append(e.collisions, collision{first: min(id, other), second: max(id, other)})
+			continue
+		}
+		shard[prefix] = id
+	}
+}
+
+func (e *keyIndexEdit) remove(customer *CustomerSpec) {
+	if customer == nil {
+		return
+	}
+	for i := range customer.Keys {
+		prefix := prefixOf(&customer.Keys[i].Hash)
+		delete(e.shard(prefix), prefix)
+	}
+}
+
+// owner returns the id of the customer with a key whose hash has the same prefix.
+func (x *keyIndex) owner(hash *KeyHash) (string, bool) {
+	prefix := prefixOf(hash)
+	id, found := x.shards[prefix%keyShards][prefix]
+	return id, found
+}
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/subtle"
 	"time"
 )
 
@@ -156,65 +157,73 @@
 type Snapshot struct {
 	// Revision grows by one with each change. 0 means that no settings are known.
 	Revision  uint64
-	routes    routeIndex
-	services  map[ServiceName]*Service
-	customers map[CustomerID]*Customer
-	keys      map[KeyHash]*Customer
+	part      *servicePart
+	customers map[string]*CustomerSpec
+	keys      *keyIndex
 }
 
 // NewSnapshot builds a snapshot from effective values. The arguments must not be changed afterwards.
 func NewSnapshot(revision uint64, routes []Route, services []Service, customers []Customer) *Snapshot {
-	s := &Snapshot{
-		Revision:  revision,
-		routes:    newRouteIndex(routes),
-		services:  make(map[ServiceName]*Service, len(services)),
-		customers: make(map[CustomerID]*Customer, len(customers)),
-		keys:      make(map[KeyHash]*Customer),
+	s := &Snapshot{Revision: revision, part: newServicePart(routes, services), customers: make(map[string]*CustomerSpec, len(customers))}
+	for i := range customers {
+		s.customers[string(customers[i].ID)] = specOf(&customers[i])
 	}
+	s.keys, _ = newKeyIndex(s.customers)
+	return s
+}
+
+func newServicePart(routes []Route, services []Service) *servicePart {
+	index := newRouteIndex(routes)
+	part := &servicePart{routes: &index, services: make(map[ServiceName]*Service, len(services))}
 	for i := range services {
-		s.services[services[i].Name] = &services[i]
+		part.services[services[i].Name] = &services[i]
 	}
-	for i := range customers {
-		customer := &customers[i]
-		s.customers[customer.ID] = customer
-		for _, key := range customer.Keys {
-			s.keys[key.Hash] = customer
-		}
+	return part
+}
+
+func specOf(customer *Customer) *CustomerSpec {
+	spec := &CustomerSpec{Rate: Rate(customer.Rate), Burst: customer.Burst, Weight: customer.Weight}
+	for _, key := range customer.Keys {
+		spec.Keys = append(spec.Keys, KeySpec{ID: key.ID, Hash: key.Hash})
 	}
-	return s
+	spec.effective.Store(customer)
+	return spec
 }
 
 // Route returns the route with the longest matching path prefix among those whose host and method match. A route that
 // names the host goes before one that matches every host.
 func (s *Snapshot) Route(host, method, path string) (*Route, bool) {
-	return s.routes.lookup(host, method, path)
+	return s.part.routes.lookup(host, method, path)
 }
 
 // Service returns a service by name.
 func (s *Snapshot) Service(name ServiceName) (*Service, bool) {
-	service, ok := s.services[name]
+	service, ok := s.part.services[name]
 	return service, ok
 }
 
 // Services calls yield for each service, in no order.
 func (s *Snapshot) Services(yield func(*Service) bool) {
-	for _, service := range s.services {
+	for _, service := range s.part.services {
 		if !yield(service) {
 			return
 		}
 	}
 }
 
-// Customer returns a customer by id.
+// Customer returns a customer by id. The same pointer is returned until the customer is changed.
 func (s *Snapshot) Customer(id CustomerID) (*Customer, bool) {
-	customer, ok := s.customers[id]
-	return customer, ok
+	spec, ok := s.customers[string(id)]
+	if !ok {
+		return nil, false
+	}
+	return spec.customer(id), true
 }
 
-// Customers calls yield for each customer, in no order.
+// Customers calls yield for each customer, in no order. It computes the effective value of each, which stays in memory.
 func (s *Snapshot) Customers(yield func(*Customer) bool) {
-	for _, customer := range s.customers {
-		if !yield(customer) {
+	for id, spec := range s.customers {
+		if !yield(spec.customer(CustomerID(id))) {
 			return
 		}
 	}
@@ -223,6 +232,19 @@
 // CustomerForKey returns the customer to whom the presented key was granted and who still holds it. The lookup is by
 // hash, so its duration does not depend on how much of a guessed key is right.
 func (s *Snapshot) CustomerForKey(presented string) (*Customer, bool) {
-	customer, ok := s.keys[HashKey(presented)]
-	return customer, ok
+	hash := HashKey(presented)
+	id, ok := s.keys.owner(&hash)
+	if !ok {
+		return nil, false
+	}
+	customer, ok := s.Customer(CustomerID(id))
+	if !ok {
+		return nil, false
+	}
+	for i := range customer.Keys {
+		if subtle.ConstantTimeCompare(customer.Keys[i].Hash[:], hash[:]) == 1 {
+			return customer, true
+		}
+	}
+	return nil, false
 }
--- a/settings/store/apply.go
+++ b/settings/store/apply.go
@@ -261,8 +261,8 @@
 	}
 }
 
-// writes builds the transaction. The row of the change id goes first, see platform.TransactOnce: it is never overwritten,
-// while the head may already have been by a later change when it is read back.
+// writes builds the transaction. The row of the change id goes first, because platform.TransactOnce reads the first row
+// back: it is never overwritten, while the head may be by a later change, which would cost another attempt.
 func (s *Store) writes(ctx context.Context, record *Record, effects []settings.Effect) ([]platform.Write, error) {
 	sum, err := digest(record.Operator, record.Edits)
 	if err != nil {
--- a/settings/store/chunks.go
+++ b/settings/store/chunks.go
@@ -78,7 +78,7 @@
 
 // merge is the inverse of split. It refuses parts that state the same entry.
 func merge(parts []*settings.Tree) (*settings.Tree, error) {
-	tree := new(settings.Tree)
+	tree := settings.NewTree()
 	for _, part := range parts {
 		if part.Policy != nil {
 			if tree.Policy != nil {
--- a/settings/store/rows.go
+++ b/settings/store/rows.go
@@ -187,8 +187,11 @@
 	total := 0
 	for i := range effects {
 		effect := settings.Effect{Path: effects[i].Path, Old: redact(effects[i].Old), New: redact(effects[i].New)}
-		total += len(effect.Path) + len(effect.Old) + len(effect.New)
-		if total > maxAuditBytes {
+		encoded, err := json.Marshal(&effect)
+		if err != nil {
+			return nil, err
+		}
+		if total += len(encoded) + 1; total > maxAuditBytes {
 			entry.Omitted = len(effects) - i
 			break
 		}
--- a/settings/store/store.go
+++ b/settings/store/store.go
@@ -80,7 +80,7 @@
 		observers: make(map[int]func(*settings.Tree, uint64)),
 		written:   make(map[string]bool),
 	}
-	s.current.Store(&state{tree: new(settings.Tree)})
+	s.current.Store(&state{tree: settings.NewTree()})
 	return s
 }
 
--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/platform"
 	"github.com/bronzeyard/bronzeyard/platform/memory"
@@ -175,6 +179,119 @@
 	if got := b.Status().SnapshotRevision; got != 10 {
 		t.Fatalf("snapshot of revision %d, want 10", got)
 	}
+	stale := w.host()
+	if err := w.importInto(stale, a, 0); err != nil {
+		t.Fatal(err)
+	}
+	w.apply(a, "c12", 12, addCustomer("customer-12"))
+	if err := errors.Join(a.WriteSnapshot(t.Context()), stale.WriteSnapshot(t.Context())); err != nil {
+		t.Fatal(err)
+	}
+	manifest, err := w.table.Get(t.Context(), platform.Key{Partition: "settings", Sort: "manifest"})
+	if err != nil || manifest.Version != 13 {
+		t.Fatalf("a host at revision 12 replaced the snapshot of revision 13 by one of %d (%v)", manifest.Version, err)
+	}
+}
+
+// importInto transfers from one host to another and returns the error of the receiver.
+func (w *world) importInto(to, from *store.Store, after uint64) error {
+	w.t.Helper()
+	data, err := from.ExportAfter(after)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, err = to.Import(data)
+	return err
+}
+
+// overtaking calls overtake in the middle of reading an object.
+type overtaking struct {
+	*memory.ObjectStore
+	overtake func()
+}
+
+func (o *overtaking) Get(ctx context.Context, name string) ([]byte, error) {
+	o.overtake()
+	return o.ObjectStore.Get(ctx, name)
+}
+
+// counting counts the objects that are written.
+type counting struct {
+	*memory.ObjectStore
+	puts atomic.Int64
+}
+
+func (c *counting) Put(ctx context.Context, name string, data []byte) error {
+	c.puts.Add(1)
+	return c.ObjectStore.Put(ctx, name, data)
+}
+
+// Guards against a snapshot that writes the whole tree for one change, or that does not read back as the same tree.
+func TestSnapshotSharesChunks(t *testing.T) {
+	w := newWorld(t)
+	objects := &counting{ObjectStore: w.objects}
+	a := store.New(store.Options{Table: w.table, Objects: objects, Clock: clock.Standard{}})
+	var edits []settings.Edit
+	for i := range 5000 {
+		edits = append(edits, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	w.apply(a, "c1", 0, edits...)
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before := objects.puts.Load()
+	w.apply(a, "c2", 1, set("customers/customer-7/burst", "11"))
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if after := objects.puts.Load(); before < 8 || after-before != 1 {
+		t.Fatalf("%d objects for the first snapshot and %d for one changed customer, want 8 or more and 1", before, after-before)
+	}
+	ignore := cmpopts.IgnoreUnexported(settings.Tree{}, settings.CustomerSpec{})
+	loaded, _, err := w.host().Load(t.Context())
+	if tree, _ := a.Current(); err != nil || !cmp.Equal(tree, loaded, ignore) {
+		t.Fatalf("the snapshot differs from the tree: %v", err)
+	}
+}
+
+// Guards against a host that is taken back by a snapshot which a peer's transfer has overtaken, by a table that was put
+// back, or by changes with a gap before them.
+func TestNeverOlder(t *testing.T) {
+	w := newWorld(t)
+	a := w.host()
+	for i := range uint64(5) {
+		w.apply(a, fmt.Sprintf("c%d", i), i, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	w.apply(a, "c5", 5, addCustomer("customer-5"))
+
+	var b *store.Store
+	objects := &overtaking{ObjectStore: w.objects, overtake: func() {
+		if err := w.importInto(b, a, 0); err != nil {
+			t.Error(err)
+		}
+	}}
+	b = store.New(store.Options{Table: w.table, Objects: objects, Clock: clock.Standard{}})
+	var seen []uint64
+	b.OnChange(func(_ *settings.Tree, revision uint64) { seen = append(seen, revision) })
+	if _, _, err := b.Load(t.Context()); err != nil || fmt.Sprint(seen) != "[0 6]" {
+		t.Fatalf("revisions %v came into force, want 0 and 6; %v", seen, err)
+	}
+
+	var damaged *store.DamagedError
+	if err := w.importInto(w.host(), a, 5); !errors.As(err, &damaged) {
+		t.Fatalf("revision 6 was taken over by a host at 0: %v", err)
+	}
+	back := platform.Write{Kind: platform.Put, Key: store.HeadKey(), Version: 2}
+	if err := w.table.Transact(t.Context(), []platform.Write{back}); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Poll(t.Context()); !errors.As(err, &damaged) || b.Status().Fault == "" {
+		t.Fatalf("a table that was put back to revision 2: %v, %+v", err, b.Status())
+	}
+	requireRevision(t, b, 6)
 }
 
 // Guards against changes during an outage that are half made, and against a host that cannot start from a peer.
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -31,6 +32,8 @@
 	DataCentres map[string]*DataCentreSpec `json:"data_centres,omitempty"`
 	Services    map[string]*ServiceSpec    `json:"services,omitempty"`
 	Customers   map[string]*CustomerSpec   `json:"customers,omitempty"`
+
+	derived *derived
 }
 
 // Branch is the part of a policy that one branch of the tree states. The fields are those of Policy; a nil field is
@@ -93,6 +96,9 @@
 	// Weight is more than 0; 0 stands for the default of 1.
 	Weight float64 `json:"weight,omitzero"`
 	Keys   KeyList `json:"keys,omitempty"`
+
+	// effective is computed when the customer is first looked up, because a host serves few of all customers.
+	effective atomic.Pointer[Customer]
 }
 
 // KeySpec is a key that was granted. The key itself is never stored.
@@ -189,7 +195,7 @@
 	if len(data) > MaxDocumentBytes {
 		return nil, invalid("", "%d bytes, at most %d are allowed", len(data), MaxDocumentBytes)
 	}
-	tree := new(Tree)
+	tree := NewTree()
 	if err := unmarshalAt("", data, tree); err != nil {
 		return nil, err
 	}
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
@@ -141,6 +142,9 @@
 	}
 }
 
+// ignoreDerived leaves out what is computed from the settings.
+var ignoreDerived = cmpopts.IgnoreUnexported(settings.Tree{}, settings.CustomerSpec{})
+
 const validHash = "sha256:cc358b85b8b74a6f82504e141c2cb5c45c70711c2420cc98bcc230843f8def6d"
 
 // Guards against edits that change the tree they started from, that do something else than their path says, or that make
@@ -200,11 +204,26 @@
 	if err != nil {
 		t.Fatalf("apply the diff: %v", err)
 	}
-	if d := cmp.Diff(to, got); d != "" {
+	if d := cmp.Diff(to, got, ignoreDerived); d != "" {
 		t.Fatalf("the diff leads elsewhere:\n%s", d)
 	}
 }
 
+// Guards against a document without keys that takes the keys of its customers away, and against keys that can't be removed.
+func TestDiffOfKeys(t *testing.T) {
+	tree := load(t)
+	keys := func(list settings.KeyList) *settings.Tree {
+		return &settings.Tree{
+			Policy: tree.Policy, DataCentres: tree.DataCentres, Services: tree.Services,
+			Customers: map[string]*settings.CustomerSpec{"harbour": {Rate: 20, Burst: 40, Keys: list}},
+		}
+	}
+	if edits, err := settings.Diff(tree, keys(nil)); err != nil || len(edits) != 0 {
+		t.Fatalf("a document without keys: %v, %v", edits, err)
+	}
+	requireDiff(t, tree, keys(tree.Customers["harbour"].Keys[1:]))
+}
+
 // Guards against a stated value that reads back as another one.
 func TestUnitsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -49,22 +49,74 @@
 	}
 }
 
-// Validate returns an *InvalidError with all faults of the tree, sorted by path, or nil.
+// Validate returns an *InvalidError with all faults of the tree, sorted by path, or nil. After Apply on a valid tree it
+// looks only at what the edits may have affected. A tree that was found valid must not be changed.
 func (t *Tree) Validate() error {
-	v := new(validator)
-	v.branch(t.Policy, "policy", fleetLevel)
-	v.dataCentres(t.DataCentres, "data_centres", dataCentreLevel)
-	v.services(t)
-	v.customers(t.Customers)
-	if len(v.faults) == 0 {
+	d := t.derived
+	if d == nil {
+		d = new(derived)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.valid {
 		return nil
 	}
+	v := new(validator)
+	var keys *keyIndex
+	if d.scope == nil {
+		keys = v.everything(t)
+	} else {
+		keys = v.touched(t, d.scope)
+	}
+	if len(v.faults) > 0 {
+		return v.error()
+	}
+	d.valid, d.scope, d.keys = true, nil, keys
+	return nil
+}
+
+func (v *validator) error() error {
 	slices.SortFunc(v.faults, func(a, b Fault) int {
 		return cmp.Or(strings.Compare(a.Path, b.Path), strings.Compare(a.Reason, b.Reason))
 	})
 	return &InvalidError{Faults: v.faults}
 }
 
+func (v *validator) everything(t *Tree) *keyIndex {
+	v.branch(t.Policy, "policy", fleetLevel)
+	v.dataCentres(t.DataCentres, "data_centres", dataCentreLevel)
+	for name := range t.Services {
+		v.service(t, name)
+	}
+	v.totals(t)
+	v.collisions(t)
+	for id := range t.Customers {
+		v.customer(t, id)
+	}
+	keys, collisions := newKeyIndex(t.Customers)
+	v.sharedKeys(collisions)
+	return keys
+}
+
+func (v *validator) touched(t *Tree, s *scope) *keyIndex {
+	if s.policy {
+		v.branch(t.Policy, "policy", fleetLevel)
+	}
+	for name := range s.services {
+		v.service(t, name)
+	}
+	if s.collisions {
+		v.collisions(t)
+	}
+	v.totals(t)
+	for id := range s.customers {
+		v.customer(t, id)
+	}
+	keys, collisions := s.keys.with(s.customers, t.Customers)
+	v.sharedKeys(collisions)
+	return keys
+}
+
 func (v *validator) dataCentres(dataCentres map[string]*DataCentreSpec, path string, at level) {
 	for name, spec := range dataCentres {
 		below := path + "/" + name
@@ -77,30 +129,55 @@
 	}
 }
 
-func (v *validator) services(t *Tree) {
-	v.require(len(t.Services) <= MaxServices, "services", "%d services, at most %d are allowed", len(t.Services), MaxServices)
+// service looks at a service and what lies in it, if the service exists.
+func (v *validator) service(t *Tree, name string) {
+	service, found := t.Services[name]
+	if !found {
+		return
+	}
+	path := "services/" + name
+	v.require(IsName(name), path, "%q is not a name", name)
+	if service == nil {
+		v.add(path, "is null")
+		return
+	}
+	v.branch(service.Policy, path+"/policy", serviceLevel)
+	v.dataCentres(service.DataCentres, path+"/data_centres", serviceAtLevel)
+	for dataCentre := range service.DataCentres {
+		v.require(t.DataCentres[dataCentre] != nil, path+"/data_centres/"+dataCentre, "the data centre is not declared in data_centres")
+	}
+	v.upstreams(t, service.Upstreams, path+"/upstreams")
+	v.routes(service.Routes, path+"/routes")
+}
+
+func (v *validator) totals(t *Tree) {
 	upstreams, routes := 0, 0
+	for _, service := range t.Services {
+		if service != nil {
+			upstreams += len(service.Upstreams)
+			routes += len(service.Routes)
+		}
+	}
+	v.require(len(t.Services) <= MaxServices, "services", "%d services, at most %d are allowed", len(t.Services), MaxServices)
+	v.require(upstreams <= MaxUpstreams, "services", "%d upstreams, at most %d are allowed", upstreams, MaxUpstreams)
+	v.require(routes <= MaxRoutes, "services", "%d routes, at most %d are allowed", routes, MaxRoutes)
+	v.require(len(t.Customers) <= MaxCustomers, "customers", "%d customers, at most %d are allowed", len(t.Customers), MaxCustomers)
+}
+
+// collisions looks for routes with the same host, path prefix and method.
+func (v *validator) collisions(t *Tree) {
 	taken := make(map[routeKey]string)
 	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
-		path := "services/" + name
-		v.require(IsName(name), path, "%q is not a name", name)
 		service := t.Services[name]
 		if service == nil {
-			v.add(path, "is null")
 			continue
 		}
-		v.branch(service.Policy, path+"/policy", serviceLevel)
-		v.dataCentres(service.DataCentres, path+"/data_centres", serviceAtLevel)
-		for dataCentre := range service.DataCentres {
-			v.require(t.DataCentres[dataCentre] != nil, path+"/data_centres/"+dataCentre, "the data centre is not declared in data_centres")
+		for _, routeName := range slices.Sorted(maps.Keys(service.Routes)) {
+			if route := service.Routes[routeName]; route != nil {
+				v.methods(route, "services/"+name+"/routes/"+routeName, taken)
+			}
 		}
-		v.upstreams(t, service.Upstreams, path+"/upstreams")
-		v.routes(service.Routes, path+"/routes", taken)
-		upstreams += len(service.Upstreams)
-		routes += len(service.Routes)
 	}
-	v.require(upstreams <= MaxUpstreams, "services", "%d upstreams, at most %d are allowed", upstreams, MaxUpstreams)
-	v.require(routes <= MaxRoutes, "services", "%d routes, at most %d are allowed", routes, MaxRoutes)
 }
 
 func (v *validator) upstreams(t *Tree, upstreams map[string]*UpstreamSpec, path string) {
@@ -128,7 +205,7 @@
 // routeKey is what no two routes may share.
 type routeKey struct{ host, prefix, method string }
 
-func (v *validator) routes(routes map[string]*RouteSpec, path string, taken map[routeKey]string) {
+func (v *validator) routes(routes map[string]*RouteSpec, path string) {
 	for _, name := range slices.Sorted(maps.Keys(routes)) {
 		route, below := routes[name], path+"/"+name
 		v.require(IsName(name), below, "%q is not a name", name)
@@ -141,7 +218,9 @@
 			"%q does not start with \"/\" or has an empty, \".\" or \"..\" segment, \"?\" or \"#\"", route.PathPrefix)
 		v.require(len(route.Methods) <= MaxMethods, below+"/methods", "at most %d methods are allowed", MaxMethods)
 		v.branch(route.Policy, below+"/policy", routeLevel)
-		v.methods(route, below, taken)
+		for _, method := range route.Methods {
+			v.require(isMethod(method), below+"/methods", "%q is not a method in capitals", method)
+		}
 	}
 }
 
@@ -151,7 +230,6 @@
 		v.claim(key, path, taken)
 	}
 	for _, method := range route.Methods {
-		v.require(isMethod(method), path+"/methods", "%q is not a method in capitals", method)
 		key.method = method
 		v.claim(key, path, taken)
 	}
@@ -185,24 +263,21 @@
 	return !strings.HasPrefix(text, "//") && !strings.HasSuffix(text, "//")
 }
 
-func (v *validator) customers(customers map[string]*CustomerSpec) {
-	v.require(len(customers) <= MaxCustomers, "customers", "%d customers, at most %d are allowed", len(customers), MaxCustomers)
-	holders := make(map[KeyHash]string, len(customers))
-	for id, customer := range customers {
-		if customer == nil {
-			v.add("customers/"+id, "is null")
-			continue
-		}
-		if reason := customer.fault(); !IsName(id) || reason != "" {
-			v.customer(id, customer)
-		}
-		for i := range customer.Keys {
-			key := &customer.Keys[i]
-			if other, found := holders[key.Hash]; found {
-				v.add("customers/"+max(id, other)+"/keys", "a key has the same hash as one of customer %q", min(id, other))
-			}
-			holders[key.Hash] = id
-		}
+func (v *validator) sharedKeys(collisions []collision) {
+	for _, c := range collisions {
+		v.add("customers/"+c.second+"/keys", "a key has the same hash as one of customer %q", c.first)
+	}
+}
+
+// customer looks at a customer, if it exists.
+func (v *validator) customer(t *Tree, id string) {
+	customer, found := t.Customers[id]
+	switch {
+	case !found:
+	case customer == nil:
+		v.add("customers/"+id, "is null")
+	case !IsName(id) || customer.fault() != "":
+		v.customerFaults(id, customer)
 	}
 }
 
@@ -226,7 +301,7 @@
 	return ""
 }
 
-func (v *validator) customer(id string, c *CustomerSpec) {
+func (v *validator) customerFaults(id string, c *CustomerSpec) {
 	path := "customers/" + id
 	v.require(IsName(id), path, "%q is not a name", id)
 	v.require(c.Rate > 0 && c.Rate <= maxRate, path+"/rate", "%g/s is not more than 0/s and at most %g/s", float64(c.Rate), maxRate)
