Add CatchUp, a bound on the age of a base, and CA files for bronzeyardctl

Cause: a host that learns a revision from a peer should not have to read the head; a base of 0 at revision 50,000 read the whole log; hosts' certificates are not signed by the system's authorities. Change: Store.CatchUp; a base more than 10,000 revisions old is refused; --ca-file. Tests for changes too large for a row and for four hosts that take changes at the same time. Figures: four hosts with 10 concurrent changes each end at revision 40 (TestConcurrentOperators).

--- a/cmd/internal/ctl/client.go
+++ b/cmd/internal/ctl/client.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,6 +23,7 @@
 	env      *Environment
 	flags    *flags
 	token    string
+	roots    *x509.CertPool
 	hosts    []string
 	changeID string
 }
@@ -109,6 +112,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true,
+		TLSClientConfig: &tls.Config{RootCAs: s.roots, MinVersion: tls.VersionTLS13},
 	}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -26,6 +27,7 @@
 
 const helpText = `Hosts: --admin or BRONZEYARD_ADMIN, several URLs separated by commas.
 Token: in the file --token-file or BRONZEYARD_TOKEN_FILE, or in BRONZEYARD_TOKEN.
+Certificates: --ca-file or BRONZEYARD_CA_FILE.
 Exit codes: 0 ok, 1 failed, 2 bad usage, 3 conflict, 4 not yet in force everywhere, 5 unavailable.`
 
 const (
@@ -50,9 +52,9 @@
 
 // flags are those of all commands.
 type flags struct {
-	admin, tokenFile, changeID, base string
-	asJSON                           bool
-	timeout                          time.Duration
+	admin, tokenFile, caFile, changeID, base string
+	asJSON                                   bool
+	timeout                                  time.Duration
 }
 
 // command is one command with its subcommand of the parser.
@@ -67,6 +69,7 @@
 	parser.AdditionalHelpAppend = helpText
 	parser.String(&c.flags.admin, "", "admin", "URLs of the admin API of hosts (default "+defaultAdmin+")")
 	parser.String(&c.flags.tokenFile, "", "token-file", "file with the operator's token")
+	parser.String(&c.flags.caFile, "", "ca-file", "file with the certificates that sign those of the hosts (default: those of the system)")
 	parser.String(&c.flags.changeID, "", "change-id", "change id of an earlier attempt (default: a new one)")
 	parser.String(&c.flags.base, "", "base", "revision that the change is based on (default: the newest)")
 	parser.Bool(&c.flags.asJSON, "", "json", "print the host's answer as JSON")
@@ -150,8 +153,12 @@
 	if err != nil {
 		return nil, err
 	}
+	roots, err := c.roots()
+	if err != nil {
+		return nil, err
+	}
 	return &session{
-		ctx: ctx, env: &c.env, flags: &c.flags, token: token,
+		ctx: ctx, env: &c.env, flags: &c.flags, token: token, roots: roots,
 		hosts: strings.Split(admin, ","), changeID: firstOf(c.flags.changeID, newID("change-")),
 	}, nil
 }
@@ -171,6 +178,23 @@
 	return strings.TrimSpace(string(data)), nil
 }
 
+// roots returns nil for the certificates of the system.
+func (c *Commands) roots() (*x509.CertPool, error) {
+	file := firstOf(c.flags.caFile, c.env.Getenv("BRONZEYARD_CA_FILE"))
+	if file == "" {
+		return nil, nil
+	}
+	data, err := c.env.ReadFile(file)
+	if err != nil {
+		return nil, usage("the CA file cannot be read: %v", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, usage("the CA file has no certificate")
+	}
+	return roots, nil
+}
+
 func firstOf(texts ...string) string {
 	for _, text := range texts {
 		if text != "" {
--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -41,12 +42,13 @@
 func newShell(t *testing.T) *shell {
 	sh := &shell{t: t, table: memory.NewTable(), fleet: new(fleetStub), files: map[string]string{"token": token + "\n"}}
 	sh.store = store.New(store.Options{Table: sh.table, Objects: memory.NewObjectStore(), Clock: clock.Standard{}})
-	server := httptest.NewServer(admin.New(admin.Options{
+	server := httptest.NewTLSServer(admin.New(admin.Options{
 		Settings: sh.store, Fleet: sh.fleet, Clock: clock.Standard{},
 		Operators: []admin.Operator{{Name: "ada", TokenHash: sha256.Sum256([]byte(token))}},
 	}))
 	t.Cleanup(server.Close)
 	sh.admin = server.URL
+	sh.files["ca"] = string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}))
 	return sh
 }
 
@@ -58,7 +60,7 @@
 	commands := ctl.Attach(parser, ctl.Environment{
 		Stdout: &stdout, Stderr: &stderr, Stdin: strings.NewReader(""),
 		Getenv: func(name string) string {
-			return map[string]string{"BRONZEYARD_ADMIN": sh.admin, "BRONZEYARD_TOKEN_FILE": "token"}[name]
+			return map[string]string{"BRONZEYARD_ADMIN": sh.admin, "BRONZEYARD_TOKEN_FILE": "token", "BRONZEYARD_CA_FILE": "ca"}[name]
 		},
 		ReadFile: func(name string) ([]byte, error) {
 			if text, ok := sh.files[name]; ok {
@@ -164,6 +166,7 @@
 	sh.must(ctl.ExitUsage, "apply fleet.json")
 	sh.must(ctl.ExitUsage, "apply none.json --base 1")
 	sh.must(ctl.ExitUsage, "get --token-file none")
+	sh.must(ctl.ExitUsage, "get --ca-file token")
 	sh.must(ctl.ExitUsage, "customer create mill --burst 4")
 	if out := sh.must(ctl.ExitConflict, "set customers/harbour/burst 60 --base 1"); !strings.Contains(out, "ada changed customers/harbour/burst") {
 		t.Fatalf("the conflict does not say what was changed: %s", out)
--- a/host/admin/admin_test.go
+++ b/host/admin/admin_test.go
@@ -145,6 +145,11 @@
 			t.Fatalf("%s contains the key or its hash: %s", name, text)
 		}
 	}
+	tree, _ := a.store.Current()
+	encoded, err := tree.Encode()
+	if err != nil || strings.Contains(string(encoded), key) {
+		t.Fatalf("the key is in the settings (%v)", err)
+	}
 	if strings.Contains(a.everythingStored(), key) {
 		t.Fatal("the key is stored")
 	}
--- a/settings/store/apply.go
+++ b/settings/store/apply.go
@@ -29,6 +29,8 @@
 	MaxEdits = 20_000
 	// maxAttempts bounds the attempts of one call against other hosts' changes and lost answers.
 	maxAttempts = 8
+	// maxBaseAge bounds the log rows that are read to find conflicts: two days of changes at the design target.
+	maxBaseAge = 10_000
 )
 
 // ErrBadChange means that the change lacks an id, an operator or edits, or has too many, or has a base revision that does
@@ -155,7 +157,7 @@
 	if row.Digest != sum {
 		return 0, false, ErrChangeIDReused
 	}
-	if err := a.store.catchUp(ctx, row.Revision); err != nil {
+	if err := a.store.CatchUp(ctx, row.Revision); err != nil {
 		a.store.options.Logger.Warn().Err(err).Uint64("revision", row.Revision).Msg("accepted change is not yet in force here")
 	}
 	return row.Revision, true, nil
@@ -321,6 +323,10 @@
 	if change.Base >= head {
 		return nil
 	}
+	if head-change.Base > maxBaseAge {
+		return fmt.Errorf("%w: the base revision %d is more than %d behind the newest, %d; look at the settings again",
+			ErrBadChange, change.Base, maxBaseAge, head)
+	}
 	records, err := s.recordsAfter(ctx, change.Base, head)
 	if err != nil {
 		return classify(err)
--- a/settings/store/load.go
+++ b/settings/store/load.go
@@ -38,20 +38,33 @@
 // refused and the last good revision stays in force.
 func (s *Store) Poll(ctx context.Context) error {
 	head, err := s.readHead(ctx)
-	if err == nil {
-		err = s.catchUp(ctx, head)
+	if err != nil {
+		return s.noteFault(err)
+	}
+	if err := s.CatchUp(ctx, head); err != nil {
+		return err
 	}
+	s.snapshotIfDue(ctx)
+	return nil
+}
+
+// CatchUp reads and applies the changes up to a revision that is known to exist, for example from an acknowledgement of a
+// peer. It reads nothing if the revision is in force. Errors are those of Poll.
+func (s *Store) CatchUp(ctx context.Context, revision uint64) error {
+	return s.noteFault(s.catchUp(ctx, revision))
+}
+
+// noteFault keeps a fault of stored data for Status, and forgets it when there is none any more.
+func (s *Store) noteFault(err error) error {
 	switch {
 	case err == nil:
 		s.setFault("")
 	case isFault(err):
 		s.setFault(err.Error())
-		return err
 	default:
-		return unavailable(err)
+		err = unavailable(err)
 	}
-	s.snapshotIfDue(ctx)
-	return nil
+	return err
 }
 
 func (s *Store) readHead(ctx context.Context) (uint64, error) {
--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,6 +216,72 @@
 	return o.ObjectStore.Get(ctx, name)
 }
 
+// Guards against a change too large for a row that is lost, half made, or taken over when its object is damaged.
+func TestLargeChange(t *testing.T) {
+	w := newWorld(t)
+	a, b, c := w.host(), w.host(), w.host()
+	var edits []settings.Edit
+	for i := range 4000 {
+		edits = append(edits, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	change := store.Change{ID: "c1", Operator: "ada", Edits: edits}
+	w.objects.Faults.SetDown(true)
+	if _, err := a.Apply(t.Context(), change); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want unavailable with a known outcome", err)
+	}
+	w.objects.Faults.SetDown(false)
+	w.apply(a, "c1", 0, edits...)
+	if tree, revision, err := b.Load(t.Context()); err != nil || revision != 1 || len(tree.Customers) != 4000 {
+		t.Fatalf("revision %d, %d customers, %v", revision, len(tree.Customers), err)
+	}
+	items, err := w.table.Query(t.Context(), "settings/log/00000000000000000000", "", 10)
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d rows, %v", len(items), err)
+	}
+	record, err := store.DecodeRecord(items[0].Value)
+	if err != nil || record.Object == "" {
+		t.Fatalf("%d bytes in the row, %v", len(items[0].Value), err)
+	}
+	if err := w.objects.Put(t.Context(), record.Object, []byte(`[]`)); err != nil {
+		t.Fatal(err)
+	}
+	var damaged *store.DamagedError
+	if _, revision, err := c.Load(t.Context()); !errors.As(err, &damaged) || revision != 0 {
+		t.Fatalf("a damaged object: revision %d, %v", revision, err)
+	}
+}
+
+// Guards against data races, and against a change that is lost, refused or made twice when several hosts take changes at
+// the same time.
+func TestConcurrentOperators(t *testing.T) {
+	w := newWorld(t)
+	const hosts, changes = 4, 10
+	var group sync.WaitGroup
+	for h := range hosts {
+		group.Go(func() {
+			s := w.host()
+			for i := range changes {
+				change := store.Change{ID: fmt.Sprintf("c-%d-%d", h, i), Operator: "ada", Edits: []settings.Edit{addCustomer(fmt.Sprintf("customer-%d-%d", h, i))}}
+				for {
+					_, err := s.Apply(t.Context(), change)
+					if err == nil {
+						break
+					}
+					if !errors.Is(err, platform.ErrUnavailable) {
+						t.Errorf("change %s: %v", change.ID, err)
+						return
+					}
+				}
+			}
+		})
+	}
+	group.Wait()
+	tree, revision, err := w.host().Load(t.Context())
+	if err != nil || revision != hosts*changes || len(tree.Customers) != hosts*changes {
+		t.Fatalf("revision %d, %d customers, %v; want %d of both", revision, len(tree.Customers), err, hosts*changes)
+	}
+}
+
 // counting counts the objects that are written.
 type counting struct {
 	*memory.ObjectStore
