--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -5,9 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/platform"
 	"github.com/bronzeyard/bronzeyard/platform/memory"
@@ -175,6 +180,185 @@
 	if got := b.Status().SnapshotRevision; got != 10 {
 		t.Fatalf("snapshot of revision %d, want 10", got)
 	}
+	stale := w.host()
+	if err := w.importInto(stale, a, 0); err != nil {
+		t.Fatal(err)
+	}
+	w.apply(a, "c12", 12, addCustomer("customer-12"))
+	if err := errors.Join(a.WriteSnapshot(t.Context()), stale.WriteSnapshot(t.Context())); err != nil {
+		t.Fatal(err)
+	}
+	manifest, err := w.table.Get(t.Context(), platform.Key{Partition: "settings", Sort: "manifest"})
+	if err != nil || manifest.Version != 13 {
+		t.Fatalf("a host at revision 12 replaced the snapshot of revision 13 by one of %d (%v)", manifest.Version, err)
+	}
+}
+
+// importInto transfers from one host to another and returns the error of the receiver.
+func (w *world) importInto(to, from *store.Store, after uint64) error {
+	w.t.Helper()
+	data, err := from.ExportAfter(after)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, err = to.Import(data)
+	return err
+}
+
+// overtaking calls overtake in the middle of reading an object.
+type overtaking struct {
+	*memory.ObjectStore
+	overtake func()
+}
+
+func (o *overtaking) Get(ctx context.Context, name string) ([]byte, error) {
+	o.overtake()
+	return o.ObjectStore.Get(ctx, name)
+}
+
+// Guards against a change too large for a row that is lost, half made, or taken over when its object is damaged.
+func TestLargeChange(t *testing.T) {
+	w := newWorld(t)
+	a, b, c := w.host(), w.host(), w.host()
+	var edits []settings.Edit
+	for i := range 4000 {
+		edits = append(edits, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	change := store.Change{ID: "c1", Operator: "ada", Edits: edits}
+	w.objects.Faults.SetDown(true)
+	if _, err := a.Apply(t.Context(), change); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want unavailable with a known outcome", err)
+	}
+	w.objects.Faults.SetDown(false)
+	w.apply(a, "c1", 0, edits...)
+	if tree, revision, err := b.Load(t.Context()); err != nil || revision != 1 || len(tree.Customers) != 4000 {
+		t.Fatalf("revision %d, %d customers, %v", revision, len(tree.Customers), err)
+	}
+	items, err := w.table.Query(t.Context(), "settings/log/00000000000000000000", "", 10)
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d rows, %v", len(items), err)
+	}
+	record, err := store.DecodeRecord(items[0].Value)
+	if err != nil || record.Object == "" {
+		t.Fatalf("%d bytes in the row, %v", len(items[0].Value), err)
+	}
+	if err := w.objects.Put(t.Context(), record.Object, []byte(`[]`)); err != nil {
+		t.Fatal(err)
+	}
+	var damaged *store.DamagedError
+	if _, revision, err := c.Load(t.Context()); !errors.As(err, &damaged) || revision != 0 {
+		t.Fatalf("a damaged object: revision %d, %v", revision, err)
+	}
+}
+
+// Guards against data races, and against a change that is lost, refused or made twice when several hosts take changes at
+// the same time.
+func TestConcurrentOperators(t *testing.T) {
+	w := newWorld(t)
+	const hosts, changes = 4, 10
+	var group sync.WaitGroup
+	for h := range hosts {
+		group.Go(func() {
+			s := w.host()
+			for i := range changes {
+				change := store.Change{ID: fmt.Sprintf("c-%d-%d", h, i), Operator: "ada", Edits: []settings.Edit{addCustomer(fmt.Sprintf("customer-%d-%d", h, i))}}
+				for {
+					_, err := s.Apply(t.Context(), change)
+					if err == nil {
+						break
+					}
+					if !errors.Is(err, platform.ErrUnavailable) {
+						t.Errorf("change %s: %v", change.ID, err)
+						return
+					}
+				}
+			}
+		})
+	}
+	group.Wait()
+	tree, revision, err := w.host().Load(t.Context())
+	if err != nil || revision != hosts*changes || len(tree.Customers) != hosts*changes {
+		t.Fatalf("revision %d, %d customers, %v; want %d of both", revision, len(tree.Customers), err, hosts*changes)
+	}
+}
+
+// counting counts the objects that are written.
+type counting struct {
+	*memory.ObjectStore
+	puts atomic.Int64
+}
+
+func (c *counting) Put(ctx context.Context, name string, data []byte) error {
+	c.puts.Add(1)
+	return c.ObjectStore.Put(ctx, name, data)
+}
+
+// Guards against a snapshot that writes the whole tree for one change, or that does not read back as the same tree.
+func TestSnapshotSharesChunks(t *testing.T) {
+	w := newWorld(t)
+	objects := &counting{ObjectStore: w.objects}
+	a := store.New(store.Options{Table: w.table, Objects: objects, Clock: clock.Standard{}})
+	var edits []settings.Edit
+	for i := range 5000 {
+		edits = append(edits, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	w.apply(a, "c1", 0, edits...)
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before := objects.puts.Load()
+	w.apply(a, "c2", 1, set("customers/customer-7/burst", "11"))
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if after := objects.puts.Load(); before < 8 || after-before != 1 {
+		t.Fatalf("%d objects for the first snapshot and %d for one changed customer, want 8 or more and 1", before, after-before)
+	}
+	ignore := cmpopts.IgnoreUnexported(settings.Tree{}, settings.CustomerSpec{})
+	loaded, _, err := w.host().Load(t.Context())
+	if tree, _ := a.Current(); err != nil || !cmp.Equal(tree, loaded, ignore) {
+		t.Fatalf("the snapshot differs from the tree: %v", err)
+	}
+}
+
+// Guards against a host that is taken back by a snapshot which a peer's transfer has overtaken, by a table that was put
+// back, or by changes with a gap before them.
+func TestNeverOlder(t *testing.T) {
+	w := newWorld(t)
+	a := w.host()
+	for i := range uint64(5) {
+		w.apply(a, fmt.Sprintf("c%d", i), i, addCustomer(fmt.Sprintf("customer-%d", i)))
+	}
+	if err := a.WriteSnapshot(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	w.apply(a, "c5", 5, addCustomer("customer-5"))
+
+	var b *store.Store
+	objects := &overtaking{ObjectStore: w.objects, overtake: func() {
+		if err := w.importInto(b, a, 0); err != nil {
+			t.Error(err)
+		}
+	}}
+	b = store.New(store.Options{Table: w.table, Objects: objects, Clock: clock.Standard{}})
+	var seen []uint64
+	b.OnChange(func(_ *settings.Tree, revision uint64) { seen = append(seen, revision) })
+	if _, _, err := b.Load(t.Context()); err != nil || fmt.Sprint(seen) != "[0 6]" {
+		t.Fatalf("revisions %v came into force, want 0 and 6; %v", seen, err)
+	}
+
+	var damaged *store.DamagedError
+	if err := w.importInto(w.host(), a, 5); !errors.As(err, &damaged) {
+		t.Fatalf("revision 6 was taken over by a host at 0: %v", err)
+	}
+	back := platform.Write{Kind: platform.Put, Key: store.HeadKey(), Version: 2}
+	if err := w.table.Transact(t.Context(), []platform.Write{back}); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Poll(t.Context()); !errors.As(err, &damaged) || b.Status().Fault == "" {
+		t.Fatalf("a table that was put back to revision 2: %v, %+v", err, b.Status())
+	}
+	requireRevision(t, b, 6)
 }
 
 // Guards against changes during an outage that are half made, and against a host that cannot start from a peer.
