Run the real programs under faults: host wiring, leave, benches

Cause: the parts are only worth what they do together, so they run as separate processes early. Change: a host joins membership, limits, operations, balancers and the operators' API; graceful leave; command serve; bench processes (real programs, faults, checker) and bench capacity (control cost by fleet size).

--- /dev/null
+++ b/bench/processbench/phases.go
@@ -0,0 +1,269 @@
+package processbench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/emulator/load"
+	"github.com/bronzeyard/bronzeyard/emulator/local"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// restartWave is how many hosts leave at a time during the rolling restart.
+const restartWave = 3
+
+// lostShare is the share of hosts that is killed at once.
+const lostShare = 1.0 / 3
+
+func (b *bench) runPhases(ctx context.Context) error {
+	phases := []struct {
+		name string
+		run  func(ctx context.Context, figures map[string]float64) error
+	}{
+		{"idle", b.idle},
+		{"steady", b.steady},
+		{"rolling restart of every host", b.rollingRestart},
+		{"settings changes", b.changeSettings},
+		{"key withdrawal", b.withdrawKey},
+		{"table outage", b.tableOutage},
+		{"loss of a third of the hosts", b.loseHosts},
+		{"steady after the faults", b.steady},
+	}
+	for _, phase := range phases {
+		b.options.Progress(phase.name)
+		if err := b.runPhase(ctx, phase.name, phase.run); err != nil {
+			return fmt.Errorf("phase %q: %w", phase.name, err)
+		}
+	}
+	return nil
+}
+
+// runPhase offers load for as long as run takes, except in the idle phase.
+func (b *bench) runPhase(
+	ctx context.Context, name string, run func(context.Context, map[string]float64) error,
+) error {
+	phase := Phase{Name: name, Figures: make(map[string]float64)}
+	before := len(b.records())
+	begin := time.Now()
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	loaded := make(chan []load.Response, 1)
+	go func() {
+		if name == "idle" {
+			loaded <- nil
+			return
+		}
+		responses, _ := load.Run(loadCtx, b.loadOptions(uint64(len(b.report.Phases))))
+		loaded <- responses
+	}()
+	err := run(ctx, phase.Figures)
+	stop()
+	responses := <-loaded
+	phase.Seconds = time.Since(begin).Seconds()
+	phase.Load = load.Check(responses, b.records()[before:], b.keys())
+	b.responses = append(b.responses, responses...)
+	b.report.Phases = append(b.report.Phases, phase)
+	return err
+}
+
+func (b *bench) loadOptions(phase uint64) load.Options {
+	const longest = 10 * time.Minute
+	return load.Options{
+		Bootstrap: b.bootstrap(), Customers: b.customers, Routes: b.routes(), RepeatShare: repeatShare,
+		Duration: longest, Seed: b.options.Seed + phase,
+	}
+}
+
+func (b *bench) routes() []load.Route {
+	var routes []load.Route
+	for _, s := range b.options.Deployment.Services {
+		routes = append(routes, load.Route{
+			Method: s.Method, Path: "/" + s.Name + "/item", Share: s.Share, Idempotent: s.Idempotent,
+		})
+	}
+	return routes
+}
+
+// idle measures what the hosts use without traffic.
+func (b *bench) idle(ctx context.Context, figures map[string]float64) error {
+	before, err := b.usages()
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	pause(ctx, b.options.PhaseLength)
+	after, err := b.usages()
+	if err != nil {
+		return err
+	}
+	elapsed := time.Since(begin)
+	var processor time.Duration
+	var resident, largest int64
+	for i := range after {
+		processor += after[i].processor - before[i].processor
+		resident += after[i].resident
+		largest = max(largest, after[i].resident)
+	}
+	hosts := float64(len(after))
+	figures["processor_percent_of_a_core_per_host"] = 100 * processor.Seconds() / elapsed.Seconds() / hosts
+	figures["resident_mean_mib"] = float64(resident) / hosts / (1 << 20)
+	figures["resident_largest_mib"] = float64(largest) / (1 << 20)
+	return ctx.Err()
+}
+
+func (b *bench) usages() ([]usage, error) {
+	var all []usage
+	for _, p := range b.processes {
+		u, err := p.used()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, u)
+	}
+	return all, nil
+}
+
+func (b *bench) steady(ctx context.Context, _ map[string]float64) error {
+	pause(ctx, b.options.PhaseLength)
+	return ctx.Err()
+}
+
+func (b *bench) rollingRestart(ctx context.Context, figures map[string]float64) error {
+	begin := time.Now()
+	for first := 0; first < len(b.processes); first += restartWave {
+		wave := b.processes[first:min(first+restartWave, len(b.processes))]
+		if err := b.restart(ctx, wave); err != nil {
+			return err
+		}
+	}
+	figures["duration_s"] = time.Since(begin).Seconds()
+	return nil
+}
+
+func (b *bench) restart(ctx context.Context, wave []*process) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	ended := make(chan error, len(wave))
+	for _, p := range wave {
+		go func() { ended <- p.stop(ctx) }()
+	}
+	var errs []error
+	for range wave {
+		errs = append(errs, <-ended)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	for i := range wave {
+		p, err := start(b.options.Binary, b.dir, wave[i].config)
+		if err != nil {
+			return err
+		}
+		wave[i] = p
+	}
+	return b.waitReady(ctx, wave)
+}
+
+// changeSettings makes changes one after another and measures the time until each is in force everywhere.
+func (b *bench) changeSettings(ctx context.Context, figures map[string]float64) error {
+	const changes = 20
+	var total, longest time.Duration
+	for i := range changes {
+		begin := time.Now()
+		edit := settings.Edit{Op: settings.Set, Path: "policy/timeout", Value: fmt.Appendf(nil, `"%dms"`, 5000+i)}
+		if err := b.change(ctx, editsPath, map[string]any{"edits": []settings.Edit{edit}}); err != nil {
+			return err
+		}
+		took := time.Since(begin)
+		total += took
+		longest = max(longest, took)
+	}
+	figures["in_force_mean_s"] = (total / changes).Seconds()
+	figures["in_force_longest_s"] = longest.Seconds()
+	return nil
+}
+
+// withdrawKey withdraws a key and measures until when any host still accepts it.
+func (b *bench) withdrawKey(ctx context.Context, figures map[string]float64) error {
+	customer := b.options.Deployment.Customers[len(b.options.Deployment.Customers)-1].Name
+	route := "/" + b.options.Deployment.Services[0].Name + "/item"
+	const watch = 5 * time.Second
+	watching, cancel := context.WithTimeout(ctx, watch)
+	defer cancel()
+	accepted := make(chan time.Time, len(b.processes))
+	for _, p := range b.processes {
+		go func() {
+			accepted <- lastAccepted(watching, "http://"+p.config.Caller.Listen+route, local.Key(customer))
+		}()
+	}
+	begin := time.Now()
+	path := fmt.Sprintf(withdrawPath, customer, "first")
+	if err := b.change(ctx, path, map[string]any{}); err != nil {
+		return err
+	}
+	figures["answered_after_s"] = time.Since(begin).Seconds()
+	var last time.Time
+	for range b.processes {
+		if at := <-accepted; at.After(last) {
+			last = at
+		}
+	}
+	figures["last_accepted_after_s"] = max(0, last.Sub(begin).Seconds())
+	return nil
+}
+
+// lastAccepted returns the start of the last request that the host accepted with the key.
+func lastAccepted(ctx context.Context, url, key string) time.Time {
+	var last time.Time
+	for ctx.Err() == nil {
+		begin := time.Now()
+		answer, err := get(ctx, url, key)
+		if err == nil && answer.StatusCode == http.StatusOK {
+			last = begin
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	return last
+}
+
+func (b *bench) tableOutage(ctx context.Context, _ map[string]float64) error {
+	b.platform.Table.Faults.SetDown(true)
+	b.platform.Objects.Faults.SetDown(true)
+	defer b.platform.Objects.Faults.SetDown(false)
+	defer b.platform.Table.Faults.SetDown(false)
+	pause(ctx, 2*b.options.PhaseLength)
+	return ctx.Err()
+}
+
+// loseHosts kills a third of the hosts and measures the time until they are excluded.
+func (b *bench) loseHosts(ctx context.Context, figures map[string]float64) error {
+	pause(ctx, b.options.PhaseLength/3)
+	lost := int(float64(len(b.processes)) * lostShare)
+	begin := time.Now()
+	for range lost {
+		last := len(b.processes) - 1
+		if err := b.processes[last].kill(); err != nil {
+			return err
+		}
+		b.processes = b.processes[:last]
+	}
+	if err := b.waitMembers(ctx, len(b.processes)); err != nil {
+		return err
+	}
+	figures["hosts_lost"] = float64(lost)
+	figures["excluded_after_s"] = time.Since(begin).Seconds()
+	pause(ctx, b.options.PhaseLength)
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/cmd/bronzeyardctl/main.go
+++ b/cmd/bronzeyardctl/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/bronzeyard/bronzeyard/cmd/internal/bench"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/ctl"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/dev"
 )
@@ -19,6 +20,7 @@
 	parser := flaggy.NewParser("bronzeyardctl")
 	parser.Description = "operate a bronzeyard fleet"
 	development := dev.Attach(parser, os.Stdout, os.Stderr)
+	experiments := bench.Attach(parser, os.Stdout, os.Stderr)
 	commands := ctl.Attach(parser, ctl.Environment{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, ReadFile: os.ReadFile,
 	})
@@ -30,6 +32,9 @@
 	if code, found := development.Run(ctx); found {
 		return code
 	}
+	if code, found := experiments.Run(ctx); found {
+		return code
+	}
 	code, found := commands.Run(ctx)
 	if !found {
 		parser.ShowHelpAndExit("no command")
--- a/emulator/load/resolver.go
+++ b/emulator/load/resolver.go
@@ -13,11 +13,13 @@
 
 // addressAnswer is the answer to GET /.well-known/bronzeyard/addresses.
 type addressAnswer struct {
-	Addresses []struct {
-		Address string  `json:"address"`
-		Weight  float64 `json:"weight"`
-	} `json:"addresses"`
-	KeepSeconds float64 `json:"keep_seconds"`
+	Addresses   []weightedAddress `json:"addresses"`
+	KeepSeconds float64           `json:"keep_seconds"`
+}
+
+type weightedAddress struct {
+	Address string  `json:"address"`
+	Weight  float64 `json:"weight"`
 }
 
 // AddressPath is where hosts answer which addresses a caller should use.
@@ -106,6 +108,10 @@
 		return addressAnswer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusUnauthorized {
+		// The key is not valid any more: the request itself shall get that answer, from any host.
+		return r.everyHost(), nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return addressAnswer{}, fmt.Errorf("load: %s answers %s", host, response.Status)
 	}
@@ -118,3 +124,13 @@
 	}
 	return answer, nil
 }
+
+const unauthorizedKeepSeconds = 1
+
+func (r *resolver) everyHost() addressAnswer {
+	answer := addressAnswer{KeepSeconds: unauthorizedKeepSeconds}
+	for _, address := range r.bootstrap {
+		answer.Addresses = append(answer.Addresses, weightedAddress{Address: address, Weight: 1})
+	}
+	return answer
+}
--- a/emulator/local/local.go
+++ b/emulator/local/local.go
@@ -14,6 +14,7 @@
 
 	"github.com/bronzeyard/bronzeyard/emulator/deployment"
 	"github.com/bronzeyard/bronzeyard/emulator/upstream"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
 	"github.com/bronzeyard/bronzeyard/host"
 	"github.com/bronzeyard/bronzeyard/host/config"
 	"github.com/bronzeyard/bronzeyard/platform/memory"
@@ -29,7 +30,9 @@
 	// ServiceTime is the median service time of upstreams. Default 5 ms.
 	ServiceTime time.Duration
 	Seed        uint64
-	Logger      zerolog.Logger
+	// Dial opens connections between hosts. Default net.Dialer.
+	Dial   peer.DialFunc
+	Logger zerolog.Logger
 }
 
 // OperatorToken is the bearer token of the operator "local". It is for loopback only.
@@ -82,20 +85,30 @@
 }
 
 func (f *Fleet) startUpstreams(context.Context) error {
-	d := f.Options.Deployment
+	var err error
+	f.Upstreams, err = StartUpstreams(f.Options.Deployment, f.Options.ServiceTime, f.Options.Seed)
+	return err
+}
+
+// StartUpstreams starts the upstream stand-ins of a deployment, by service. A service time of 0 stands for the stand-in's
+// default. The stand-ins that were started are returned with an error too.
+func StartUpstreams(
+	d *deployment.Deployment, serviceTime time.Duration, seed uint64,
+) (map[string][]*upstream.Server, error) {
+	servers := make(map[string][]*upstream.Server)
 	for s := range d.Services {
 		for i := range d.Services[s].Upstreams {
 			server, err := upstream.Start("127.0.0.1:0", upstream.Options{
 				ID: fmt.Sprintf("%s-%02d", d.Services[s].Name, i+1), Slots: d.Slots, Connections: d.Connections,
-				ServiceTime: f.Options.ServiceTime, Seed: f.Options.Seed + uint64(100*s+i),
+				ServiceTime: serviceTime, Seed: seed + uint64(100*s+i),
 			})
 			if err != nil {
-				return err
+				return servers, err
 			}
-			f.Upstreams[d.Services[s].Name] = append(f.Upstreams[d.Services[s].Name], server)
+			servers[d.Services[s].Name] = append(servers[d.Services[s].Name], server)
 		}
 	}
-	return nil
+	return servers, nil
 }
 
 func (f *Fleet) applySettings(ctx context.Context) error {
@@ -109,7 +122,7 @@
 }
 
 func (f *Fleet) startHosts(ctx context.Context) error {
-	configs, err := f.configs(ctx)
+	configs, err := Configs(ctx, f.Options.Deployment, f.Options.Hosts)
 	if err != nil {
 		return err
 	}
@@ -121,12 +134,13 @@
 	return nil
 }
 
-func (f *Fleet) configs(ctx context.Context) ([]*config.Config, error) {
+// Configs returns static settings for the hosts of a deployment on free loopback addresses, without the platform.
+func Configs(ctx context.Context, d *deployment.Deployment, hosts int) ([]*config.Config, error) {
 	token := sha256.Sum256([]byte(OperatorToken))
-	configs := make([]*config.Config, f.Options.Hosts)
+	configs := make([]*config.Config, hosts)
 	var seeds []string
 	for i := range configs {
-		id, dataCentre := hostID(f.Options.Deployment, i)
+		id, dataCentre := hostID(d, i)
 		addresses, err := freeAddresses(ctx)
 		if err != nil {
 			return nil, err
@@ -165,7 +179,7 @@
 // StartHost starts a host and adds it to the fleet. The host lives until Stop or Close, independently of ctx.
 func (f *Fleet) StartHost(ctx context.Context, c *config.Config) (*Node, error) {
 	logger := f.Options.Logger.With().Str("host", c.HostID).Logger()
-	h, err := host.New(ctx, host.Options{Config: c, Table: f.Table, Objects: f.Objects, Logger: logger})
+	h, err := host.New(ctx, host.Options{Config: c, Table: f.Table, Objects: f.Objects, Dial: f.Options.Dial, Logger: logger})
 	if err != nil {
 		return nil, err
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -3,22 +3,23 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
+	"github.com/bronzeyard/bronzeyard/fleet/membership"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
 	"github.com/bronzeyard/bronzeyard/host/config"
 	"github.com/bronzeyard/bronzeyard/host/metrics"
 	"github.com/bronzeyard/bronzeyard/host/settingsync"
-	"github.com/bronzeyard/bronzeyard/host/tlsconfig"
 	"github.com/bronzeyard/bronzeyard/platform"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 	"github.com/bronzeyard/bronzeyard/traffic/proxy"
@@ -29,32 +30,55 @@
 	Config  *config.Config
 	Table   platform.Table
 	Objects platform.ObjectStore
+	// HostList is the platform's list of hosts. Default none.
+	HostList platform.HostList
 	// Clock is the host's clock. Default clock.System.
 	Clock clock.Clock
+	// Dial opens connections to other hosts. Default net.Dialer.
+	Dial peer.DialFunc
 	// Logger gets changes of state. Default none.
 	Logger zerolog.Logger
 }
 
 // Host is one host of the fleet.
 type Host struct {
-	options   Options
-	config    *config.Config
-	store     *store.Store
-	sync      *settingsync.Syncer
-	snapshots *snapshots
-	transport *peer.Transport
-	metrics   *metrics.Metrics
-	handler   *proxy.Handler
-	caller    net.Listener
+	options Options
+	config  *config.Config
+
+	store      *store.Store
+	sync       *settingsync.Syncer
+	snapshots  *snapshots
+	transport  *peer.Transport
+	membership *membership.Runtime
+	limiter    *ratelimit.Limiter
+	operations *idempotency.Operations
+	services   *services
+	metrics    *metrics.Metrics
+	handler    *proxy.Handler
+
+	callerListener net.Listener
+	adminListener  net.Listener
+	callerServer   *http.Server
+	adminServer    *http.Server
+
+	leaveOnce sync.Once
+	leaving   chan struct{} // closed when the leave begins
+	left      chan struct{} // closed when the leave has ended and Run may return
 }
 
-// New builds a host and opens its listeners.
+// New builds a host and opens its listeners. It serves nothing until Run.
 func New(ctx context.Context, options Options) (*Host, error) {
 	if options.Clock == nil {
 		options.Clock = clock.System{}
 	}
-	h := &Host{options: options, config: options.Config}
-	for _, provision := range []func(context.Context) error{h.provisionPeers, h.provisionSettings, h.provisionTraffic} {
+	h := &Host{
+		options: options, config: options.Config,
+		leaving: make(chan struct{}), left: make(chan struct{}),
+	}
+	provisions := []func(context.Context) error{
+		h.provisionPeers, h.provisionSettings, h.provisionMembership, h.provisionTraffic, h.provisionAdmin,
+	}
+	for _, provision := range provisions {
 		if err := provision(ctx); err != nil {
 			return nil, errors.Join(err, h.Cleanup())
 		}
@@ -62,90 +86,83 @@
 	return h, nil
 }
 
-func (h *Host) provisionPeers(context.Context) error {
-	tlsConfig, err := tlsconfig.Mutual(h.config.Peer.TLS)
-	if err != nil {
-		return fmt.Errorf("peer.tls: %w", err)
+// Run serves until ctx ends, as a crash would, or until Leave has ended.
+func (h *Host) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.transport.Serve(ctx) })
+	if err := h.sync.Start(ctx); err != nil {
+		// The host goes on: settings can still arrive from another host or when the platform answers again.
+		h.options.Logger.Warn().Err(err).Msg("no settings yet")
+	}
+	defer h.snapshots.watch(h.store)()
+	for _, run := range []func(context.Context){h.sync.Run, h.limiter.Run} {
+		group.Go(func() error { run(ctx); return nil })
 	}
-	h.transport, err = peer.New(peer.Options{
-		Self: fleet.Identity{ID: fleet.HostID(h.config.HostID), Incarnation: 1}, Listen: h.config.Peer.Listen,
-		TLS: tlsConfig, Logger: &h.options.Logger,
+	group.Go(func() error { return h.membership.Run(ctx) })
+	group.Go(func() error { return h.operations.Run(ctx) })
+	group.Go(func() error { return serve(ctx, h.callerServer, h.callerListener) })
+	group.Go(func() error { return serve(ctx, h.adminServer, h.adminListener) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-h.left:
+			cancel()
+		}
+		return nil
 	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
-func (h *Host) provisionSettings(context.Context) error {
-	h.store = store.New(store.Options{
-		Table: h.options.Table, Objects: h.options.Objects, Clock: h.options.Clock, Logger: h.options.Logger,
-	})
-	h.sync = settingsync.New(settingsync.Options{
-		Store: h.store, Caller: h.transport, Registrar: h.transport, Seeds: h.config.Seeds, Logger: h.options.Logger,
-	})
-	h.snapshots = &snapshots{dataCentre: h.config.DataCentre, logger: h.options.Logger}
-	return nil
-}
-
-func (h *Host) provisionTraffic(ctx context.Context) error {
-	var err error
-	if h.metrics, err = metrics.New(); err != nil {
+// serve serves until ctx ends and then closes the server at once; Leave shuts it down gracefully before.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
-	h.handler = proxy.New(proxy.Options{
-		Snapshots: h.snapshots, Lease: alwaysActive{}, Limiter: openLimiter{}, Selector: &roundRobin{},
-		Queue: openQueue{}, Retries: noRetries{},
-	})
-	h.caller, err = listen(ctx, h.config.Caller.Listen)
-	return err
+	<-ctx.Done()
+	return nil
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", address)
-}
+// Ready reports whether the host has settings and may act on them.
+func (h *Host) Ready() bool { return h.snapshots.Current() != nil && h.Active() && !h.isLeaving() }
 
-// CallerAddress returns the address on which callers are served.
-func (h *Host) CallerAddress() string { return h.caller.Addr().String() }
+// Active implements proxy.Lease.
+func (h *Host) Active() bool { return h.membership.View().ActiveAt(h.options.Clock.Now()) }
 
-// Run serves until ctx ends.
-func (h *Host) Run(ctx context.Context) error {
-	if err := h.sync.Start(ctx); err != nil {
-		return err
-	}
-	defer h.snapshots.watch(h.store)()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return h.transport.Serve(ctx) })
-	group.Go(func() error { h.sync.Run(ctx); return nil })
-	group.Go(func() error { return h.serveCallers(ctx) })
-	return group.Wait()
-}
+// CallerAddress returns the address on which callers are served.
+func (h *Host) CallerAddress() string { return h.callerListener.Addr().String() }
 
-func (h *Host) serveCallers(ctx context.Context) error {
-	router := mux.NewRouter()
-	router.PathPrefix("/").Handler(h.metrics.Middleware(h.handler))
-	server := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second}
-	stopped := context.AfterFunc(ctx, func() {
-		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownGrace)
-		defer cancel()
-		_ = server.Shutdown(grace)
-	})
-	defer stopped()
-	if err := server.Serve(h.caller); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
+// AdminAddress returns the address on which operators are served.
+func (h *Host) AdminAddress() string { return h.adminListener.Addr().String() }
 
-// Cleanup closes what New opened. It must be called after Run.
+// Cleanup closes what New opened. It must be called after Run has returned.
 func (h *Host) Cleanup() error {
 	var errs []error
 	if h.transport != nil {
 		errs = append(errs, h.transport.Close())
 	}
-	if h.caller != nil {
-		_ = h.caller.Close()
+	for _, listener := range []net.Listener{h.callerListener, h.adminListener} {
+		if listener != nil {
+			_ = listener.Close() // closed already if Run served it
+		}
+	}
+	if h.metrics != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		errs = append(errs, h.metrics.Close(ctx))
 	}
 	return errors.Join(errs...)
 }
 
-// Ready reports whether the host has settings and may act on them.
-func (h *Host) Ready() bool { return h.snapshots.Current() != nil }
+// onView passes a new view on to the modules that act on it.
+func (h *Host) onView(before, after *fleet.View) {
+	h.limiter.OnView(before, after)
+	h.operations.OnView(before, after)
+	h.services.onView(before, after)
+}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -58,6 +58,7 @@
 		Config: &config.Config{
 			HostID: "mv-north-1", DataCentre: "mv-north", Cell: "main", Capacity: 1,
 			Caller: config.Listener{Listen: "127.0.0.1:0"}, Peer: config.Listener{Listen: "127.0.0.1:0"},
+			Admin: config.Admin{Listener: config.Listener{Listen: "127.0.0.1:0"}},
 		},
 		Table: table, Objects: objects,
 	})
--- a/host/services.go
+++ b/host/services.go
@@ -171,3 +171,14 @@
 	entry, ok := s.lookup(name)
 	return ok && entry.budget.TryRetry(time.Now())
 }
+
+// noEjections leaves every upstream in use.
+type noEjections struct{}
+
+func (noEjections) loadbalancerWeights(settings.ServiceName) loadbalancer.Weighter { return nil }
+
+func (noEjections) started(settings.ServiceName, settings.UpstreamID) func(proxy.Result) {
+	return func(proxy.Result) {}
+}
+
+func (noEjections) draining(settings.ServiceName, []settings.UpstreamID) {}
