Ask the ledger before the limiter, and never say not-run without it

Ruled out: duplicate runs (0) and lost records (the ledger was not asked at all). The same holds for refusals that precede the ledger: lapsed lease, shutdown, withdrawn key. Change: requests with an operation id take their token after the claim; earlier refusals of such requests state unknown. Conclusion: not-run now speaks for all attempts with the operation id.

--- a/traffic/errkind/errkind.go
+++ b/traffic/errkind/errkind.go
@@ -134,6 +134,14 @@
 // New returns an error of the given kind.
 func New(kind Kind, cause error) *Error { return &Error{Kind: kind, Cause: cause} }
 
+// StatedOutcome returns the outcome that the answer states.
+func (e *Error) StatedOutcome() Outcome {
+	if e.Outcome != "" {
+		return e.Outcome
+	}
+	return Table(e.Kind).Outcome
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Cause == nil {
@@ -157,9 +165,7 @@
 // Write answers a request with the answer of the error's kind.
 func Write(w http.ResponseWriter, requestID string, e *Error) {
 	answer := Table(e.Kind)
-	if e.Outcome != "" {
-		answer.Outcome = e.Outcome
-	}
+	answer.Outcome = e.StatedOutcome()
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(OutcomeHeader, string(answer.Outcome))
--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -103,6 +103,7 @@
 	bodyRead bool          // the caller's body was read to its end before the first attempt
 	tried    []settings.UpstreamID
 	reserved int64 // bytes of the buffer budget
+	claimed  bool  // the ledger granted the operation to this request
 	event    Event
 }
 
@@ -139,6 +140,15 @@
 	if err := x.setDeadline(); err != nil {
 		return err
 	}
+	if x.hasOperationID() {
+		// The ledger is asked first: a refusal for lack of rate can say "not run" only if no earlier attempt ran.
+		return nil
+	}
+	return x.takeToken()
+}
+
+// takeToken takes one token of the customer's rate and burst.
+func (x *exchange) takeToken() *errkind.Error {
 	if x.customer == nil {
 		return nil
 	}
@@ -235,8 +245,31 @@
 	return nil
 }
 
+// hasOperationID reports whether the ledger of operations decides on the request.
+func (x *exchange) hasOperationID() bool {
+	return !x.policy.Idempotent && x.r.Header.Get(OperationIDHeader) != ""
+}
+
+// saysTooMuch reports whether "not run" would be said without knowledge of earlier attempts with the same operation id,
+// which may have run.
+func (x *exchange) saysTooMuch(kind errkind.Kind) bool {
+	if x.claimed || x.policy.Idempotent || x.r.Header.Get(OperationIDHeader) == "" {
+		return false
+	}
+	switch kind {
+	case errkind.HostInactive, errkind.ShuttingDown, errkind.Misdirected, errkind.KeyInvalid, errkind.RequestTooLarge,
+		errkind.Overloaded, errkind.DeadlineNotRun:
+		return true
+	default:
+		return false
+	}
+}
+
 // refuse answers with an error of the host.
 func (x *exchange) refuse(e *errkind.Error) {
+	if x.saysTooMuch(e.Kind) {
+		e = &errkind.Error{Kind: e.Kind, RetryAfter: e.RetryAfter, Cause: e.Cause, Outcome: errkind.Unknown}
+	}
 	x.event.Kind, x.event.Cause = e.Kind, e.Cause
 	x.event.Status = errkind.Table(e.Kind).Status
 	x.closeUnread()
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -71,6 +71,7 @@
 	case claim.Replay != nil:
 		x.replay(claim.Replay)
 	default:
+		x.claimed = true
 		x.runClaimed(claim.Complete)
 	}
 }
@@ -118,7 +119,7 @@
 	defer finish()
 	t, slot, refusal := x.runOnce()
 	if refusal != nil {
-		if errkind.Table(refusal.Kind).Outcome == errkind.NotRun {
+		if refusal.StatedOutcome() == errkind.NotRun {
 			result.State = idempotency.NotRun
 		}
 		finish()
@@ -138,6 +139,11 @@
 // runOnce makes the attempt. Only attempts without a connection are followed by another, at another upstream. The
 // request runs to its deadline if its caller goes away after it was sent.
 func (x *exchange) runOnce() (*try, func(), *errkind.Error) {
+	if x.claimed {
+		if refusal := x.takeToken(); refusal != nil {
+			return nil, nil, refusal
+		}
+	}
 	queueCtx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	release, refusal := x.enqueue(queueCtx)
 	cancel()
