Add the arbiter and the reporter of ejections

Cause: one host sees too few samples to judge an upstream, and hosts that eject on their own can cross the floor. Change: one arbiter per service tests cumulative log-likelihood over all hosts and lends ejections within one budget for the union of all hosts; new arbiters renew only what the former one must still count.

--- /dev/null
+++ b/fleet/ejection/arbiter.go
@@ -0,0 +1,372 @@
+package ejection
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ejection/ejectionpb"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+const (
+	// Lease is how long a host may act on a grant, counted from before it sent the report.
+	Lease = 3 * time.Second
+	// Margin covers the drift of clocks and the interval at which hosts rebuild their snapshots.
+	Margin = 500 * time.Millisecond
+
+	firstHold = 5 * time.Second
+	longHold  = 5 * time.Minute
+	// holdMemory is how long an upstream must stay in use for its next hold to be firstHold again.
+	holdMemory = 5 * time.Minute
+	// slowStart is how long a returning upstream takes to reach its full share.
+	slowStart = 10 * time.Second
+	// slowStartMinimum is the share with which an upstream returns.
+	slowStartMinimum = 0.1
+	// reporterMemory is how long a host that stopped reporting counts as a reporter.
+	reporterMemory = 10 * time.Second
+	// drainMemory is how long a drain sign is believed after a host last reported it.
+	drainMemory = 5 * time.Second
+	probeAfter  = time.Second
+)
+
+// ArbiterOptions configure the test of an Arbiter.
+type ArbiterOptions struct {
+	// HealthyRate is the rate of bad samples of a healthy upstream. Default 0.05.
+	HealthyRate float64
+	// SickRate is the rate of bad samples of a sick upstream. Default 0.5.
+	SickRate float64
+	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 8.5, which four bad
+	// samples reach with at most one good one between them.
+	Threshold float64
+	// BurstLimit is how many bad samples of an upstream count within BurstWindow; a pause of an upstream makes all
+	// its samples of that moment bad, which is one event and not several. Default 2.
+	BurstLimit float64
+	// BurstWindow is the length of the window. Default 400 ms.
+	BurstWindow time.Duration
+	// Probes is true if the owner of the Arbiter carries out the probes of Probes. Default false.
+	Probes bool
+}
+
+func (o *ArbiterOptions) setDefaults() {
+	o.HealthyRate = cmp.Or(o.HealthyRate, 0.05)
+	o.SickRate = cmp.Or(o.SickRate, 0.5)
+	o.Threshold = cmp.Or(o.Threshold, 8.5)
+	o.BurstLimit = cmp.Or(o.BurstLimit, 2)
+	o.BurstWindow = cmp.Or(o.BurstWindow, 400*time.Millisecond)
+}
+
+type state int
+
+const (
+	inUse state = iota
+	ejected
+	probing
+	returning
+)
+
+// subject is one upstream under judgement.
+type subject struct {
+	id      settings.UpstreamID
+	leaving bool
+	state   state
+	// hosts limits the ejection to these hosts; nil means all hosts.
+	hosts map[fleet.Identity]bool
+	ratio ratio
+	// recent counts the samples of all hosts.
+	recent decayed
+	hold   time.Duration
+	// until is the end of the hold, or of the slow start.
+	until time.Time
+	// inUseSince is when the last ejection ended; zero if there was none.
+	inUseSince time.Time
+	probedAt   time.Time
+	// lentUntil is the time until which some host may hold the ejection.
+	lentUntil  time.Time
+	drainUntil time.Time
+}
+
+func (s *subject) draining(now time.Time) bool { return now.Before(s.drainUntil) }
+
+// counts reports whether the upstream takes up a part of the budget.
+func (s *subject) counts(now time.Time) bool { return s.state != inUse || now.Before(s.lentUntil) }
+
+func (s *subject) weight(now time.Time) float64 {
+	if s.state != returning {
+		return 0
+	}
+	return min(1, max(slowStartMinimum, 1-float64(s.until.Sub(now))/float64(slowStart)))
+}
+
+// Arbiter decides about the ejections of one service.
+type Arbiter struct {
+	options   ArbiterOptions
+	freeAt    time.Time
+	grantFrom time.Time
+	floor     float64
+	subjects  map[settings.UpstreamID]*subject
+	reporters map[fleet.Identity]*reporter
+}
+
+// NewArbiter returns an arbiter that begins its work at now. freeAt is the time from which no arbiter of an earlier
+// epoch acts any more (fleet.View.FreeAt).
+func NewArbiter(now, freeAt time.Time, options ArbiterOptions) *Arbiter {
+	options.setDefaults()
+	if freeAt.Before(now) {
+		freeAt = now
+	}
+	return &Arbiter{
+		options:   options,
+		freeAt:    freeAt,
+		grantFrom: freeAt.Add(Lease + Margin),
+		subjects:  make(map[settings.UpstreamID]*subject),
+		reporters: make(map[fleet.Identity]*reporter),
+	}
+}
+
+// SetService applies the service's upstreams and floor.
+func (a *Arbiter) SetService(service *settings.Service) {
+	a.floor = service.Policy.Floor
+	known := make(map[settings.UpstreamID]bool, len(service.Upstreams))
+	for _, u := range service.Upstreams {
+		known[u.ID] = true
+		s := a.subjects[u.ID]
+		if s == nil {
+			s = &subject{id: u.ID}
+			a.subjects[u.ID] = s
+		}
+		s.leaving = u.Leaving
+	}
+	for id := range a.subjects {
+		if !known[id] {
+			delete(a.subjects, id)
+		}
+	}
+}
+
+// Budget is how many of n upstreams may be out of use at the given floor.
+func Budget(n int, floor float64) int {
+	const rounding = 1e-9
+	return max(0, n-int(math.Ceil(float64(n)*floor-rounding)))
+}
+
+// free is how many more upstreams may be ejected.
+func (a *Arbiter) free(now time.Time) int {
+	n, used := 0, 0
+	for _, s := range a.subjects {
+		if s.leaving || s.draining(now) {
+			continue
+		}
+		n++
+		if s.counts(now) {
+			used++
+		}
+	}
+	return Budget(n, a.floor) - used
+}
+
+// fits reports whether the upstream's ejection stays within the budget. One that still counts takes no further place.
+func (a *Arbiter) fits(now time.Time, s *subject) bool {
+	if s.counts(now) {
+		return a.free(now) >= 0
+	}
+	return a.free(now) > 0
+}
+
+// Report takes a host's digest and returns the host's new set of ejections. It returns nil for a digest that is not
+// newer than the last one of the same process.
+func (a *Arbiter) Report(now time.Time, from fleet.Identity, digest *ejectionpb.Digest) *ejectionpb.Grant {
+	r := a.reporters[from]
+	if r == nil {
+		r = newReporter(digest)
+		a.reporters[from] = r
+	} else if digest.GetSequence() <= r.sequence {
+		return nil
+	}
+	r.sequence = digest.GetSequence()
+	r.seen = now
+	for _, held := range digest.GetHeld() {
+		a.carry(now, from, digest, held)
+	}
+	for _, id := range digest.GetDraining() {
+		if s := a.subjects[settings.UpstreamID(id)]; s != nil {
+			s.drainUntil = now.Add(drainMemory)
+		}
+	}
+	a.count(now, r, digest)
+	a.Advance(now)
+	return a.grant(now, from, r)
+}
+
+// carry takes over an ejection that an earlier arbiter granted. It is renewed only if that arbiter counts it against
+// its own budget until it stops acting; otherwise it is counted here until it ends.
+func (a *Arbiter) carry(now time.Time, from fleet.Identity, digest *ejectionpb.Digest, held *ejectionpb.Held) {
+	s := a.subjects[settings.UpstreamID(held.GetUpstream())]
+	if s == nil || digest.GetApplied() != 0 || !now.Before(a.grantFrom) {
+		return
+	}
+	end := now.Add(time.Duration(held.GetRemainingMs()) * time.Millisecond)
+	renewable := !end.Before(a.freeAt) && a.fits(now, s)
+	if end = end.Add(Margin); s.lentUntil.Before(end) {
+		s.lentUntil = end
+	}
+	if s.state == inUse && renewable {
+		s.hold = time.Duration(held.GetHoldMs()) * time.Millisecond
+		s.hold = min(max(s.hold, firstHold), longHold)
+		s.state = ejected
+		s.until = now.Add(firstHold)
+		if weight := float64(held.GetWeightPermille()) / permille; weight > 0 {
+			s.state = returning
+			s.until = now.Add(time.Duration((1 - weight) * float64(slowStart)))
+			s.ratio.set(a.relapseStart())
+		}
+		if held.GetLocal() {
+			s.hosts = map[fleet.Identity]bool{from: true}
+		}
+	}
+	if s.state != inUse && s.hosts != nil && renewable {
+		s.hosts[from] = true
+		if !held.GetLocal() {
+			s.hosts = nil
+		}
+	}
+}
+
+// grant lists the ejections that apply to a host and counts them as lent.
+func (a *Arbiter) grant(now time.Time, to fleet.Identity, r *reporter) *ejectionpb.Grant {
+	r.granted++
+	grant := &ejectionpb.Grant{Sequence: r.granted, Digest: r.sequence}
+	for _, s := range a.worstFirst() {
+		if s.draining(now) {
+			grant.Draining = append(grant.Draining, string(s.id))
+		}
+		if s.state == inUse || (s.hosts != nil && !s.hosts[to]) {
+			continue
+		}
+		s.lentUntil = now.Add(Lease + Margin)
+		grant.Ejections = append(grant.Ejections, &ejectionpb.Held{
+			Upstream:       string(s.id),
+			RemainingMs:    uint32(Lease / time.Millisecond),
+			WeightPermille: uint32(s.weight(now) * permille),
+			Local:          s.hosts != nil,
+			HoldMs:         uint32(s.hold / time.Millisecond),
+		})
+	}
+	return grant
+}
+
+// permille is the unit of weights in messages.
+const permille = 1000
+
+// worstFirst lists the upstreams with ejected ones before returning ones, and by evidence within each group.
+func (a *Arbiter) worstFirst() []*subject {
+	list := make([]*subject, 0, len(a.subjects))
+	for _, s := range a.subjects {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(x, y *subject) int {
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(y.ratio.value, x.ratio.value), cmp.Compare(x.id, y.id))
+	})
+	return list
+}
+
+func (s *subject) rank() int {
+	if s.state == returning {
+		return 1
+	}
+	return 0
+}
+
+// Advance applies what time alone changes and decides about new ejections.
+func (a *Arbiter) Advance(now time.Time) {
+	for id, r := range a.reporters {
+		if now.Sub(r.seen) > reporterMemory {
+			delete(a.reporters, id)
+		}
+	}
+	a.judgeReporters(now)
+	for _, s := range a.subjects {
+		a.recover(now, s)
+	}
+	a.trim(now)
+	a.eject(now)
+}
+
+// recover moves an ejected upstream towards use.
+func (a *Arbiter) recover(now time.Time, s *subject) {
+	switch s.state {
+	case ejected:
+		if now.Before(s.until) {
+			return
+		}
+		if a.options.Probes && s.hosts == nil {
+			s.state = probing
+			s.probedAt = time.Time{}
+			return
+		}
+		a.startReturn(now, s)
+	case returning:
+		if s.ratio.value >= a.options.Threshold {
+			a.hold(now, s)
+			return
+		}
+		if !now.Before(s.until) {
+			s.state = inUse
+			s.hosts = nil
+			s.inUseSince = now
+		}
+	default:
+	}
+}
+
+func (a *Arbiter) startReturn(now time.Time, s *subject) {
+	s.state = returning
+	s.until = now.Add(slowStart)
+	s.ratio.set(a.relapseStart())
+}
+
+// relapseStart is the ratio from which two bad samples in a row eject again.
+func (a *Arbiter) relapseStart() float64 {
+	const badSamples = 1.8
+	return max(0, a.options.Threshold-badSamples*math.Log(a.options.SickRate/a.options.HealthyRate))
+}
+
+// hold ejects an upstream, for twice as long as the last time unless that was long ago.
+func (a *Arbiter) hold(now time.Time, s *subject) {
+	switch {
+	case s.hold == 0 || (s.state == inUse && now.Sub(s.inUseSince) > holdMemory):
+		s.hold = firstHold
+	default:
+		s.hold = min(longHold, 2*s.hold)
+	}
+	s.state = ejected
+	s.until = now.Add(s.hold)
+}
+
+// Probes lists the upstreams to be probed now. Each is listed again if no result arrives within a second.
+func (a *Arbiter) Probes(now time.Time) []settings.UpstreamID {
+	var due []settings.UpstreamID
+	for _, s := range a.subjects {
+		if s.state == probing && now.Sub(s.probedAt) >= probeAfter {
+			s.probedAt = now
+			due = append(due, s.id)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// ProbeResult takes the result of a probe. A failed one holds the upstream again, for twice as long.
+func (a *Arbiter) ProbeResult(now time.Time, id settings.UpstreamID, err error) {
+	s := a.subjects[id]
+	if s == nil || s.state != probing {
+		return
+	}
+	if err != nil {
+		a.hold(now, s)
+		return
+	}
+	a.startReturn(now, s)
+}
--- /dev/null
+++ b/fleet/ejection/arbiter_test.go
@@ -0,0 +1,238 @@
+package ejection
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/outlier"
+)
+
+// bench is a group of hosts that report to one arbiter without faults of the network.
+type bench struct {
+	now     time.Time
+	service *settings.Service
+	arbiter *Arbiter
+	hosts   []*machineHost
+}
+
+func newBench(hosts, upstreams int, options ArbiterOptions) *bench {
+	b := &bench{now: start, service: service(upstreams, 0.5), arbiter: NewArbiter(start, start, options)}
+	b.arbiter.SetService(b.service)
+	for i := range hosts {
+		b.hosts = append(b.hosts, &machineHost{
+			Reporter: NewReporter(), id: fleet.Identity{ID: fleet.HostID(fmt.Sprint("h", i)), Incarnation: 1}, service: b.service,
+			counts: map[settings.UpstreamID]outlier.Counts{}, sick: map[settings.UpstreamID]bool{},
+		})
+		b.hosts[i].SetEpoch(1)
+	}
+	b.run(Lease+Margin, 1)
+	return b
+}
+
+// run lets each host have the given number of samples of each upstream in each interval of 250 ms.
+func (b *bench) run(d time.Duration, samples uint64) {
+	for range d / (250 * time.Millisecond) {
+		b.now = b.now.Add(250 * time.Millisecond)
+		for _, h := range b.hosts {
+			h.sample(nil, samples)
+			h.Apply(b.now, 1, b.arbiter.Report(b.now, h.id, h.Digest(b.now, h.all, nil)))
+		}
+	}
+}
+
+func (b *bench) sicken(ids ...settings.UpstreamID) {
+	for _, h := range b.hosts {
+		clear(h.sick)
+		for _, id := range ids {
+			h.sick[id] = true
+		}
+	}
+}
+
+// out lists what the host has ejected, in order of id.
+func (b *bench) out(host int) []settings.UpstreamID {
+	var ids []settings.UpstreamID
+	for _, e := range b.hosts[host].Set(b.now, b.service).Ejections() {
+		ids = append(ids, e.Upstream)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Guards the rules about who may eject what; each case fails if its rule is removed.
+func TestRules(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		hosts, upstreams int
+		fault            func(*bench)
+		// first and second are what host 0 and host 1 have ejected after 3 s.
+		first, second []settings.UpstreamID
+	}{
+		{"one sick upstream", 4, 6, func(b *bench) { b.sicken("u01") }, []settings.UpstreamID{"u01"}, []settings.UpstreamID{"u01"}},
+		{"half of the upstreams sick", 4, 6, func(b *bench) { b.sicken("u01", "u02", "u03") }, []settings.UpstreamID{"u01", "u02", "u03"}, []settings.UpstreamID{"u01", "u02", "u03"}},
+		{"service sick as a whole", 4, 6, func(b *bench) { b.sicken("u00", "u01", "u02", "u03", "u04", "u05") }, nil, nil},
+		{"one host alone blames one upstream", 4, 6, func(b *bench) { b.hosts[0].sick["u01"] = true }, []settings.UpstreamID{"u01"}, nil},
+		{"one host blames one upstream, the other was idle since", 2, 6, func(b *bench) {
+			b.hosts[0].sick["u01"] = true
+			b.hosts[1].idle = true
+		}, []settings.UpstreamID{"u01"}, nil},
+		{"one host blames everything", 4, 6, func(b *bench) { b.hosts[0].blames = true }, nil, nil},
+		{"one host blames half", 4, 6, func(b *bench) {
+			for _, id := range []settings.UpstreamID{"u00", "u01", "u02"} {
+				b.hosts[0].sick[id] = true
+			}
+		}, nil, nil},
+		{"a single host in all", 1, 6, func(b *bench) { b.sicken("u01") }, []settings.UpstreamID{"u01"}, nil},
+		{"a leaving upstream", 4, 6, func(b *bench) {
+			b.service.Upstreams[1].Leaving = true
+			b.arbiter.SetService(b.service)
+			b.sicken("u01")
+		}, nil, nil},
+	} {
+		b := newBench(test.hosts, test.upstreams, ArbiterOptions{})
+		test.fault(b)
+		b.run(3*time.Second, 1)
+		if got := b.out(0); !slices.Equal(got, test.first) {
+			t.Errorf("%s: host 0 ejects %v, want %v", test.name, got, test.first)
+		}
+		if test.hosts == 1 {
+			continue
+		}
+		if got := b.out(1); !slices.Equal(got, test.second) {
+			t.Errorf("%s: host 1 ejects %v, want %v", test.name, got, test.second)
+		}
+	}
+}
+
+// Guards against a short budget being spent on the lesser suspect: with 2 of 3 upstreams to stay, the one with more bad
+// samples is ejected.
+func TestWorstSuspectFirst(t *testing.T) {
+	b := newBench(1, 3, ArbiterOptions{})
+	h := b.hosts[0]
+	for id, bad := range map[settings.UpstreamID]uint64{"u00": 4, "u02": 5} {
+		h.counts[id] = outlier.Counts{OK: h.counts[id].OK, Failed: bad}
+	}
+	h.counts["u01"] = outlier.Counts{OK: h.counts["u01"].OK + 9}
+	b.arbiter.options.BurstLimit = 10
+	h.Apply(b.now, 1, b.arbiter.Report(b.now, h.id, h.Digest(b.now, h.all, nil)))
+	if got := b.out(0); !slices.Equal(got, []settings.UpstreamID{"u02"}) {
+		t.Errorf("ejected %v, want u02 alone", got)
+	}
+}
+
+// Guards against holds that do not grow, returns without probe or slow start, and late ejection of an upstream that is
+// sick again while it returns.
+func TestRecovery(t *testing.T) {
+	b := newBench(4, 6, ArbiterOptions{Probes: true})
+	b.sicken("u01")
+	b.run(3*time.Second, 1)
+	b.run(5*time.Second, 0)
+	if due := b.arbiter.Probes(b.now); !slices.Equal(due, []settings.UpstreamID{"u01"}) {
+		t.Fatalf("probes due after 5 s: %v", due)
+	}
+	b.arbiter.ProbeResult(b.now, "u01", errors.New("no answer"))
+	b.run(9*time.Second, 0)
+	if due := b.arbiter.Probes(b.now); len(due) > 0 {
+		t.Errorf("after a failed probe: probes due within 10 s: %v", due)
+	}
+	b.run(time.Second, 0)
+	b.arbiter.ProbeResult(b.now, "u01", nil)
+	var weights []float64
+	for range 3 {
+		b.run(3*time.Second, 0)
+		weights = append(weights, b.hosts[0].Set(b.now, b.service).Weight("u01"))
+	}
+	if want := []float64{0.3, 0.6, 0.9}; !slices.Equal(weights, want) {
+		t.Errorf("weights while it returns: %v, want %v", weights, want)
+	}
+	b.run(500*time.Millisecond, 1)
+	if w := b.hosts[0].Set(b.now, b.service).Weight("u01"); w != 0 {
+		t.Errorf("after four bad samples while it returns: weight %v, want 0", w)
+	}
+	b.sicken()
+	b.run(19*time.Second, 0)
+	if due := b.arbiter.Probes(b.now); len(due) > 0 {
+		t.Errorf("third hold: probes due within 20 s: %v", due)
+	}
+}
+
+// Guards against an ejection that outlives its lease on a host that is cut off.
+func TestLeaseEnds(t *testing.T) {
+	b := newBench(2, 6, ArbiterOptions{})
+	b.sicken("u01")
+	b.run(3*time.Second, 1)
+	b.now = b.now.Add(Lease - time.Millisecond)
+	if got := b.out(0); len(got) != 1 {
+		t.Errorf("within the lease: ejected %v, want u01", got)
+	}
+	b.now = b.now.Add(time.Millisecond)
+	if got := b.out(0); len(got) != 0 {
+		t.Errorf("after the lease: ejected %v, want none", got)
+	}
+}
+
+// Guards against the samples of a suspect host: host 0 blames everything, and two others had one bad sample each of u01,
+// which alone are noise.
+func TestSuspectSamplesAreIgnored(t *testing.T) {
+	b := newBench(4, 6, ArbiterOptions{})
+	b.hosts[0].blames = true
+	b.run(time.Second, 1)
+	for _, h := range b.hosts[1:3] {
+		c := h.counts["u01"]
+		c.Failed++
+		h.counts["u01"] = c
+	}
+	for _, h := range b.hosts[1:] {
+		h.idle = true
+	}
+	b.run(2*time.Second, 1)
+	if got := b.out(1); len(got) > 0 {
+		t.Errorf("ejected %v, want none", got)
+	}
+}
+
+// Guards against late answers: neither an older grant nor one of an earlier epoch's arbiter replaces a newer one.
+func TestLateGrants(t *testing.T) {
+	b := newBench(2, 6, ArbiterOptions{})
+	h := b.hosts[0]
+	old := b.arbiter.Report(b.now, h.id, h.Digest(b.now, h.all, nil))
+	b.sicken("u01")
+	b.run(3*time.Second, 1)
+	if h.Apply(b.now, 1, old) || len(b.out(0)) != 1 {
+		t.Errorf("late grant of the same arbiter: ejected %v, want u01", b.out(0))
+	}
+	last := b.arbiter.Report(b.now, h.id, h.Digest(b.now, h.all, nil))
+	h.SetEpoch(2)
+	if h.Apply(b.now, 1, last) || h.applied != 0 {
+		t.Error("a grant of the former epoch's arbiter was applied")
+	}
+}
+
+// Guards against a new arbiter that renews an ejection whose place the former one may already have given away: renewed is
+// only what the former arbiter counts until it stops.
+func TestCarriedEjections(t *testing.T) {
+	for _, test := range []struct {
+		age  time.Duration
+		want int
+	}{{500 * time.Millisecond, 1}, {1500 * time.Millisecond, 0}} {
+		b := newBench(2, 6, ArbiterOptions{})
+		b.sicken("u01")
+		b.run(3*time.Second, 1)
+		b.now = b.now.Add(test.age)
+		b.arbiter = NewArbiter(b.now, b.now.Add(2*time.Second), ArbiterOptions{})
+		b.arbiter.SetService(b.service)
+		for _, h := range b.hosts {
+			h.SetEpoch(1000)
+			h.Apply(b.now, 1000, b.arbiter.Report(b.now, h.id, h.Digest(b.now, h.all, nil)))
+		}
+		b.now = b.now.Add(Lease - time.Millisecond)
+		if got := b.out(1); len(got) != test.want {
+			t.Errorf("lease granted %v before: ejected %v, want %d", test.age, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/ejection/reporter.go
@@ -0,0 +1,194 @@
+package ejection
+
+import (
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet/ejection/ejectionpb"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/outlier"
+)
+
+// held is an ejection that the host acts on.
+type held struct {
+	id      settings.UpstreamID
+	weight  float64
+	local   bool
+	hold    time.Duration
+	expires time.Time
+}
+
+// Reporter is the side of one host for one service: it forms digests and keeps the ejections that were granted.
+type Reporter struct {
+	sequence uint64
+	// epoch is the epoch by which the arbiter was chosen.
+	epoch uint64
+	// applied is the last grant of the arbiter of that epoch.
+	applied   uint64
+	confirmed map[settings.UpstreamID]outlier.Counts
+	// sent holds the counts of the last digest until its answer confirms them.
+	sent     map[settings.UpstreamID]outlier.Counts
+	held     []held
+	draining map[settings.UpstreamID]bool
+}
+
+// NewReporter returns a reporter that holds no ejections.
+func NewReporter() *Reporter {
+	return &Reporter{
+		confirmed: make(map[settings.UpstreamID]outlier.Counts),
+		draining:  make(map[settings.UpstreamID]bool),
+	}
+}
+
+// SetEpoch tells the reporter by which epoch the arbiter is chosen from now on. The host keeps its ejections until their leases
+// end or a new arbiter's grant replaces them.
+func (r *Reporter) SetEpoch(number uint64) {
+	if r.epoch == number {
+		return
+	}
+	r.epoch = number
+	r.applied = 0
+	r.sent = nil
+	clear(r.confirmed)
+}
+
+// Digest forms the next digest. counts are the cumulative counts of the host's detector.
+func (r *Reporter) Digest(
+	now time.Time, counts func(yield func(settings.UpstreamID, outlier.Counts) bool), draining []settings.UpstreamID,
+) *ejectionpb.Digest {
+	r.sequence++
+	digest := &ejectionpb.Digest{Sequence: r.sequence, Applied: r.applied}
+	r.sent = make(map[settings.UpstreamID]outlier.Counts)
+	for id, c := range counts {
+		if r.confirmed[id] == c {
+			continue
+		}
+		r.sent[id] = c
+		digest.Counts = append(digest.Counts, &ejectionpb.Counts{Upstream: string(id), Ok: c.OK, Bad: c.Bad(), Shed: c.Shed})
+	}
+	for _, h := range r.held {
+		// The arbiter that granted the set knows it.
+		if r.applied == 0 && now.Before(h.expires) {
+			digest.Held = append(digest.Held, h.message(now))
+		}
+	}
+	for _, id := range draining {
+		digest.Draining = append(digest.Draining, string(id))
+	}
+	return digest
+}
+
+func (h *held) message(now time.Time) *ejectionpb.Held {
+	return &ejectionpb.Held{
+		Upstream:       string(h.id),
+		RemainingMs:    uint32(h.expires.Sub(now) / time.Millisecond),
+		WeightPermille: uint32(h.weight * permille),
+		Local:          h.local,
+		HoldMs:         uint32(h.hold / time.Millisecond),
+	}
+}
+
+// Apply replaces the host's ejections by a grant that answers a digest sent at the given time to the arbiter of the
+// given epoch. It reports whether the grant was newer than what the host holds.
+func (r *Reporter) Apply(sentAt time.Time, epoch uint64, grant *ejectionpb.Grant) bool {
+	if grant == nil || epoch != r.epoch || grant.GetSequence() <= r.applied {
+		return false
+	}
+	r.applied = grant.GetSequence()
+	if grant.GetDigest() == r.sequence {
+		for id, c := range r.sent {
+			r.confirmed[id] = c
+		}
+	}
+	r.held = r.held[:0]
+	for _, e := range grant.GetEjections() {
+		r.held = append(r.held, held{
+			id:      settings.UpstreamID(e.GetUpstream()),
+			weight:  float64(e.GetWeightPermille()) / permille,
+			local:   e.GetLocal(),
+			hold:    time.Duration(e.GetHoldMs()) * time.Millisecond,
+			expires: sentAt.Add(time.Duration(e.GetRemainingMs()) * time.Millisecond),
+		})
+	}
+	clear(r.draining)
+	for _, id := range grant.GetDraining() {
+		r.draining[settings.UpstreamID(id)] = true
+	}
+	return true
+}
+
+// Set returns the ejections in force at now for the service as the host knows it. Where the host's settings leave a smaller
+// budget than the arbiter's, the ejections that come last in the grant are left out.
+func (r *Reporter) Set(now time.Time, service *settings.Service) *Set {
+	set := &Set{weights: make(map[settings.UpstreamID]float64)}
+	usable := make(map[settings.UpstreamID]bool, len(service.Upstreams))
+	for _, u := range service.Upstreams {
+		if r.draining[u.ID] {
+			set.weights[u.ID] = 0
+			continue
+		}
+		usable[u.ID] = !u.Leaving
+	}
+	n := 0
+	for _, u := range usable {
+		if u {
+			n++
+		}
+	}
+	if n == 0 {
+		clear(set.weights)
+	}
+	budget := Budget(n, service.Policy.Floor)
+	for _, h := range r.held {
+		if budget == 0 || !now.Before(h.expires) || !usable[h.id] {
+			continue
+		}
+		budget--
+		set.ejections = append(set.ejections, Ejection{Upstream: h.id, Weight: h.weight, Local: h.local, Expires: h.expires})
+		set.weights[h.id] = h.weight
+		if set.validUntil.IsZero() || h.expires.Before(set.validUntil) {
+			set.validUntil = h.expires
+		}
+	}
+	return set
+}
+
+// Ejection is one ejection as a host acts on it.
+type Ejection struct {
+	Upstream settings.UpstreamID
+	// Weight is the share of requests that the upstream gets: 0 while ejected, growing while it returns.
+	Weight float64
+	// Local is true if the ejection applies to some hosts only.
+	Local bool
+	// Expires is the end of the lease on the host's lease clock.
+	Expires time.Time
+}
+
+// Set is the immutable set of ejections of one service on one host.
+type Set struct {
+	weights    map[settings.UpstreamID]float64
+	ejections  []Ejection
+	validUntil time.Time
+}
+
+// Weight is the share of requests that the upstream may get: 0 while it is ejected or draining, 1 if nothing is known
+// against it. A nil Set gives 1 to every upstream.
+func (s *Set) Weight(id settings.UpstreamID) float64 {
+	if s == nil {
+		return 1
+	}
+	if weight, ok := s.weights[id]; ok {
+		return weight
+	}
+	return 1
+}
+
+// Ejections lists the ejections, worst first.
+func (s *Set) Ejections() []Ejection {
+	if s == nil {
+		return nil
+	}
+	return s.ejections
+}
+
+// validAt reports whether no lease of the set has ended.
+func (s *Set) validAt(now time.Time) bool { return s.validUntil.IsZero() || now.Before(s.validUntil) }
