Add the ejection runtime over peer calls

Cause: the pure arbiter and reporter need a runtime that exchanges digests and grants between hosts.

--- /dev/null
+++ b/fleet/ejection/exchange.go
@@ -0,0 +1,131 @@
+package ejection
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ejection/ejectionpb"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+func newReport() proto.Message { return &ejectionpb.Report{} }
+
+// report sends the digests of all services, one call for each arbiter host that has none on the way.
+func (s *Service) report(ctx context.Context, view *fleet.View) {
+	reports := make(map[string]*ejectionpb.Report)
+	now := s.options.Clock.Now()
+	for name, l := range s.services {
+		owner, ok := view.Epoch.Owner(ownerKey(name))
+		if !ok || s.calling[owner.PeerAddress] {
+			continue
+		}
+		var draining []settings.UpstreamID
+		if s.options.Draining != nil {
+			draining = s.options.Draining(name)
+		}
+		digest := l.reporter.Digest(now, l.detector.Counts, draining)
+		digest.Service = string(name)
+		if owner.Identity() == view.Self {
+			s.decide(view, now, name, digest)
+			continue
+		}
+		report := reports[owner.PeerAddress]
+		if report == nil {
+			report = &ejectionpb.Report{Epoch: view.Epoch.Number}
+			reports[owner.PeerAddress] = report
+		}
+		report.Digests = append(report.Digests, digest)
+	}
+	for address, report := range reports {
+		s.calling[address] = true
+		s.tasks.Go(func() { s.call(ctx, now, address, report) })
+	}
+}
+
+// decide handles the digest of this host's own service without a call.
+func (s *Service) decide(view *fleet.View, now time.Time, name settings.ServiceName, digest *ejectionpb.Digest) {
+	if arbiter := s.arbiter(view, now, name); arbiter != nil {
+		s.apply(name, now, view.Epoch.Number, arbiter.Report(now, view.Self, digest))
+	}
+}
+
+func (s *Service) call(ctx context.Context, sentAt time.Time, address string, report *ejectionpb.Report) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	grants := &ejectionpb.Grants{}
+	err := s.options.Caller.Call(ctx, address, Method, report, grants)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calling, address)
+	if err != nil {
+		return
+	}
+	for _, grant := range grants.GetGrants() {
+		s.apply(settings.ServiceName(grant.GetService()), sentAt, report.GetEpoch(), grant)
+	}
+}
+
+func (s *Service) apply(name settings.ServiceName, sentAt time.Time, epoch uint64, grant *ejectionpb.Grant) {
+	l := s.services[name]
+	if l != nil && l.reporter.Apply(sentAt, epoch, grant) {
+		l.set.Store(l.reporter.Set(s.options.Clock.Now(), l.settings))
+	}
+}
+
+// handle answers the report of another host.
+func (s *Service) handle(_ context.Context, from fleet.Identity, req proto.Message) (proto.Message, error) {
+	report, ok := req.(*ejectionpb.Report)
+	if !ok {
+		return nil, fmt.Errorf("%w: unexpected message %T", peer.ErrRefused, req)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The lock may have been waited for, so the view is read with it held.
+	view := s.options.Views.View()
+	s.enterEpoch(view)
+	if report.GetEpoch() != view.Epoch.Number {
+		return nil, fmt.Errorf("%w: epoch %d, the sender's is %d", peer.ErrNotOwner, view.Epoch.Number, report.GetEpoch())
+	}
+	now := s.options.Clock.Now()
+	if !view.ActiveAt(now) {
+		return nil, peer.ErrInactive
+	}
+	grants := &ejectionpb.Grants{}
+	for _, digest := range report.GetDigests() {
+		name := settings.ServiceName(digest.GetService())
+		arbiter := s.arbiter(view, now, name)
+		if arbiter == nil {
+			continue
+		}
+		if grant := arbiter.Report(now, from, digest); grant != nil {
+			grant.Service = digest.GetService()
+			grants.Grants = append(grants.Grants, grant)
+		}
+	}
+	return grants, nil
+}
+
+// arbiter returns this host's arbiter of a service, or nil if the host is not the owner, holds no activity lease, or does not
+// know the service.
+func (s *Service) arbiter(view *fleet.View, now time.Time, name settings.ServiceName) *Arbiter {
+	l := s.services[name]
+	if l == nil || !view.Owns(ownerKey(name)) || !view.ActiveAt(now) {
+		return nil
+	}
+	arbiter := s.arbiters[name]
+	if arbiter == nil {
+		freeAt := view.LearnedAt.Add(formerStops)
+		if freeAt.Before(view.FreeAt) {
+			freeAt = view.FreeAt
+		}
+		arbiter = NewArbiter(now, freeAt, s.options.Arbiter)
+		arbiter.SetService(l.settings)
+		s.arbiters[name] = arbiter
+	}
+	return arbiter
+}
