Lock the views of the test fleet

Change: the tests change views and cuts under the fleet's lock. Measured: go test -race ./ratelimit passes, and 10 further runs of the runtime's tests. Conclusion: no race in the limiter was seen.

--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -174,6 +174,8 @@
 
 func (f *testFleet) checkBound(t *testing.T) {
 	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	limits := f.limits
 	result := Check(f.recorded, func(string) (Limits, bool) { return limits, true })
 	if len(result.Violations) > 0 {
@@ -234,7 +236,9 @@
 		f := newTestFleet(2, Limits{Rate: 10, Burst: 10})
 		host := 1 - f.ownerOf("zoo")
 		h := f.hosts[host]
+		f.mu.Lock()
 		h.view.ActiveUntil = time.Now().Add(time.Millisecond)
+		f.mu.Unlock()
 		// The first request has to borrow, which takes 2 ms: the lease ends during the wait.
 		if d := h.limiter.Admit(context.Background(), "zoo"); d.Reason != Inactive {
 			t.Errorf("decision %+v after the lease ended in the wait, want inactive", d)
@@ -251,7 +255,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(2, Limits{Rate: 10, Burst: 10})
 		owner := f.ownerOf("zoo")
+		f.mu.Lock()
 		f.hosts[owner].cut = true
+		f.mu.Unlock()
 		start := time.Now()
 		d := f.hosts[1-owner].limiter.Admit(context.Background(), "zoo")
 		if d.Reason != Unavailable || d.RetryAfter <= 0 {
@@ -321,12 +327,14 @@
 			granting bool
 		}{{2, true}, {4, false}} {
 			f.load([]int{0, 1}, "zoo", 20, time.Second)
+			f.mu.Lock()
 			old := owner.view
 			view := old
 			view.Epoch.Number = next.epoch
 			owner.view = view
-			owner.limiter.OnView(&old, &view)
 			f.hosts[1-f.ownerOf("zoo")].cut = true
+			f.mu.Unlock()
+			owner.limiter.OnView(&old, &view)
 			owner.limiter.Admit(t.Context(), "zoo")
 			time.Sleep(RenewInterval + tick)
 			owned := owner.limiter.Status().Owned
