Take grey upstreams out of use in the host

Cause: the host balanced over all upstreams; the arbiter of ejections had not been wired. Change: attempts report to the detector, balancers and queues follow the ejections, probes ask the health endpoint once; bench processes has a phase in which one upstream hangs behind a lying health endpoint and another is ten times slower.

--- a/bench/processbench/phases.go
+++ b/bench/processbench/phases.go
@@ -9,6 +9,7 @@
 
 	"github.com/bronzeyard/bronzeyard/emulator/load"
 	"github.com/bronzeyard/bronzeyard/emulator/local"
+	"github.com/bronzeyard/bronzeyard/emulator/upstream"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -25,6 +26,7 @@
 	}{
 		{"idle", b.idle},
 		{"steady", b.steady},
+		{"one upstream hangs, another is slow", b.greyUpstreams},
 		{"rolling restart of every host", b.rollingRestart},
 		{"settings changes", b.changeSettings},
 		{"key withdrawal", b.withdrawKey},
@@ -131,6 +133,19 @@
 	return ctx.Err()
 }
 
+// greyUpstreams lets two upstreams of different services go grey for the length of a phase, with health endpoints that
+// say healthy.
+func (b *bench) greyUpstreams(ctx context.Context, _ map[string]float64) error {
+	services := b.options.Deployment.Services
+	hanging, slow := b.upstreams[services[0].Name][0], b.upstreams[services[len(services)-1].Name][0]
+	hanging.SetFault(upstream.LyingHealth)
+	slow.SetFault(upstream.Slow)
+	defer hanging.SetFault(upstream.Healthy)
+	defer slow.SetFault(upstream.Healthy)
+	pause(ctx, b.options.PhaseLength)
+	return ctx.Err()
+}
+
 func (b *bench) rollingRestart(ctx context.Context, figures map[string]float64) error {
 	begin := time.Now()
 	for first := 0; first < len(b.processes); first += restartWave {
--- a/host/host.go
+++ b/host/host.go
@@ -53,6 +53,7 @@
 	limiter    *ratelimit.Limiter
 	operations *idempotency.Operations
 	services   *services
+	prober     *http.Client
 	metrics    *metrics.Metrics
 	handler    *proxy.Handler
 
@@ -72,7 +73,7 @@
 		options.Clock = clock.System{}
 	}
 	h := &Host{
-		options: options, config: options.Config,
+		options: options, config: options.Config, prober: newProber(),
 		leaving: make(chan struct{}), left: make(chan struct{}),
 	}
 	provisions := []func(context.Context) error{
@@ -102,6 +103,7 @@
 	}
 	group.Go(func() error { return h.membership.Run(ctx) })
 	group.Go(func() error { return h.operations.Run(ctx) })
+	group.Go(func() error { return h.services.ejections.Run(ctx) })
 	group.Go(func() error { return serve(ctx, h.callerServer, h.callerListener) })
 	group.Go(func() error { return serve(ctx, h.adminServer, h.adminListener) })
 	group.Go(func() error {
@@ -165,4 +167,5 @@
 	h.limiter.OnView(before, after)
 	h.operations.OnView(before, after)
 	h.services.onView(before, after)
+	h.services.ejections.OnView(before, after)
 }
--- /dev/null
+++ b/host/probe.go
@@ -0,0 +1,48 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// probe asks an upstream's health endpoint once, on a connection of its own. The endpoint may mislead, so a good answer
+// only lets a trickle of requests begin.
+func (h *Host) probe(ctx context.Context, upstream settings.Upstream) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+upstream.Address+h.healthPath(&upstream), http.NoBody)
+	if err != nil {
+		return err
+	}
+	request.Close = true
+	response, err := h.prober.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("probe of upstream %s: %s", upstream.ID, response.Status)
+	}
+	return nil
+}
+
+// healthPath returns the health endpoint of the service that the upstream belongs to.
+func (h *Host) healthPath(upstream *settings.Upstream) string {
+	for service := range h.snapshots.services {
+		for i := range service.Upstreams {
+			if service.Upstreams[i].ID == upstream.ID && service.Upstreams[i].Address == upstream.Address {
+				return service.Policy.HealthPath
+			}
+		}
+	}
+	return settings.DefaultPolicy().HealthPath
+}
+
+// newProber returns a client that neither follows redirects nor keeps connections.
+func newProber() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- a/host/provision.go
+++ b/host/provision.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ejection"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
 	"github.com/bronzeyard/bronzeyard/fleet/membership"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
@@ -83,6 +84,11 @@
 		Views: h.membership, Caller: h.transport, Registrar: h.transport, Clock: h.options.Clock,
 		ClockOffset: h.membership.ClockOffset, Logger: h.options.Logger,
 	})
+	h.services = newServices(h.config.DataCentre)
+	h.services.ejections = ejection.NewService(ejection.Options{
+		Views: h.membership, Caller: h.transport, Registrar: h.transport, Clock: h.options.Clock,
+		Services: h.snapshots.services, Probe: h.probe, Draining: h.services.draining, Logger: h.options.Logger,
+	})
 	return nil
 }
 
@@ -104,7 +110,6 @@
 	if h.metrics, err = metrics.New(); err != nil {
 		return err
 	}
-	h.services = newServices(h.config.DataCentre, noEjections{})
 	h.snapshots.observers = []func(_, _ *settings.Snapshot){
 		h.services.onSettings,
 		func(_, _ *settings.Snapshot) { h.limiter.OnLimitsChanged() },
--- a/host/services.go
+++ b/host/services.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ejection"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/loadbalancer"
+	"github.com/bronzeyard/bronzeyard/traffic/outlier"
 	"github.com/bronzeyard/bronzeyard/traffic/proxy"
 	"github.com/bronzeyard/bronzeyard/traffic/queue"
 	"github.com/bronzeyard/bronzeyard/traffic/retry"
@@ -26,7 +28,8 @@
 // proxy.RetryBudget.
 type services struct {
 	dataCentre string
-	health     health
+	// ejections is set before the first request.
+	ejections *ejection.Service
 
 	mu    sync.RWMutex
 	byID  map[settings.ServiceName]*service
@@ -35,15 +38,8 @@
 	shown *settings.Snapshot
 }
 
-// health is what the balancers know of ejections, and where attempts are reported.
-type health interface {
-	loadbalancerWeights(name settings.ServiceName) loadbalancer.Weighter
-	started(name settings.ServiceName, id settings.UpstreamID) (done func(proxy.Result))
-	draining(name settings.ServiceName, ids []settings.UpstreamID)
-}
-
-func newServices(dataCentre string, health health) *services {
-	return &services{dataCentre: dataCentre, health: health, byID: make(map[settings.ServiceName]*service)}
+func newServices(dataCentre string) *services {
+	return &services{dataCentre: dataCentre, byID: make(map[settings.ServiceName]*service)}
 }
 
 // onSettings follows new settings.
@@ -92,7 +88,7 @@
 
 func (s *services) newService(name settings.ServiceName) *service {
 	balancer := loadbalancer.New(loadbalancer.Options{DataCentre: s.dataCentre, Seed: uint64(time.Now().UnixNano())})
-	limit := func() int { return balancer.Capacity(time.Now(), s.health.loadbalancerWeights(name)) }
+	limit := func() int { return balancer.Capacity(time.Now(), s.ejections.Ejected(name)) }
 	return &service{
 		balancer: balancer,
 		queue:    queue.New(queue.Options{Limit: limit}),
@@ -115,28 +111,47 @@
 	if !ok {
 		return proxy.Attempt{}, errkind.New(errkind.NoUpstream, nil)
 	}
-	chosen, err := entry.balancer.Pick(time.Now(), s.health.loadbalancerWeights(spec.Name), exclude)
+	chosen, err := entry.balancer.Pick(time.Now(), s.ejections.Ejected(spec.Name), exclude)
 	switch {
 	case errors.Is(err, loadbalancer.ErrBusy):
 		return proxy.Attempt{}, errkind.New(errkind.Overloaded, err)
 	case err != nil:
 		return proxy.Attempt{}, errkind.New(errkind.NoUpstream, err)
 	}
-	report := s.health.started(spec.Name, chosen.ID)
+	report := s.ejections.Start(spec.Name, chosen.ID)
 	done := func(result proxy.Result) {
-		report(result)
-		now := time.Now()
-		entry.balancer.Done(now, chosen.ID, loadbalancer.Result{
+		report(evidence(result.Outcome))
+		entry.balancer.Done(time.Now(), chosen.ID, loadbalancer.Result{
 			Shed: result.Outcome == proxy.OutcomeShed, OK: result.Outcome == proxy.OutcomeOK,
 			Load: result.Load, HasLoad: result.LoadKnown, Draining: result.Draining,
 		})
-		if result.Draining {
-			s.health.draining(spec.Name, entry.balancer.Draining(now))
-		}
 	}
 	return proxy.Attempt{Upstream: chosen, Done: done}, nil
 }
 
+// evidence returns what an attempt says about the health of its upstream.
+func evidence(outcome proxy.Outcome) outlier.Outcome {
+	switch outcome {
+	case proxy.OutcomeOK:
+		return outlier.OK
+	case proxy.OutcomeShed:
+		return outlier.Shed
+	case proxy.OutcomeCancelled:
+		return outlier.Abandoned
+	default:
+		return outlier.Failed
+	}
+}
+
+// draining returns the upstreams of a service whose drain sign this host has seen.
+func (s *services) draining(name settings.ServiceName) []settings.UpstreamID {
+	entry, ok := s.lookup(name)
+	if !ok {
+		return nil
+	}
+	return entry.balancer.Draining(time.Now())
+}
+
 // Acquire implements proxy.Queue.
 func (s *services) Acquire(
 	ctx context.Context, spec *settings.Service, customer *settings.Customer,
@@ -171,14 +186,3 @@
 	entry, ok := s.lookup(name)
 	return ok && entry.budget.TryRetry(time.Now())
 }
-
-// noEjections leaves every upstream in use.
-type noEjections struct{}
-
-func (noEjections) loadbalancerWeights(settings.ServiceName) loadbalancer.Weighter { return nil }
-
-func (noEjections) started(settings.ServiceName, settings.UpstreamID) func(proxy.Result) {
-	return func(proxy.Result) {}
-}
-
-func (noEjections) draining(settings.ServiceName, []settings.UpstreamID) {}
--- a/host/snapshots.go
+++ b/host/snapshots.go
@@ -23,6 +23,13 @@
 // Current implements proxy.Snapshots.
 func (s *snapshots) Current() *settings.Snapshot { return s.current.Load() }
 
+// services calls yield for each service of the settings in force.
+func (s *snapshots) services(yield func(*settings.Service) bool) {
+	if snapshot := s.Current(); snapshot != nil {
+		snapshot.Services(yield)
+	}
+}
+
 func (s *snapshots) apply(tree *settings.Tree, revision uint64) {
 	if revision == 0 {
 		return
--- a/host/status.go
+++ b/host/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/bronzeyard/bronzeyard/fleet/ejection"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
 	"github.com/bronzeyard/bronzeyard/fleet/membership"
 	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
@@ -23,6 +24,7 @@
 	Membership membership.Status  `json:"membership"`
 	Limits     ratelimit.Status   `json:"limits"`
 	Operations idempotency.Status `json:"operations"`
+	Services   []ejection.Status  `json:"services"`
 }
 
 // Status implements admin.Fleet. Durations are encoded by encoding/json, in nanoseconds.
@@ -39,6 +41,7 @@
 		Host: h.config.HostID, DataCentre: h.config.DataCentre, Ready: h.Ready(), Leaving: h.isLeaving(),
 		InFlight: h.handler.InFlight(), Settings: h.store.Status(), Membership: h.membership.Status(),
 		Limits: h.limiter.Status(), Operations: h.operations.Status(),
+		Services: h.services.ejections.Status(),
 	}
 }
 
