Give back at once what callers that moved leave behind

Cause: demand fell by a quarter per renewal, and a slice shrank in two renewals, so most of the rate stayed at hosts that the callers had left. Change: a fall to under a quarter of at least 8 expected requests is taken as it is, and a slice without demand goes back with the next renewal, its tokens and unused borrowed tokens included. The protocol test has a command for it.

--- a/fleet/ratelimit/holder.go
+++ b/fleet/ratelimit/holder.go
@@ -113,7 +113,7 @@
 func (h *Holder) Release(now time.Time, seq uint64) Report {
 	h.Abandon(now)
 	h.expire(now)
-	returned := max(0, h.bucket.Tokens(now)+h.returning)
+	returned := max(0, h.bucket.Tokens(now)+h.borrowed+h.returning)
 	*h = NewHolder(now, h.limits)
 	return Report{Seq: seq, Returned: tokensDown(returned)}
 }
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -143,7 +143,7 @@
 		l.borrowExpiry = now.Add(BorrowLife + Margin).UnixNano()
 		return
 	}
-	freed := shareInTokens(l.burst - min(l.burst, report.Burst))
+	freed := shareInTokens(l.burst-min(l.burst, report.Burst)) + l.borrowed - min(l.borrowed, report.Borrowed)
 	l.rate = min(l.rate, report.Rate)
 	l.burst = min(l.burst, report.Burst)
 	l.borrowed = min(l.borrowed, report.Borrowed)
--- a/fleet/ratelimit/protocol_test.go
+++ b/fleet/ratelimit/protocol_test.go
@@ -133,6 +133,14 @@
 	p.requests = append(p.requests, request{from: h.id, to: owner, epoch: h.epoch, report: report})
 }
 
+// release queues a report that gives everything back.
+func (p *protocol) release(i int) {
+	h := p.hosts[i]
+	p.seq++
+	report := h.holder.Release(p.time(h), p.seq)
+	p.requests = append(p.requests, request{from: h.id, to: p.ownerAt, epoch: h.epoch, report: report})
+}
+
 // deliver handles request i at its owner. The request stays queued if it is to be delivered twice.
 func (p *protocol) deliver(i int, double bool) {
 	r := p.requests[i]
@@ -304,6 +312,7 @@
 			p.deliverAny(t, len(p.requests)-1)
 			p.receiveAny(t, len(p.answers)-1)
 		},
+		"release":       func(t *rapid.T) { p.release(host.Draw(t, "host")) },
 		"healthy round": func(t *rapid.T) { p.healthyRound(t) },
 		"deliver":       func(t *rapid.T) { p.deliverAny(t, rapid.IntRange(0, 20).Draw(t, "request")) },
 		"receive":       func(t *rapid.T) { p.receiveAny(t, rapid.IntRange(0, 20).Draw(t, "answer")) },
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -26,6 +26,10 @@
 	// demandFall is the part of the old demand that a renewal keeps when demand falls, and demandRise when it rises.
 	demandFall = 0.75
 	demandRise = 0.5
+	// clearExpected is the number of expected requests from which a fall to less than clearFall of them is no noise: the
+	// callers have moved, and the measured demand is taken as it is.
+	clearExpected = 8
+	clearFall     = 0.25
 	// leastDemand is the demand in requests per second that counts as none.
 	leastDemand = 0.02
 )
@@ -180,7 +184,13 @@
 	if c.done == nil {
 		c.done = b.done
 	}
-	report := c.holder.Report(now, seq, float64(c.demand), want)
+	var report Report
+	if c.demand == 0 && want == 0 {
+		// What nobody asks for goes back at once. Without this it would take two renewals.
+		report = c.holder.Release(now, seq)
+	} else {
+		report = c.holder.Report(now, seq, float64(c.demand), want)
+	}
 	b.entries = append(b.entries, entry{customer: customer, c: c, seq: report.Seq})
 	b.reports = append(b.reports, reportMessage(customer, &report))
 }
@@ -190,8 +200,11 @@
 	elapsed := max(time.Duration(now.UnixNano()-c.measuredAt), RenewInterval/2)
 	rate := float32(float64(c.requests) / elapsed.Seconds())
 	keep := float32(demandFall)
-	if rate > c.demand {
+	switch expected := c.demand * float32(elapsed.Seconds()); {
+	case rate > c.demand:
 		keep = demandRise
+	case expected >= clearExpected && float32(c.requests) < expected*clearFall:
+		keep = 0
 	}
 	c.demand = keep*c.demand + (1-keep)*rate
 	if c.demand < leastDemand {
