Give each refused holder its own time to ask again

Cause: an owner whose reserve was empty told all holders the time of the same next token, so all asked again at once. Change: each refusal gets the time of its own token, at most 250 ms later than the next; the queue is forgotten when the reserve has a token left.

--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -10,6 +10,10 @@
 // retryUnknown is the retry time of an answer if the reserve has no rate to tell when a token is due.
 const retryUnknown = 100 * time.Millisecond
 
+// longestTurn bounds how much longer than for the next token a holder waits for its turn, because the holders before it may
+// not come back.
+const longestTurn = 250 * time.Millisecond
+
 // longestRetry bounds the retry time of an answer, because a holder does not ask again before.
 const longestRetry = time.Second
 
@@ -34,6 +38,8 @@
 	reserve  Bucket
 	loans    []loan
 	granting bool
+	// nextTurn is the time at which the next holder that is refused may ask again.
+	nextTurn int64
 }
 
 // NewOwner returns an owner that grants at once. tokens is the level of its reserve in bursts, between 0 and 1.
@@ -206,11 +212,7 @@
 	need := report.Need - grant.Tokens
 	level := tokensDown(o.reserve.Tokens(now))
 	if level < need {
-		wait := o.reserve.TimeUntil(now, tokensOf(need))
-		if wait == never {
-			wait = retryUnknown
-		}
-		grant.RetryAfter = min(max(wait, time.Millisecond), longestRetry)
+		grant.RetryAfter = o.retryAfter(now, tokensOf(need))
 		return
 	}
 	grant.Borrowed = max(need, min(report.Want, level/2))
@@ -219,6 +221,23 @@
 	l.borrowExpiry = now.Add(BorrowLife + Margin).UnixNano()
 	o.sizeReserve(now)
 	grant.Confirm = o.borrowed() > confirmBorrowed
+	if o.reserve.tokens >= o.limits.cost() {
+		o.nextTurn = 0
+	}
+}
+
+// retryAfter returns the time after which a holder that was refused may ask again. Each refusal is given the time of its
+// own token: given the same time, all holders would ask again at once for one token.
+func (o *Owner) retryAfter(now time.Time, need float64) time.Duration {
+	wait := o.reserve.TimeUntil(now, need)
+	if wait == never || o.reserve.rate <= 0 {
+		return retryUnknown
+	}
+	turn := max(wait, time.Duration(o.nextTurn-now.UnixNano()))
+	turn = min(max(turn, time.Millisecond), max(wait, longestTurn), longestRetry)
+	perToken := time.Duration(min(o.limits.cost()/o.reserve.rate, longestTurn.Seconds()) * float64(time.Second))
+	o.nextTurn = now.Add(turn + perToken).UnixNano()
+	return turn
 }
 
 // borrowed is the part of the burst that counts as borrowed.
