--- a/emulator/local/local.go
+++ b/emulator/local/local.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -161,12 +162,19 @@
 	return configs, nil
 }
 
+// Ports of local hosts lie below the range from which Linux takes the ports of outbound connections (32768 and up), so
+// that no outbound connection of the machine takes a port between its choice and its use.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+	portTries = 200
+)
+
 // freeAddresses returns addresses on loopback for callers, peers and operators. All are held open until the last one is
 // chosen, so that they differ.
 func freeAddresses(ctx context.Context) (addresses [3]string, err error) {
-	var config net.ListenConfig
 	for i := range addresses {
-		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		listener, err := listenBelowEphemeral(ctx)
 		if err != nil {
 			return addresses, err
 		}
@@ -176,6 +184,20 @@
 	return addresses, nil
 }
 
+func listenBelowEphemeral(ctx context.Context) (net.Listener, error) {
+	var config net.ListenConfig
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := config.Listen(ctx, "tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("local: no free port: %w", last)
+}
+
 // StartHost starts a host and adds it to the fleet. The host lives until Stop or Close, independently of ctx.
 func (f *Fleet) StartHost(ctx context.Context, c *config.Config) (*Node, error) {
 	logger := f.Options.Logger.With().Str("host", c.HostID).Logger()
