--- a/host/admin/admin.go
+++ b/host/admin/admin.go
@@ -136,12 +136,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, serve func(*request) (any, error)) {
 	operator, ok := h.authenticate(r)
 	if !ok {
-		h.options.Logger.Warn().Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Msg("request of no operator refused")
-		w.Header().Set("WWW-Authenticate", "Bearer")
-		writeError(w, &apiError{
-			status: http.StatusUnauthorized,
-			Body:   ErrorBody{Error: KindUnauthorized, Message: "the request carries no valid token", Next: "send an operator's token in the header Authorization: Bearer"},
-		})
+		h.refuse(w, r)
 		return
 	}
 	answer, err := serve(&request{Request: r, operator: operator, limit: maxRequestBytes})
@@ -160,6 +155,26 @@
 	writeJSON(w, status, answer)
 }
 
+// Restrict returns a handler that passes requests of operators on to next and refuses others.
+func (h *Handler) Restrict(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := h.authenticate(r); !ok {
+			h.refuse(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request) {
+	h.options.Logger.Warn().Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Msg("request of no operator refused")
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	writeError(w, &apiError{
+		status: http.StatusUnauthorized,
+		Body:   ErrorBody{Error: KindUnauthorized, Message: "the request carries no valid token", Next: "send an operator's token in the header Authorization: Bearer"},
+	})
+}
+
 // authenticate compares with the hash of every operator's token, so that its duration depends on no token.
 func (h *Handler) authenticate(r *http.Request) (string, bool) {
 	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -109,3 +110,32 @@
 	}
 	return response.StatusCode, string(body)
 }
+
+// Guards against profiles, which show memory and with it secrets, being open to anybody who reaches the listener.
+func TestProfilesNeedAnOperator(t *testing.T) {
+	h, err := host.New(t.Context(), host.Options{
+		Config: &config.Config{
+			HostID: "mv-north-1", DataCentre: "mv-north", Cell: "main", Capacity: 1,
+			Caller: config.Listener{Listen: "127.0.0.1:0"}, Peer: config.Listener{Listen: "127.0.0.1:0"},
+			Admin: config.Admin{Listener: config.Listener{Listen: "127.0.0.1:0"}},
+		},
+		Table: memory.NewTable(), Objects: memory.NewObjectStore(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	defer func() {
+		cancel()
+		if err := errors.Join(<-done, h.Cleanup()); err != nil {
+			t.Error(err)
+		}
+	}()
+	for _, path := range []string{"/debug/pprof/heap", "/debug/pprof/profile", "/v1/settings"} {
+		if status, _ := get(t, "http://"+h.AdminAddress()+path); status != http.StatusUnauthorized {
+			t.Errorf("%s answers %d without an operator's token", path, status)
+		}
+	}
+}
--- a/host/provision.go
+++ b/host/provision.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -135,19 +136,29 @@
 	if err := h.metrics.AddGauges(h.gauges()); err != nil {
 		return err
 	}
+	operatorAPI := admin.New(admin.Options{
+		Settings: h.store, Fleet: h, Operators: operators, DataCentre: h.config.DataCentre, Clock: h.options.Clock,
+		Logger: h.options.Logger,
+	})
 	router := mux.NewRouter()
 	router.Path("/metrics").Handler(h.metrics.Handler())
 	router.Path("/healthz").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Path("/readyz").HandlerFunc(h.serveReadiness)
-	router.PathPrefix("/").Handler(admin.New(admin.Options{
-		Settings: h.store, Fleet: h, Operators: operators, DataCentre: h.config.DataCentre, Clock: h.options.Clock,
-		Logger: h.options.Logger,
-	}))
+	router.PathPrefix("/debug/pprof/").Handler(operatorAPI.Restrict(profiles()))
+	router.PathPrefix("/").Handler(operatorAPI)
 	h.adminServer = newServer(router)
 	h.adminListener, err = listen(ctx, &h.config.Admin.Listener)
 	return err
 }
 
+// profiles serves the profiles of the running process.
+func profiles() http.Handler {
+	handler := http.NewServeMux()
+	handler.HandleFunc("/debug/pprof/", pprof.Index)
+	handler.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return handler
+}
+
 func operators(configured []config.Operator) ([]admin.Operator, error) {
 	all := make([]admin.Operator, len(configured))
 	for i, operator := range configured {
