--- a/fleet/membership/cell_test.go
+++ b/fleet/membership/cell_test.go
@@ -47,19 +47,24 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cell{t: t, network: peertest.NewNetwork(1), table: memory.NewTable(), hosts: map[string]*cellHost{}, durations: durations}
+		defer c.close()
 		for i := range count {
 			c.start(fmt.Sprintf("h%02d", i))
 		}
 		c.until(30*time.Second, "all hosts are active members", func() bool { return c.complete(count) })
 		time.Sleep(3 * time.Second)
 		test(c)
-		for _, h := range c.hosts {
-			h.stop()
-		}
-		c.network.Close()
 	})
 }
 
+// close ends all goroutines of the bubble, after a failure too.
+func (c *cell) close() {
+	for _, h := range c.hosts {
+		h.stop()
+	}
+	c.network.Close()
+}
+
 // start starts a process of the host, with its peer address 10.0.0.1 for h00 and so on.
 func (c *cell) start(name string) *cellHost {
 	c.starts++
