Remember the owner of a held customer; end calls cleanly

Cause: ranking the members for every customer at every renewal allocates; a closing host did not report to new owners; WaitGroup.Add could run beside Wait. Change: held customers cache their owner per view; HandBack drops the slices and Run goes on to report that nothing is held; goroutines start through a group that is safe to stop; the free time is read from the newest view of the epoch. The benchmark of admission now uses slices whose tokens last; before, it measured borrows in part.

--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,10 @@
 // held is what this host keeps of a customer that it serves.
 type held struct {
 	holder Holder
+	// owner is the customer's owner in the view ownerIn. Ranking the members for each renewal would cost more than the rest
+	// of it.
+	owner   *fleet.Member
+	ownerIn *fleet.View
 	// blockedUntil is the time before which the owner is not asked again.
 	blockedUntil int64
 	measuredAt   int64
@@ -88,7 +93,7 @@
 	seq     atomic.Uint64
 	closing atomic.Bool
 	kick    chan struct{}
-	calls   sync.WaitGroup
+	calls   callGroup
 	// current is the view that the limiter acts on; it is replaced under viewMu.
 	current atomic.Pointer[fleet.View]
 	// viewMu is held for reading while a report is handled and for writing while the epoch changes. Admit does not use it.
@@ -118,6 +123,43 @@
 	return l
 }
 
+// callGroup counts the goroutines that make calls.
+type callGroup struct {
+	mu      sync.Mutex
+	stopped bool
+	running sync.WaitGroup
+}
+
+// start runs the function in a goroutine. After wait was called nobody waits for it: it ends by its own deadline.
+func (g *callGroup) start(call func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		go call()
+		return
+	}
+	g.running.Go(call)
+}
+
+func (g *callGroup) wait() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	g.running.Wait()
+}
+
+// ownerOf returns the customer's owner, or nil if the epoch has no active member. The customer's shard is locked.
+func (c *held) ownerOf(view *fleet.View, customer string) *fleet.Member {
+	if c.ownerIn != view {
+		c.ownerIn, c.owner = view, nil
+		if owner, ok := view.Epoch.Owner(ownerKey(customer)); ok {
+			i := slices.IndexFunc(view.Epoch.Members, func(m fleet.Member) bool { return m.Identity() == owner.Identity() })
+			c.owner = &view.Epoch.Members[i]
+		}
+	}
+	return c.owner
+}
+
 func shardIndex(customer string) uint64 { return xxhash.Sum64String(customer) % shardCount }
 
 // Admit decides on one request of a customer. It waits at most BorrowWait, only if the host's tokens are used up and the
--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -400,9 +401,11 @@
 	for i := range customers {
 		customers[i] = fmt.Sprint("customer-", i)
 		l.Admit(b.Context(), customers[i])
+		// A demand of half the rate gives a slice whose tokens outlast the benchmark.
+		l.shards[shardIndex(customers[i])].customers[customers[i]].demand = 5e8
 	}
-	l.renewAll(true)
-	l.calls.Wait()
+	l.renewAll(false)
+	l.calls.running.Wait()
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
@@ -414,3 +417,30 @@
 type fixedView struct{ view *fleet.View }
 
 func (f fixedView) View() *fleet.View { return f.view }
+
+// BenchmarkMemory reports the memory of a customer that is held and owned by one host.
+func BenchmarkMemory(b *testing.B) {
+	h := &testHost{fleet: &testFleet{limits: Limits{Rate: 1e9, Burst: 1e9}}}
+	h.member = fleet.Member{ID: "a", Incarnation: 1, Capacity: 1, State: fleet.Active}
+	view := fleet.View{Self: h.member.Identity(), Epoch: fleet.Epoch{Number: 1, Members: []fleet.Member{h.member}}}
+	view.ActiveUntil = time.Now().Add(time.Hour)
+	l := New(Options{Views: fixedView{&view}, Caller: h, Registrar: h, Clock: clock.Standard{}, Limits: h.fleet.limitsOf})
+	l.OnView(nil, &view)
+	const customers = 100_000
+	names := make([]string, customers)
+	for i := range names {
+		names[i] = fmt.Sprint("customer-", i)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		for _, name := range names {
+			l.Admit(context.Background(), name)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/customers, "B/customer")
+	runtime.KeepAlive(l)
+}
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -45,7 +45,7 @@
 func (l *Limiter) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	defer l.calls.Wait()
+	defer l.calls.wait()
 	renewAt := l.options.Clock.Now()
 	for {
 		l.followView()
@@ -71,7 +71,7 @@
 		l.OnView(current, view)
 	}
 	l.viewMu.RLock()
-	l.owned.startIfDue(l.options.Clock)
+	l.owned.startIfDue(l.options.Clock, view)
 	l.viewMu.RUnlock()
 }
 
@@ -79,7 +79,7 @@
 // host's complete report in the current epoch.
 func (l *Limiter) renewAll(renew bool) {
 	view := l.current.Load()
-	if view == nil || l.closing.Load() {
+	if view == nil {
 		return
 	}
 	due := make(map[fleet.Identity]*batch)
@@ -103,12 +103,10 @@
 			continue
 		}
 		l.renewals.Add(1)
-		l.calls.Add(1)
-		go func() {
-			defer l.calls.Done()
+		l.calls.start(func() {
 			l.exchange(b)
 			l.endRenewal(identity)
-		}()
+		})
 	}
 }
 
@@ -164,8 +162,8 @@
 				delete(s.customers, customer)
 				continue
 			}
-			owner, ok := view.Epoch.Owner(ownerKey(customer))
-			if !ok {
+			owner := c.ownerOf(view, customer)
+			if owner == nil {
 				continue
 			}
 			if b := due[owner.Identity()]; b != nil && (c.done == nil || b.complete) {
@@ -222,10 +220,7 @@
 // single returns a batch with one customer. The shard is locked.
 func (l *Limiter) single(customer string, c *held, now time.Time, want float64) *batch {
 	view := l.current.Load()
-	b := &batch{view: view}
-	if owner, ok := view.Epoch.Owner(ownerKey(customer)); ok {
-		b.owner = &owner
-	}
+	b := &batch{view: view, owner: c.ownerOf(view, customer)}
 	b.add(l.seq.Add(1), now, customer, c, want)
 	return b
 }
@@ -243,11 +238,7 @@
 	s.mu.Unlock()
 	defer s.mu.Lock()
 	if b.owner != nil && b.owner.Identity() != b.view.Self {
-		l.calls.Add(1)
-		go func() {
-			defer l.calls.Done()
-			l.exchange(b)
-		}()
+		l.calls.start(func() { l.exchange(b) })
 		return done
 	}
 	l.exchange(b)
@@ -278,9 +269,8 @@
 
 // confirm reports on a customer shortly after a borrow, when the waiting requests have taken their tokens.
 func (l *Limiter) confirm(customer string, c *held) {
-	l.calls.Add(1)
-	time.AfterFunc(confirmDelay, func() {
-		defer l.calls.Done()
+	l.calls.start(func() {
+		time.Sleep(confirmDelay)
 		s := &l.shards[shardIndex(customer)]
 		s.mu.Lock()
 		if c.done != nil || s.customers[customer] != c || l.closing.Load() {
@@ -362,7 +352,8 @@
 	b.close()
 }
 
-// HandBack returns all slices to their owners and stops admitting, for a graceful leave. It returns the context's error
+// HandBack returns all slices to their owners and stops admitting, for a graceful leave after the last request. Run goes on
+// to report to the owners of new epochs that the host holds nothing, so that they need not wait for it. It returns the context's error
 // if that ends before the owners have answered; the slices then expire.
 func (l *Limiter) HandBack(ctx context.Context) error {
 	l.closing.Store(true)
@@ -372,14 +363,12 @@
 	}
 	batches := l.releaseAll(view)
 	finished := make(chan struct{})
-	l.calls.Add(1)
-	go func() {
-		defer l.calls.Done()
+	l.calls.start(func() {
 		defer close(finished)
 		for _, b := range batches {
 			l.exchange(b)
 		}
-	}()
+	})
 	select {
 	case <-finished:
 		return nil
@@ -395,13 +384,14 @@
 		s.mu.Lock()
 		now := l.options.Clock.Now()
 		for customer, c := range s.customers {
-			owner, ok := view.Epoch.Owner(ownerKey(customer))
-			if !ok {
+			delete(s.customers, customer)
+			owner := c.ownerOf(view, customer)
+			if owner == nil {
 				continue
 			}
 			b := batches[owner.Identity()]
 			if b == nil {
-				b = &batch{view: view, owner: &owner, done: make(chan struct{})}
+				b = &batch{view: view, owner: owner, done: make(chan struct{})}
 				batches[owner.Identity()] = b
 			}
 			report := c.holder.Release(now, l.seq.Add(1))
--- a/fleet/ratelimit/serve.go
+++ b/fleet/ratelimit/serve.go
@@ -81,7 +81,7 @@
 	}
 	if request.GetComplete() {
 		l.owned.markComplete(from)
-		l.owned.startIfDue(l.options.Clock)
+		l.owned.startIfDue(l.options.Clock, l.options.Views.View())
 	}
 	return response, nil
 }
@@ -160,13 +160,16 @@
 
 // startIfDue begins to grant in the current epoch: from the free time on, and when every member has reported or the last
 // slice of a former owner has expired.
-func (o *ownedCustomers) startIfDue(c clock.Clock) {
+func (o *ownedCustomers) startIfDue(c clock.Clock, latest *fleet.View) {
 	o.mu.Lock()
 	if len(o.history) == 0 {
 		o.mu.Unlock()
 		return
 	}
 	t := o.history[len(o.history)-1]
+	if latest != nil && latest.Epoch.Number == t.view.Epoch.Number && latest.FreeAt.After(t.view.FreeAt) {
+		t.view = latest
+	}
 	now := c.Now()
 	due := t.startedAt.IsZero() && !now.Before(t.view.FreeAt) &&
 		(len(t.missing()) == 0 || !now.Before(t.lastExpiry()))
@@ -229,8 +232,7 @@
 	})
 }
 
-// OnView follows a change of the epoch or of this host's incarnation. Calls with a view of the same epoch only take over
-// its free time. The former view is not needed: the limiter compares with the view that it acted on.
+// OnView follows a change of the epoch or of this host's incarnation; other changes of the view need no call. The former view is not needed: the limiter compares with the view that it acted on.
 func (l *Limiter) OnView(_, view *fleet.View) {
 	l.viewMu.Lock()
 	former := l.current.Load()
@@ -240,11 +242,8 @@
 		l.owned.reset(view)
 	case former.Epoch.Number < view.Epoch.Number:
 		l.owned.follow(view)
-	case former.Epoch.Number == view.Epoch.Number:
-		l.viewMu.Unlock()
-		return
 	default:
-		// A view older than the one acted on carries no news.
+		// The same epoch, or an older one: startIfDue reads the free time from the newest view.
 		l.viewMu.Unlock()
 		return
 	}
