Lower the headroom of slices from 1.3 to 1.2 of the demand

Cause: what slices hold beyond the demand is lost to other hosts when callers move or a host is lost.

--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -5,7 +5,7 @@
 	// reserveShare is the least share of the rate that stays in the reserve when demand exceeds the rate.
 	reserveShare = 0.04
 	// headroom multiplies measured demand, for its noise.
-	headroom = 1.3
+	headroom = 1.2
 	// reserveBurst is the least share of the burst that slices leave in the reserve, and reserveRequests the least in
 	// requests. Without them a small burst would be lent out whole, and the reserve would lose refill for each request that
 	// borrows.
