--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -169,6 +169,20 @@
 // Excluded reports whether this incarnation was a member and no longer is, without having asked to leave.
 func (m *Machine) Excluded() bool { return m.joined && !m.departed && !m.isMember(m.Self()) }
 
+// Holder returns the peer address of the member that was heard last of those that have applied the settings revision, or ""
+// if there is none.
+func (m *Machine) Holder(revision uint64) string {
+	address := ""
+	var heardAt time.Time
+	for i := range m.epoch.Members {
+		p := m.peers[m.epoch.Members[i].Identity()]
+		if p != nil && p.applied >= revision && p.heardAt.After(heardAt) {
+			address, heardAt = m.epoch.Members[i].PeerAddress, p.heardAt
+		}
+	}
+	return address
+}
+
 // Reincarnate makes the host a new member-to-be. Acknowledgements for the former incarnation no longer count.
 func (m *Machine) Reincarnate(incarnation fleet.Incarnation, at Moment) {
 	// The former incarnation has no other process.
--- a/fleet/membership/model_test.go
+++ b/fleet/membership/model_test.go
@@ -18,6 +18,7 @@
 	stopped  bool
 	paused   bool
 	rate     float64
+	wall     time.Duration
 	noTable  bool
 	checks   []*InForceCheck
 	holds    map[string]bool
@@ -64,7 +65,7 @@
 func (w *model) at(i int) Moment {
 	h := w.hosts[i]
 	local := time.Unix(0, int64(float64(w.now.UnixNano())*h.rate))
-	return Moment{Now: local, Wall: w.now, Applied: h.applied}
+	return Moment{Now: local, Wall: w.now.Add(h.wall), Applied: h.applied}
 }
 
 // start starts a new process of the host.
--- a/fleet/membership/runtime.go
+++ b/fleet/membership/runtime.go
@@ -219,14 +219,18 @@
 	}
 }
 
-// hint reports a newer settings revision. The caller holds mu.
+// hint reports a newer settings revision, and repeats that at each heartbeat while the host is behind. from is the sender of
+// the event that brought the revision. The caller holds mu.
 func (r *Runtime) hint(from string, at Moment) {
 	revision := r.machine.Heard()
 	if r.options.OnRevisionHeard == nil || revision <= at.Applied {
 		return
 	}
-	if revision <= r.hinted && at.Now.Sub(r.hintedAt) < r.options.Heartbeat {
-		return
+	if revision <= r.hinted {
+		if at.Now.Sub(r.hintedAt) < r.options.Heartbeat {
+			return
+		}
+		from = r.machine.Holder(revision)
 	}
 	r.hinted, r.hintedAt = revision, at.Now
 	r.events = append(r.events, func() { r.options.OnRevisionHeard(revision, from) })
--- a/fleet/membership/scenario_test.go
+++ b/fleet/membership/scenario_test.go
@@ -1,6 +1,13 @@
 package membership
 
-import "testing"
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
 
 // TestScenarios guards against single faults in the rules that random sequences rarely reach. Each scenario ends in the
 // checks of the model; reached says whether it came as far as it should, so that it cannot pass by doing nothing.
@@ -117,3 +124,39 @@
 	w.check()
 	w.rounds(25)
 }
+
+// TestClockOffset guards against an offset that names the wrong host or has the wrong sign.
+func TestClockOffset(t *testing.T) {
+	w := newModel(t, modelHosts)
+	const ahead = 800 * time.Millisecond
+	w.hosts[4].wall = ahead
+	w.rounds(25)
+	for i, h := range w.hosts {
+		want := time.Duration(0)
+		if i == 4 {
+			want = ahead
+		}
+		if offset := h.machine.ClockOffset(w.at(i)); offset != want {
+			t.Errorf("clock of h%d is %v ahead of the median, want %v", i, offset, want)
+		}
+	}
+}
+
+// TestHostListHint guards against a host list that is taken as proof, or not used: a member that is not listed is suspected
+// after half the time, and not while it is heard.
+func TestHostListHint(t *testing.T) {
+	w := newModel(t, 3)
+	w.rounds(25)
+	m := w.hosts[0].machine
+	for i := range m.epoch.Members {
+		m.epoch.Members[i].PeerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1).String()
+	}
+	m.SetUnlisted(map[netip.Addr]bool{netip.AddrFrom4([4]byte{10, 0, 0, 2}): true})
+	if ids := m.Suspected(w.at(0)); len(ids) > 0 {
+		t.Errorf("suspected %v although they are heard", ids)
+	}
+	w.now = w.now.Add(time.Second)
+	if ids := m.Suspected(w.at(0)); !slices.Equal(ids, []fleet.HostID{"h1"}) {
+		t.Errorf("suspected %v after 1 s, want the one that is not listed", ids)
+	}
+}
