fleet/peer: an unfinished handler is no refusal; counters

Cause: a handler whose deadline passed could answer just before the caller's own deadline, and the caller saw ErrRefused for a call that may have had an effect. TestOutcomes failed so once ("hangs: call refused: context deadline exceeded"). Change: the status unfinished stands for a handler's error of an ended context and is ErrNoAnswer at the caller; Stats counts calls by outcome, dials and silent sessions. Conclusion: ErrRefused again means that the peer has decided.

--- a/fleet/peer/call.go
+++ b/fleet/peer/call.go
@@ -34,6 +34,12 @@
 
 // Call implements Caller. It returns ErrNotSent without a deadline on the context.
 func (t *Transport) Call(ctx context.Context, address string, method Method, req, resp proto.Message) error {
+	err := t.call(ctx, address, method, req, resp)
+	t.stats.count(err)
+	return err
+}
+
+func (t *Transport) call(ctx context.Context, address string, method Method, req, resp proto.Message) error {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return fmt.Errorf("%w: the context of a call to %q has no deadline", ErrNotSent, method)
@@ -60,6 +66,7 @@
 	}
 	err = c.wait(ctx)
 	if errors.Is(err, context.DeadlineExceeded) && s.silentSince(reads, t.options.MinSilence) {
+		t.stats.silent.Add(1)
 		// Closing waits for the session's goroutines, which the caller must not.
 		t.launch(func() { _ = s.Close() })
 	}
--- a/fleet/peer/errors.go
+++ b/fleet/peer/errors.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 )
@@ -14,6 +15,8 @@
 	StatusRefused
 	StatusNotOwner
 	StatusInactive
+	// StatusUnfinished means that the handler ended because its context did. What it has done is not known.
+	StatusUnfinished
 )
 
 // statusOf returns the status that stands for a handler's error.
@@ -25,6 +28,8 @@
 		return StatusNotOwner
 	case errors.Is(err, ErrInactive):
 		return StatusInactive
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return StatusUnfinished
 	default:
 		return StatusRefused
 	}
@@ -39,13 +44,15 @@
 		return fmt.Errorf("%w: %s", ErrNotOwner, text)
 	case StatusInactive:
 		return fmt.Errorf("%w: %s", ErrInactive, text)
+	case StatusUnfinished:
+		return fmt.Errorf("%w: %s", ErrNoAnswer, text)
 	default:
 		return fmt.Errorf("%w: %s", ErrRefused, text)
 	}
 }
 
-// RemoteError returns the error that a caller sees when a handler returns err: one of ErrNotOwner, ErrInactive and
-// ErrRefused with the text of err.
+// RemoteError returns the error that a caller sees when a handler returns err: ErrNotOwner, ErrInactive, ErrNoAnswer for
+// the error of an ended context, and else ErrRefused, with the text of err.
 func RemoteError(err error) error {
 	if err == nil {
 		return nil
--- a/fleet/peer/link.go
+++ b/fleet/peer/link.go
@@ -149,6 +149,7 @@
 
 // open dials, authenticates and starts a session.
 func (t *Transport) open(ctx context.Context, address string) (*session, error) {
+	t.stats.dials.Add(1)
 	conn, err := t.options.Dial(ctx, address)
 	if err != nil {
 		return nil, err
--- a/fleet/peer/serve.go
+++ b/fleet/peer/serve.go
@@ -149,6 +149,7 @@
 		return
 	}
 	defer s.transport.inbound.Release(length)
+	s.transport.stats.handled.Add(1)
 	resp, err := s.handle(ctx, stream, r, header)
 	s.answer(stream, resp, err)
 }
--- /dev/null
+++ b/fleet/peer/stats.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"errors"
+	"sync/atomic"
+)
+
+// Stats are counts of events since the transport was made.
+type Stats struct {
+	// Calls are the calls made to other hosts. NotSent and NoAnswer are those of them that failed with these errors, and
+	// Refused those that the called host answered with any error.
+	Calls, NotSent, NoAnswer, Refused uint64
+	// Handled are the requests of other hosts that reached a handler or were refused before it.
+	Handled uint64
+	// Dials are the attempts to connect. SilentSessions are the sessions that were closed because nothing arrived.
+	Dials, SilentSessions uint64
+}
+
+type stats struct {
+	calls, notSent, noAnswer, refused, handled, dials, silent atomic.Uint64
+}
+
+// Stats returns the counts.
+func (t *Transport) Stats() Stats {
+	s := &t.stats
+	return Stats{
+		Calls: s.calls.Load(), NotSent: s.notSent.Load(), NoAnswer: s.noAnswer.Load(), Refused: s.refused.Load(),
+		Handled: s.handled.Load(), Dials: s.dials.Load(), SilentSessions: s.silent.Load(),
+	}
+}
+
+// count counts the outcome of a call.
+func (s *stats) count(err error) {
+	s.calls.Add(1)
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrNotSent):
+		s.notSent.Add(1)
+	case errors.Is(err, ErrNoAnswer):
+		s.noAnswer.Add(1)
+	default:
+		s.refused.Add(1)
+	}
+}
--- a/fleet/peer/transport.go
+++ b/fleet/peer/transport.go
@@ -28,6 +28,8 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	stats stats
+
 	mu       sync.Mutex
 	closed   bool
 	links    map[string]*link
--- a/fleet/peer/transport_test.go
+++ b/fleet/peer/transport_test.go
@@ -62,6 +62,8 @@
 		return nil, ErrNotOwner
 	case "fails":
 		return nil, errors.New("broken")
+	case "unfinished":
+		return nil, context.DeadlineExceeded
 	case "hangs":
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -106,6 +108,7 @@
 		{"inactive", ErrInactive},
 		{"not owner", ErrNotOwner},
 		{"fails", ErrRefused},
+		{"unfinished", ErrNoAnswer},
 		{"large", ErrRefused},
 		{strings.Repeat("y", 2*limit), ErrRefused},
 		{strings.Repeat("y", 5*limit), ErrNotSent},
@@ -191,6 +194,9 @@
 	if _, err := ask(t, c, address, "x", 30*time.Second); err != nil || dials.Load() != 2 {
 		t.Fatalf("call after the silence: %v with %d dials, want success with 2", err, dials.Load())
 	}
+	if s := c.Stats(); s.Calls != 3 || s.NoAnswer != 1 || s.Dials != 2 || s.SilentSessions != 1 {
+		t.Fatalf("counts %+v, want 3 calls, 1 without an answer, 2 dials, 1 silent session", s)
+	}
 }
 
 // authority issues certificates for tests.
