fleet/membership: operator's word that hosts have ended; counters

Cause: if more than half of an epoch is lost for good and nothing answers at the lost addresses, the epoch can never change. Check: TestDeclareEnded fails when the declaration is not kept. Conclusion: two survivors of five own all keys again within 15 heartbeats of the declaration.

--- a/fleet/membership/change.go
+++ b/fleet/membership/change.go
@@ -13,6 +13,7 @@
 // readTable reads the epoch and the settings head.
 func (r *Runtime) readTable(ctx context.Context) {
 	if _, err := r.read(ctx); err != nil {
+		r.counters.tableErrors.Add(1)
 		r.options.Logger.Debug().Err(err).Msg("table read failed")
 	}
 }
@@ -40,6 +41,7 @@
 		return
 	}
 	if err := r.tryChange(ctx); err != nil {
+		r.counters.failedChanges.Add(1)
 		r.options.Logger.Debug().Err(err).Msg("epoch not changed")
 		sleep(ctx, r.options.Heartbeat)
 	}
@@ -124,6 +126,17 @@
 	}
 }
 
+// DeclareEnded takes an operator's word that the processes of the given hosts have ended and will not come back, so that they
+// are excluded without the promises of a majority. It is needed only if more than half of an epoch is lost and nothing
+// answers at the lost addresses. A wrong word can let two hosts own the same key. It returns the hosts that it did not take:
+// those that are no members, and those that are heard.
+func (r *Runtime) DeclareEnded(ids []fleet.HostID) (refused []fleet.HostID) {
+	r.options.Logger.Warn().Interface("hosts", ids).Msg("operator declares hosts as ended")
+	r.update("", func(m *Machine, at Moment) { refused = m.DeclareEnded(ids, at) })
+	kick(r.kickChange)
+	return refused
+}
+
 // inForcePoll is the interval at which members are asked whether they have applied a revision that is waited for.
 const inForcePoll = 50 * time.Millisecond
 
--- a/fleet/membership/doc.go
+++ b/fleet/membership/doc.go
@@ -28,7 +28,7 @@
 // to one process at a time. An ended member counts as having learned every epoch and as having promised every exclusion, and
 // is excluded without suspicion, so that a fleet whose processes were all restarted forms an epoch again. Hosts that are lost for good count
 // as members until a majority of the others has excluded them; if more than half of an epoch is lost for good and no process
-// answers at their addresses, the epoch cannot change.
+// answers at their addresses, the epoch cannot change until an operator calls DeclareEnded.
 //
 // # Limits
 //
--- a/fleet/membership/exchange.go
+++ b/fleet/membership/exchange.go
@@ -82,7 +82,9 @@
 	hb, sent := r.machine.Heartbeat(target, r.moment())
 	r.mu.Unlock()
 	ack := &pb.Ack{}
+	r.counters.heartbeats.Add(1)
 	if err := r.options.Caller.Call(ctx, target.Address, MethodHeartbeat, hb, ack); err != nil {
+		r.counters.lostHeartbeats.Add(1)
 		return
 	}
 	r.update(target.Address, func(m *Machine, at Moment) { m.HandleAck(sent, ack, at) })
--- a/fleet/membership/exclude.go
+++ b/fleet/membership/exclude.go
@@ -2,12 +2,28 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
 	pb "github.com/bronzeyard/bronzeyard/fleet/membership/membershippb"
 )
 
+// DeclareEnded takes an operator's word that the processes of the given hosts have ended and will not come back. It returns
+// those of them that are no silent members, which it leaves as they are.
+func (m *Machine) DeclareEnded(ids []fleet.HostID, at Moment) (refused []fleet.HostID) {
+	for _, id := range ids {
+		i := slices.IndexFunc(m.epoch.Members, func(member fleet.Member) bool { return member.ID == id })
+		if i < 0 || !m.silent(&m.epoch.Members[i], at) {
+			refused = append(refused, id)
+			continue
+		}
+		m.ended[m.epoch.Members[i].Identity()] = true
+	}
+	m.settle(at)
+	return refused
+}
+
 // SetUnlisted takes the IP numbers that the platform's host list shows as live. A member without one is suspected after
 // half the time. A nil list takes the hint back.
 func (m *Machine) SetUnlisted(live map[netip.Addr]bool) {
--- a/fleet/membership/runtime.go
+++ b/fleet/membership/runtime.go
@@ -71,6 +71,36 @@
 	// hintedAt and hinted limit the reports to OnRevisionHeard.
 	hintedAt time.Time
 	hinted   uint64
+
+	counters counters
+}
+
+// counters count events since the start of the process.
+type counters struct {
+	tableErrors, failedChanges, epochs, rejoins, heartbeats, lostHeartbeats atomic.Uint64
+}
+
+// Counters are counts of events since the start of the process.
+type Counters struct {
+	// TableErrors are periodic reads of the table that failed.
+	TableErrors uint64
+	// FailedChanges are attempts to change the epoch that did not succeed, for example because another host was first.
+	FailedChanges uint64
+	// Epochs are the epochs that the host has learned.
+	Epochs uint64
+	// Rejoins are the times that the host was excluded and joined as a new incarnation.
+	Rejoins uint64
+	// Heartbeats are the heartbeats sent, and LostHeartbeats those of them without an answer.
+	Heartbeats, LostHeartbeats uint64
+}
+
+// Counters returns the counts.
+func (r *Runtime) Counters() Counters {
+	c := &r.counters
+	return Counters{
+		TableErrors: c.tableErrors.Load(), FailedChanges: c.failedChanges.Load(), Epochs: c.epochs.Load(),
+		Rejoins: c.rejoins.Load(), Heartbeats: c.heartbeats.Load(), LostHeartbeats: c.lostHeartbeats.Load(),
+	}
 }
 
 // shownState is what decides whether a view is a change worth reporting.
@@ -187,6 +217,7 @@
 // rejoin lets an excluded host join as a new incarnation.
 func (r *Runtime) rejoin(at Moment) {
 	r.options.Logger.Warn().Uint64("epoch", r.machine.Epoch().Number).Msg("excluded from the epoch, joining as a new incarnation")
+	r.counters.rejoins.Add(1)
 	r.machine.Reincarnate(newIncarnation(), at)
 	if caller, ok := r.options.Caller.(interface{ SetIdentity(fleet.Identity) }); ok {
 		caller.SetIdentity(r.machine.Self())
@@ -205,6 +236,9 @@
 		return
 	}
 	r.shown = next
+	if last.view.Epoch.Number != view.Epoch.Number {
+		r.counters.epochs.Add(1)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 	r.options.Logger.Info().Uint64("epoch", view.Epoch.Number).Int("members", len(view.Epoch.Members)).
--- a/fleet/membership/scenario_test.go
+++ b/fleet/membership/scenario_test.go
@@ -125,6 +125,31 @@
 	w.rounds(25)
 }
 
+// TestDeclareEnded guards against a cell that stays without owners for ever after more than half of it is lost for good, and
+// against the exclusion of a host that is heard.
+func TestDeclareEnded(t *testing.T) {
+	w := newModel(t, modelHosts)
+	w.rounds(25)
+	for _, h := range w.hosts[:3] {
+		h.stopped = true
+	}
+	w.rounds(60)
+	if len(w.row.Members) != modelHosts {
+		t.Fatalf("a minority has changed the epoch: %+v", w.row)
+	}
+	refused := w.hosts[3].machine.DeclareEnded([]fleet.HostID{"h0", "h1", "h2", "h4", "h9"}, w.at(3))
+	if !slices.Equal(refused, []fleet.HostID{"h4", "h9"}) {
+		t.Fatalf("refused %v, want the host that is heard and the one that is unknown", refused)
+	}
+	w.rounds(15)
+	for i := 3; i < modelHosts; i++ {
+		view := w.hosts[i].machine.View(w.at(i))
+		if now := w.at(i).Now; len(view.Epoch.Members) != 2 || !view.ActiveAt(now) || now.Before(view.FreeAt) {
+			t.Errorf("h%d has no free keys in an epoch of two members: %+v", i, view)
+		}
+	}
+}
+
 // TestClockOffset guards against an offset that names the wrong host or has the wrong sign.
 func TestClockOffset(t *testing.T) {
 	w := newModel(t, modelHosts)
