--- /dev/null
+++ b/fleet/idempotency/operations_test.go
@@ -0,0 +1,279 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+)
+
+// network is a peer network in one process.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*testHost
+	// fate says what happens to a call: "" delivers it, "request" loses the request, "answer" loses the answer.
+	fate func(method peer.Method) string
+}
+
+// testHost is Operations on one host.
+type testHost struct {
+	*Operations
+	network  *network
+	member   fleet.Member
+	mu       sync.Mutex
+	view     *fleet.View
+	handlers map[peer.Method]peer.HandlerFunc
+	requests map[peer.Method]func() proto.Message
+	stop     context.CancelFunc
+	dead     bool
+}
+
+func (h *testHost) View() *fleet.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view
+}
+
+func (h *testHost) Handle(method peer.Method, newRequest func() proto.Message, handler peer.HandlerFunc) {
+	h.handlers[method], h.requests[method] = handler, newRequest
+}
+
+func (h *testHost) Call(ctx context.Context, address string, method peer.Method, req, resp proto.Message) error {
+	h.network.mu.Lock()
+	target, fate := h.network.hosts[address], h.network.fate(method)
+	dead := target == nil || target.dead || h.dead
+	h.network.mu.Unlock()
+	if dead || fate == "request" {
+		<-ctx.Done()
+		return peer.ErrNoAnswer
+	}
+	message := target.requests[method]()
+	proto.Merge(message, req)
+	answer, err := target.handlers[method](ctx, h.member.Identity(), message)
+	if err != nil {
+		return errors.Join(peer.ErrRefused, err)
+	}
+	if fate == "answer" {
+		<-ctx.Done()
+		return peer.ErrNoAnswer
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func newNetwork(t *testing.T, names ...string) *network {
+	n := &network{hosts: make(map[string]*testHost), fate: func(peer.Method) string { return "" }}
+	for i, name := range names {
+		h := &testHost{
+			network: n, view: &fleet.View{},
+			member:   fleet.Member{ID: fleet.HostID(name), Incarnation: fleet.Incarnation(i + 1), PeerAddress: name, Capacity: 1, State: fleet.Active},
+			handlers: make(map[peer.Method]peer.HandlerFunc), requests: make(map[peer.Method]func() proto.Message),
+		}
+		h.Operations = New(Options{Views: h, Caller: h, Registrar: h, Clock: clock.Standard{}, Logger: zerolog.Nop()})
+		ctx, stop := context.WithCancel(t.Context())
+		h.stop = stop
+		n.hosts[name] = h
+		go func() { _ = h.Run(ctx) }()
+	}
+	n.epoch(1, time.Now())
+	return n
+}
+
+// with changes the network's faults.
+func (n *network) with(fate func(peer.Method) string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fate = fate
+}
+
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name].dead = true
+}
+
+// epoch puts an epoch with all live hosts in force.
+func (n *network) epoch(number uint64, freeAt time.Time) {
+	epoch := fleet.Epoch{Number: number}
+	for _, name := range []string{"a", "b", "c"} {
+		if h, ok := n.hosts[name]; ok && !h.dead {
+			epoch.Members = append(epoch.Members, h.member)
+		}
+	}
+	for _, h := range n.hosts {
+		old := h.View()
+		current := &fleet.View{Self: h.member.Identity(), Epoch: epoch, FreeAt: freeAt, ActiveUntil: time.Now().Add(time.Hour)}
+		h.mu.Lock()
+		h.view = current
+		h.mu.Unlock()
+		h.OnView(old, current)
+	}
+}
+
+// operationOwnedBy returns a new operation whose slot belongs to the named host.
+func (n *network) operationOwnedBy(t *testing.T, name string) Operation {
+	t.Helper()
+	for serial := uint64(1); serial < 1000; serial++ {
+		key := Key{Customer: "c", ID: idAt(time.Now(), serial)}
+		if n.hosts[name].View().Owns(SlotKey(key.Slot())) {
+			return Operation{Customer: "c", ID: key.ID.String(), Deadline: time.Now().Add(2 * time.Second)}
+		}
+	}
+	t.Fatal("no slot belongs to " + name)
+	return Operation{}
+}
+
+func (n *network) close() {
+	synctest.Wait()
+	for _, h := range n.hosts {
+		h.stop()
+	}
+	time.Sleep(time.Minute) // fake time: deliveries that nobody takes end
+}
+
+func begin(h *testHost, op Operation) (Claim, errkind.Kind) {
+	op.Deadline = time.Now().Add(2 * time.Second)
+	claim, err := h.Begin(context.Background(), op)
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return claim, known.Kind
+	}
+	return claim, ""
+}
+
+// loseOnce loses the first call of a method.
+func loseOnce(method peer.Method, what string) func(peer.Method) string {
+	lost := false
+	return func(m peer.Method) string {
+		if m != method || lost {
+			return ""
+		}
+		lost = true
+		return what
+	}
+}
+
+// TestOperations guards the runtime against losing results or running operations again when calls are lost, owners die
+// or leave, and the host that runs an operation dies.
+func TestOperations(t *testing.T) {
+	done := Result{State: Done, Status: 201, Body: []byte("booked")}
+	for name, run := range map[string]func(t *testing.T, n *network, op Operation){
+		"result is replayed at another host": func(t *testing.T, n *network, op Operation) {
+			claim, _ := begin(n.hosts["b"], op)
+			claim.Complete(done)
+			synctest.Wait()
+			if again, kind := begin(n.hosts["c"], op); again.Replay == nil || string(again.Replay.Body) != "booked" {
+				t.Errorf("not replayed: %s", kind)
+			}
+			op.Fingerprint[0] = 1
+			if _, kind := begin(n.hosts["c"], op); kind != errkind.OperationMismatch {
+				t.Errorf("another request with the same id: %s", kind)
+			}
+		},
+		"lost answer is the same claim": func(t *testing.T, n *network, op Operation) {
+			n.with(loseOnce(MethodClaim, "answer"))
+			if claim, kind := begin(n.hosts["b"], op); claim.Complete == nil {
+				t.Errorf("not granted: %s", kind)
+			}
+		},
+		"lost result is repeated": func(t *testing.T, n *network, op Operation) {
+			n.with(loseOnce(MethodComplete, "request"))
+			claim, _ := begin(n.hosts["b"], op)
+			claim.Complete(done)
+			if again, kind := begin(n.hosts["c"], op); again.Replay == nil {
+				t.Errorf("not replayed: %s", kind)
+			}
+		},
+		"repeat waits for the run": func(t *testing.T, n *network, op Operation) {
+			claim, _ := begin(n.hosts["b"], op)
+			time.AfterFunc(time.Second, func() { claim.Complete(done) })
+			if again, kind := begin(n.hosts["c"], op); again.Replay == nil {
+				t.Errorf("not replayed: %s", kind)
+			}
+		},
+		"attempt that did not run is followed by another": func(t *testing.T, n *network, op Operation) {
+			claim, _ := begin(n.hosts["b"], op)
+			claim.Complete(Result{State: NotRun})
+			synctest.Wait()
+			if again, kind := begin(n.hosts["c"], op); again.Complete == nil {
+				t.Errorf("not granted: %s", kind)
+			}
+		},
+		"claim without an answer is given back": func(t *testing.T, n *network, op Operation) {
+			n.with(func(m peer.Method) string {
+				if m == MethodClaim {
+					return "answer"
+				}
+				return ""
+			})
+			if _, kind := begin(n.hosts["b"], op); kind != errkind.OperationNotOwned {
+				t.Errorf("got %q", kind)
+			}
+			synctest.Wait()
+			n.with(func(peer.Method) string { return "" })
+			if claim, kind := begin(n.hosts["c"], op); claim.Complete == nil {
+				t.Errorf("not granted: %s", kind)
+			}
+		},
+		"host dies between claim and result": func(t *testing.T, n *network, op Operation) {
+			_, _ = begin(n.hosts["b"], op)
+			time.Sleep(time.Second)
+			if _, kind := begin(n.hosts["c"], op); kind != errkind.OutcomeUnknown {
+				t.Errorf("got %q", kind)
+			}
+		},
+		"owner is lost": func(t *testing.T, n *network, op Operation) {
+			claim, _ := begin(n.hosts["b"], op)
+			claim.Complete(done)
+			synctest.Wait()
+			n.kill("a")
+			n.epoch(2, time.Now().Add(freeTime))
+			if _, kind := begin(n.hosts["b"], op); kind != errkind.OperationNotOwned && kind != errkind.OutcomeUnknown {
+				t.Errorf("right after the loss: %q", kind)
+			}
+			time.Sleep(10 * time.Second)
+			if _, kind := begin(n.hosts["b"], op); kind != errkind.OutcomeUnknown {
+				t.Errorf("repeat: %q", kind)
+			}
+			fresh := op
+			fresh.ID = idAt(time.Now(), 1<<20).String()
+			if claim, kind := begin(n.hosts["c"], fresh); claim.Complete == nil {
+				t.Errorf("new operation: %s", kind)
+			}
+		},
+		"owner leaves": func(t *testing.T, n *network, op Operation) {
+			claim, _ := begin(n.hosts["b"], op)
+			claim.Complete(done)
+			synctest.Wait()
+			n.with(loseOnce(MethodTransfer, "answer"))
+			n.hosts["a"].member.State = fleet.Leaving
+			n.epoch(2, time.Now().Add(time.Hour))
+			if err := n.hosts["a"].HandOver(context.Background()); err != nil {
+				t.Error(err)
+			}
+			n.kill("a")
+			n.epoch(3, time.Now().Add(time.Hour))
+			if again, kind := begin(n.hosts["c"], op); again.Replay == nil {
+				t.Errorf("not replayed: %s", kind)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, "a", "b", "c")
+				defer n.close()
+				run(t, n, n.operationOwnedBy(t, "a"))
+			})
+		})
+	}
+}
--- a/traffic/proxy/collaborators.go
+++ b/traffic/proxy/collaborators.go
@@ -97,3 +97,5 @@
 type Operations interface {
 	Begin(ctx context.Context, operation idempotency.Operation) (idempotency.Claim, error)
 }
+
+var _ Operations = (*idempotency.Operations)(nil)
