--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -86,6 +86,9 @@
 // ctx if that ends first.
 func (h *Handler) Drain(ctx context.Context) error { return h.inflight.drain(ctx) }
 
+// CloseIdle closes the idle connections to upstreams.
+func (h *Handler) CloseIdle() { h.options.Forwarder.CloseIdle() }
+
 // exchange is the state of one request.
 type exchange struct {
 	h        *Handler
@@ -101,9 +104,9 @@
 	request  *forward.Request
 	body     *streamedBody // the caller's body if it is streamed
 	bodyRead bool          // the caller's body was read to its end before the first attempt
+	decided  bool          // the owner of the operation has answered the claim
 	tried    []settings.UpstreamID
 	reserved int64 // bytes of the buffer budget
-	claimed  bool  // the ledger granted the operation to this request
 	event    Event
 }
 
@@ -250,25 +253,10 @@
 	return !x.policy.Idempotent && x.r.Header.Get(OperationIDHeader) != ""
 }
 
-// saysTooMuch reports whether "not run" would be said without knowledge of earlier attempts with the same operation id,
-// which may have run.
-func (x *exchange) saysTooMuch(kind errkind.Kind) bool {
-	if x.claimed || x.policy.Idempotent || x.r.Header.Get(OperationIDHeader) == "" {
-		return false
-	}
-	switch kind {
-	case errkind.HostInactive, errkind.ShuttingDown, errkind.Misdirected, errkind.KeyInvalid, errkind.RequestTooLarge,
-		errkind.Overloaded, errkind.DeadlineNotRun:
-		return true
-	default:
-		return false
-	}
-}
-
 // refuse answers with an error of the host.
 func (x *exchange) refuse(e *errkind.Error) {
-	if x.saysTooMuch(e.Kind) {
-		e = &errkind.Error{Kind: e.Kind, RetryAfter: e.RetryAfter, Cause: e.Cause, Outcome: errkind.Unknown}
+	if e.Outcome == "" && errkind.Table(e.Kind).Outcome == errkind.NotRun && x.mayRepeatOperation() {
+		e = &errkind.Error{Kind: e.Kind, RetryAfter: e.RetryAfter, Outcome: errkind.Unknown, Cause: e.Cause}
 	}
 	x.event.Kind, x.event.Cause = e.Kind, e.Cause
 	x.event.Status = errkind.Table(e.Kind).Status
@@ -277,6 +265,16 @@
 	x.observe()
 }
 
+// mayRepeatOperation reports whether the request may repeat an operation that ran earlier. Before the operation's owner
+// has answered, a refusal of such a request must not say that the operation did not run.
+func (x *exchange) mayRepeatOperation() bool {
+	idempotent := settings.IsIdempotentMethod(x.r.Method)
+	if x.route != nil {
+		idempotent = x.policy.Idempotent
+	}
+	return !idempotent && !x.decided && x.r.Header.Get(OperationIDHeader) != ""
+}
+
 func (x *exchange) observe() {
 	x.event.Total = time.Since(x.start)
 	x.h.options.Observe(x.event)
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -65,13 +66,13 @@
 		operation.Customer = x.customer.ID
 	}
 	claim, err := x.h.options.Operations.Begin(ctx, operation)
+	x.decided = true
 	switch {
 	case err != nil:
 		x.refuse(asKind(err, errkind.OutcomeUnknown))
 	case claim.Replay != nil:
 		x.replay(claim.Replay)
 	default:
-		x.claimed = true
 		x.runClaimed(claim.Complete)
 	}
 }
@@ -139,7 +140,7 @@
 // runOnce makes the attempt. Only attempts without a connection are followed by another, at another upstream. The
 // request runs to its deadline if its caller goes away after it was sent.
 func (x *exchange) runOnce() (*try, func(), *errkind.Error) {
-	if x.claimed {
+	if x.decided {
 		if refusal := x.takeToken(); refusal != nil {
 			return nil, nil, refusal
 		}
@@ -229,7 +230,7 @@
 		result.BodyLost = true
 		return result
 	}
-	result.Body = answer.Body
+	result.Body = bytes.Clone(answer.Body) // the answer's buffer may be much larger than the body
 	return result
 }
 
