Let a new owner of a rate grant as soon as it knows all that is lent

Cause: after a join, customers whose owner moved were refused until the free time (2 s), because nothing could be granted earlier; at the start of a fleet, every customer was. Ruled out: slices that expire (10 s) and lost reports (all had arrived). Change: views state the free time that is due to removals alone; complete reports carry it and the end of loans to guests; an owner that has every member's complete report of the epoch starts when these have passed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,6 +144,10 @@
 	ActiveUntil time.Time
 	// FreeAt is the time from which what excluded members of earlier epochs held is free, on the host's lease clock.
 	FreeAt time.Time
+	// RemovalFreeAt is FreeAt as far as it is due to hosts that were removed from the fleet. Where only joins separate the
+	// epochs and all members are known to have the newest one, nothing is held under an older epoch after this time.
+	// The zero time stands for FreeAt.
+	RemovalFreeAt time.Time
 	// LearnedAt is the time at which the host learned this epoch, on its lease clock.
 	LearnedAt time.Time
 }
--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -120,7 +120,10 @@
 	lastTick  time.Time
 
 	activeUntil, learnedAt, freeAt time.Time
-	settled                        bool
+	// removalFreeAt is the part of freeAt that is due to removed hosts. It follows freeAt while removal is true.
+	removalFreeAt time.Time
+	removal       bool
+	settled       bool
 	// joined is true once this incarnation has been a member of a known epoch, everJoined once this process has.
 	joined, everJoined bool
 	// departed is true once the host has ended its part: it is not active and acknowledges nobody.
@@ -215,6 +218,7 @@
 	if e == nil || e.Number <= m.epoch.Number {
 		return
 	}
+	m.noteRemoval(e, at)
 	m.epoch = *e
 	m.learnedAt = at.Now
 	m.settled = false
@@ -235,6 +239,28 @@
 	m.settle(at)
 }
 
+// noteRemoval decides whether the change to the epoch e may have removed a host. A host that skips an epoch cannot tell,
+// because a member may have come and gone in between.
+func (m *Machine) noteRemoval(e *epochState, at Moment) {
+	if m.removal && !m.settled {
+		// The proposer of e knew that the current epoch was settled, but this host did not yet.
+		m.removalFreeAt = laterOf(m.removalFreeAt, at.Now.Add(m.durations.outlast()))
+	}
+	m.removal = e.Number != m.epoch.Number+1
+	for i := range m.epoch.Members {
+		if _, stays := e.Member(m.epoch.Members[i].Identity()); !stays {
+			m.removal = true
+		}
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // track keeps a state for each other member of the epoch and of the one before.
 func (m *Machine) track(at Moment) {
 	peers := make(map[fleet.Identity]*peerState, len(m.epoch.Members))
@@ -297,6 +323,9 @@
 	if t.After(m.freeAt) {
 		m.freeAt = t
 	}
+	if m.removal {
+		m.removalFreeAt = laterOf(m.removalFreeAt, t)
+	}
 }
 
 func (m *Machine) hear(revision uint64) { m.heard = max(m.heard, revision) }
@@ -328,6 +357,14 @@
 	}
 	return &fleet.View{
 		Self: m.Self(), Epoch: m.epoch.Epoch, Guest: !m.isMember(m.Self()),
-		ActiveUntil: m.activeUntil, FreeAt: m.freeAt, LearnedAt: m.learnedAt,
+		ActiveUntil: m.activeUntil, FreeAt: m.freeAt, RemovalFreeAt: m.reportedRemovalFreeAt(at), LearnedAt: m.learnedAt,
+	}
+}
+
+// reportedRemovalFreeAt is never the zero time, which would stand for FreeAt.
+func (m *Machine) reportedRemovalFreeAt(at Moment) time.Time {
+	if m.removalFreeAt.IsZero() {
+		return at.Now.Add(-time.Nanosecond)
 	}
+	return m.removalFreeAt
 }
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -249,6 +249,9 @@
 // exchange makes the call of a batch and applies its answer.
 func (l *Limiter) exchange(b *batch) {
 	request := &ratelimitpb.RenewSharesRequest{Epoch: b.view.Epoch.Number, Complete: b.complete, Reports: b.reports}
+	if b.complete {
+		l.owned.freeTimes(l.options.Views.View(), l.options.Clock.Now(), request)
+	}
 	response, err := l.call(b, request)
 	if err == nil && len(response.GetGrants()) != len(b.entries) {
 		err = peer.ErrRefused
--- a/fleet/ratelimit/serve.go
+++ b/fleet/ratelimit/serve.go
@@ -27,6 +27,10 @@
 	view *fleet.View
 	// complete are the members whose complete report has arrived.
 	complete map[fleet.Identity]bool
+	// removalFreeAt is the earliest time for which a member vouches that removed hosts hold nothing; zero if none has.
+	removalFreeAt time.Time
+	// guestFreeAt is the latest time at which what a member has lent to guests expires.
+	guestFreeAt time.Time
 	// startedAt is the time from which new grants are allowed; the zero time before.
 	startedAt time.Time
 }
@@ -44,6 +48,8 @@
 	mu sync.Mutex
 	// history holds epochs with consecutive numbers, the newest last.
 	history []*tenure
+	// guestLoansEnd is the time at which the last loan to a guest has expired.
+	guestLoansEnd time.Time
 }
 
 func (o *ownedCustomers) init() {
@@ -80,7 +86,7 @@
 		return nil, err
 	}
 	if request.GetComplete() {
-		l.owned.markComplete(from)
+		l.owned.markComplete(from, l.options.Clock.Now(), request)
 		l.owned.startIfDue(l.options.Clock, l.options.Views.View())
 	}
 	return response, nil
@@ -127,6 +133,7 @@
 	if _, isMember := current.Epoch.Member(from); !isMember {
 		// What a guest holds must end with the lender's lease, so that a new owner need not know of it.
 		life = min(life, leaseEnd.Sub(now))
+		l.owned.lentToGuest(now.Add(life + Margin))
 	}
 	return owner.Handle(now, from, reportOf(message), life), nil
 }
@@ -152,14 +159,61 @@
 	return NewOwner(now, limits, min(1, limits.refill()*max(0, now.Sub(since).Seconds())))
 }
 
-func (o *ownedCustomers) markComplete(from fleet.Identity) {
+func (o *ownedCustomers) markComplete(from fleet.Identity, now time.Time, request *ratelimitpb.RenewSharesRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.history[len(o.history)-1].complete[from] = true
+	t := o.history[len(o.history)-1]
+	t.complete[from] = true
+	removalFreeAt := now.Add(time.Duration(request.GetRemovalFreeMs()) * time.Millisecond)
+	if t.removalFreeAt.IsZero() || removalFreeAt.Before(t.removalFreeAt) {
+		t.removalFreeAt = removalFreeAt
+	}
+	guestFreeAt := now.Add(time.Duration(request.GetGuestFreeMs()) * time.Millisecond)
+	if guestFreeAt.After(t.guestFreeAt) {
+		t.guestFreeAt = guestFreeAt
+	}
+}
+
+// lentToGuest notes the time at which a loan to a guest expires.
+func (o *ownedCustomers) lentToGuest(expiry time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if expiry.After(o.guestLoansEnd) {
+		o.guestLoansEnd = expiry
+	}
+}
+
+// freeTimes fills in what a complete report states beside the slices.
+func (o *ownedCustomers) freeTimes(view *fleet.View, now time.Time, request *ratelimitpb.RenewSharesRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	removalFreeAt := view.RemovalFreeAt
+	if removalFreeAt.IsZero() {
+		removalFreeAt = view.FreeAt
+	}
+	request.RemovalFreeMs = remainingMs(removalFreeAt, now)
+	request.GuestFreeMs = remainingMs(o.guestLoansEnd, now)
+}
+
+// remainingMs is the time until t in whole milliseconds, rounded up.
+func remainingMs(t, now time.Time) uint32 {
+	return uint32(max(0, t.Sub(now)+time.Millisecond-1) / time.Millisecond)
+}
+
+// due reports whether new grants are allowed. All members have reported their slices in this epoch, so none acts in an
+// older one, and what removed hosts and guests held has ended: then the owner knows all that is lent. Otherwise it waits for
+// the free time, and for every member's report or the expiry of the last slice of a former owner.
+func (t *tenure) due(now time.Time) bool {
+	if !t.startedAt.IsZero() {
+		return false
+	}
+	if len(t.missing()) == 0 {
+		return !now.Before(t.removalFreeAt) && !now.Before(t.guestFreeAt) || !now.Before(t.view.FreeAt)
+	}
+	return !now.Before(t.view.FreeAt) && !now.Before(t.lastExpiry())
 }
 
-// startIfDue begins to grant in the current epoch: from the free time on, and when every member has reported or the last
-// slice of a former owner has expired.
+// startIfDue begins to grant in the current epoch when that is due.
 func (o *ownedCustomers) startIfDue(c clock.Clock, latest *fleet.View) {
 	o.mu.Lock()
 	if len(o.history) == 0 {
@@ -171,8 +225,7 @@
 		t.view = latest
 	}
 	now := c.Now()
-	due := t.startedAt.IsZero() && !now.Before(t.view.FreeAt) &&
-		(len(t.missing()) == 0 || !now.Before(t.lastExpiry()))
+	due := t.due(now)
 	if due {
 		t.startedAt = now
 	}
--- /dev/null
+++ b/fleet/ratelimit/start_test.go
@@ -0,0 +1,60 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit/ratelimitpb"
+)
+
+// Guards against a new owner that grants while another host may still spend what it holds under an older epoch, and against
+// one that makes customers wait for the free time although nobody can hold anything.
+func TestStartOfGrantsAfterAnEpochChange(t *testing.T) {
+	learned := time.Unix(1000, 0)
+	freeAt := learned.Add(2 * time.Second)
+	a, b := fleet.Identity{ID: "a", Incarnation: 1}, fleet.Identity{ID: "b", Incarnation: 2}
+	view := &fleet.View{
+		Epoch: fleet.Epoch{Number: 7, Members: []fleet.Member{
+			{ID: a.ID, Incarnation: a.Incarnation, State: fleet.Active},
+			{ID: b.ID, Incarnation: b.Incarnation, State: fleet.Active},
+		}},
+		LearnedAt: learned, FreeAt: freeAt,
+	}
+	type report struct {
+		from                fleet.Identity
+		removalMs, guestsMs uint32
+	}
+	cases := []struct {
+		name    string
+		reports []report
+		want    time.Duration // after learned
+	}{
+		{"nobody has reported", nil, 2*time.Second + SliceLife + Margin},
+		{"one member is silent", []report{{a, 0, 0}}, 2*time.Second + SliceLife + Margin},
+		{"joins only", []report{{a, 0, 0}, {b, 0, 0}}, 0},
+		{"a removal that one member has seen the end of", []report{{a, 2000, 0}, {b, 1200, 0}}, 1200 * time.Millisecond},
+		{"loan to a guest", []report{{a, 0, 0}, {b, 0, 1300}}, 1300 * time.Millisecond},
+		{"free time before the removal's", []report{{a, 5000, 0}, {b, 5000, 0}}, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var owned ownedCustomers
+			owned.init()
+			owned.reset(view)
+			for _, r := range c.reports {
+				owned.markComplete(r.from, learned, &ratelimitpb.RenewSharesRequest{
+					RemovalFreeMs: r.removalMs, GuestFreeMs: r.guestsMs,
+				})
+			}
+			current := owned.history[0]
+			due := learned.Add(c.want)
+			if c.want > 0 && current.due(due.Add(-time.Millisecond)) {
+				t.Errorf("grants before %s", c.want)
+			}
+			if !current.due(due) {
+				t.Errorf("does not grant at %s", c.want)
+			}
+		})
+	}
+}
