Test the limiter's runtime under random faults

Cause: the protocol test has the start and epoch rules in its own model; the runtime's were tested with few faults. Change: four processes, their replacements and their former processes under saturating load; calls are lost, doubled and late, epochs are learned late. The test fleet waits for calls that nobody waits for. It does not notice granting before all members have reported, because a late member's first report corrects it within milliseconds; TestOwnerAfterGap and TestProtocolBound notice that. Conclusion: no fault found in the runtime.

--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -25,6 +25,16 @@
 	recorded []Admission
 	cancel   context.CancelFunc
 	stopped  sync.WaitGroup
+	// faults, if set, disturb the calls.
+	faults *faults
+	// former are the processes that were replaced.
+	former []*testHost
+}
+
+func (f *testFleet) host(i int) *testHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[i]
 }
 
 // testHost implements fleet.ViewSource, peer.Caller and peer.Registrar for one host.
@@ -51,13 +61,17 @@
 
 func (h *testHost) Call(ctx context.Context, address string, _ peer.Method, req, resp proto.Message) error {
 	const latency = time.Millisecond
-	for _, to := range h.fleet.hosts {
+	for i := range h.fleet.hosts {
+		to := h.fleet.host(i)
 		if to.member.PeerAddress != address {
 			continue
 		}
 		h.fleet.mu.Lock()
-		cut := h.cut || to.cut
+		cut, faulty := h.cut || to.cut, h.fleet.faults != nil
 		h.fleet.mu.Unlock()
+		if faulty {
+			return h.callWithFaults(ctx, to, req, resp)
+		}
 		if cut {
 			<-ctx.Done()
 			return peer.ErrNoAnswer
@@ -115,6 +129,8 @@
 func (f *testFleet) stop() {
 	f.cancel()
 	f.stopped.Wait()
+	// Calls that nobody waits for end by their deadline.
+	time.Sleep(time.Second)
 }
 
 // exclude issues the next epoch without a host, whose lease ends.
@@ -162,7 +178,7 @@
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
 		for _, host := range hosts {
 			requests.Go(func() {
-				decision := f.hosts[host].limiter.Admit(context.Background(), customer)
+				decision := f.host(host).limiter.Admit(context.Background(), customer)
 				mu.Lock()
 				defer mu.Unlock()
 				counts[decision.Reason]++
