Test each rule of slot ownership; strip keys from header names without regard to case

A table now covers each rule by which an owner starts and what it trusts. A key within a header name reached the upstream in another case, since names are canonicalised on arrival.

--- /dev/null
+++ b/fleet/idempotency/slot_test.go
@@ -0,0 +1,101 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+var (
+	hostA = fleet.Identity{ID: "a", Incarnation: 1}
+	hostB = fleet.Identity{ID: "b", Incarnation: 2}
+)
+
+// ledgerIn returns the ledger of hostB in a fleet with hostA, with the given slot history: for each epoch from 1 on
+// whether hostB owns all slots; "-" is an epoch that it does not learn.
+func ledgerIn(history string, freeAt time.Time) *Ledger {
+	l := NewLedger(1 << 20)
+	for i, state := range history {
+		if state == '-' {
+			continue
+		}
+		view := &fleet.View{Self: hostB, FreeAt: freeAt, Epoch: fleet.Epoch{Number: uint64(i + 1), Members: []fleet.Member{
+			{ID: hostA.ID, Incarnation: hostA.Incarnation}, {ID: hostB.ID, Incarnation: hostB.Incarnation},
+		}}}
+		l.EnterEpoch(at(0), view, func(int) bool { return state == 'B' })
+	}
+	return l
+}
+
+// at is the moment d after origin.
+func at(d time.Duration) Moment {
+	t := origin.Add(d)
+	return Moment{Now: t, Wall: t, WallAfter: t, ClockOK: true}
+}
+
+// TestOwnershipRules guards each rule by which an owner starts to serve a slot and trusts what it was handed over. The
+// operation's id has the time of origin plus idTime; the claim is made 5 s after origin.
+func TestOwnershipRules(t *testing.T) {
+	key := func(idTime time.Duration) Key { return Key{Customer: "c", ID: idAt(origin.Add(idTime), 1)} }
+	handOver := func(l *Ledger, state State, version uint64, reports ...Report) {
+		k := key(0)
+		record := TransferredRecord{Key: k, Result: Result{State: state, Status: 200}, Version: version, Remaining: time.Hour}
+		l.Accept(at(0), l.epoch, &Transfer{Slot: k.Slot(), Records: []TransferredRecord{record}, Reports: reports})
+	}
+	served := func(through uint64) Report { return Report{Through: through, Served: true} }
+	release := func(l *Ledger) { l.Release(hostA, l.epoch) }
+	for _, c := range []struct {
+		name    string
+		history string
+		freeAt  time.Duration
+		prepare func(l *Ledger)
+		idTime  time.Duration
+		want    Verdict
+	}{
+		{"first epoch", "B", 0, func(*Ledger) {}, 0, Granted},
+		{"not the owner", "A", 0, func(*Ledger) {}, 0, NotOwner},
+		{"nothing is known of the former owner", "AB", 0, func(*Ledger) {}, 0, NotOwner},
+		{"former owner has reported", "AB", time.Hour, func(l *Ledger) { handOver(l, NotRun, 1, served(1)) }, 0, Granted},
+		{"former owner's result", "AB", time.Hour, func(l *Ledger) { handOver(l, Done, 1, served(1)) }, 0, Replayed},
+		{"former owner's run", "AB", time.Hour, func(l *Ledger) { handOver(l, Running, 1, served(1)) }, 0, Wait},
+		{"report of an older owner", "AAB", time.Hour, func(l *Ledger) { handOver(l, NotRun, 1, served(1)) }, 0, NotOwner},
+		{"report by way of a pending owner", "AAB", time.Hour, func(l *Ledger) {
+			handOver(l, NotRun, 1, served(1), Report{Through: 2, Need: 1})
+		}, 0, Granted},
+		{"free time has not come", "AB", time.Hour, release, 0, NotOwner},
+		{"vouches only from the start", "AB", 0, release, 0, Refused},
+		{"id within the allowance and the clock error", "AB", 0, release, 2999 * time.Millisecond, Refused},
+		{"id after the allowance and the clock error", "AB", 0, release, 3001 * time.Millisecond, Granted},
+		{"older owner's records are not trusted", "AAB", 0, func(l *Ledger) {
+			handOver(l, NotRun, 1, served(1))
+			release(l)
+		}, 0, Refused},
+		{"older owner's result is true", "AAB", 0, func(l *Ledger) {
+			handOver(l, Done, 1, served(1))
+			release(l)
+		}, 0, Replayed},
+		{"newer version replaces an older one", "AAB", time.Hour, func(l *Ledger) {
+			handOver(l, NotRun, 1)
+			handOver(l, Done, 2, served(2))
+		}, 0, Replayed},
+		{"older version comes late", "AAB", time.Hour, func(l *Ledger) {
+			handOver(l, Done, 2)
+			handOver(l, NotRun, 1, served(2))
+		}, 0, Replayed},
+		{"record that did not run comes after the start", "AB", 0, func(l *Ledger) {
+			release(l)
+			l.Tick(at(0))
+			handOver(l, NotRun, 1)
+		}, 0, Refused},
+		{"another host may have owned the slot in a missed epoch", "B-B", time.Hour, func(*Ledger) {}, 0, NotOwner},
+		{"uninterrupted ownership", "BBB", time.Hour, func(*Ledger) {}, 0, Granted},
+	} {
+		l := ledgerIn(c.history, origin.Add(c.freeAt))
+		c.prepare(l)
+		l.Tick(at(0))
+		if got := l.Claim(at(5*time.Second), ClaimRequest{Key: key(c.idTime), Attempt: idAt(origin, 9)}); got.Verdict != c.want {
+			t.Errorf("%s: verdict %d (%s), want %d", c.name, got.Verdict, got.Kind, c.want)
+		}
+	}
+}
--- a/traffic/forward/credential.go
+++ b/traffic/forward/credential.go
@@ -91,7 +91,7 @@
 	delete(header, apiKeyHeader)
 	stripCookies(header, keys)
 	for name, values := range header {
-		if ContainsKey(name, keys) {
+		if nameHoldsKey(name, keys) {
 			delete(header, name)
 			continue
 		}
@@ -107,6 +107,13 @@
 	}
 }
 
+// nameHoldsKey reports whether a header's name holds a key. Names have lost the case in which the caller wrote them.
+func nameHoldsKey(name string, keys []string) bool {
+	return slices.ContainsFunc(keys, func(key string) bool {
+		return len(key) >= minSearchedKey && len(name) >= len(key) && strings.Contains(strings.ToLower(name), strings.ToLower(key))
+	})
+}
+
 // stripCookies drops the cookies that are named like the key's parameter or that hold a key; other cookies stay.
 func stripCookies(header http.Header, keys []string) {
 	lines, ok := header["Cookie"]
