Send more requests that may be retried to suspects

Cause: at 5 requests/s five bad samples take over a second, and the tail waits for the next samples. Change: grants name up to two suspects (two bad samples in a row); the balancer sends each an additional request each 120 ms over all hosts, spread by a random phase. Seen to fail when broken: phase, interval, bound on suspects, suspicion without evidence.

--- a/bench/upstreambench/fleet.go
+++ b/bench/upstreambench/fleet.go
@@ -23,6 +23,8 @@
 	FleetWide Mode = "fleet-wide"
 	// FleetRoundRobin is fleet-wide ejection with round robin.
 	FleetRoundRobin Mode = "fleet-wide, round robin"
+	// FleetHedged is FleetWide with a second attempt once the first has passed the slow bound.
+	FleetHedged Mode = "fleet-wide, hedged"
 	// NoEjection is two choices without ejection.
 	NoEjection Mode = "no ejection"
 	// Consecutive ejects on each host alone after five failures in a row for 30 s, with round robin.
@@ -129,7 +131,9 @@
 }
 
 // ejects reports whether the mode uses the arbiter.
-func (w *world) ejects() bool { return w.mode == FleetWide || w.mode == FleetRoundRobin }
+func (w *world) ejects() bool {
+	return w.mode == FleetWide || w.mode == FleetRoundRobin || w.mode == FleetHedged
+}
 
 // tick sends a digest; the arbiter's answer comes two messages later.
 func (h *host) tick() {
@@ -202,7 +206,7 @@
 		return 0
 	}
 	if h.w.ejects() {
-		return h.set.Weight(id)
+		return ejection.Sampling{Set: h.set}.Weight(id)
 	}
 	return 1
 }
--- a/bench/upstreambench/request.go
+++ b/bench/upstreambench/request.go
@@ -28,6 +28,9 @@
 		r := &request{host: h, number: w.results.requests, start: w.sim.now, open: make(map[int]func())}
 		w.sim.after(deadline, r.expire)
 		r.attempt()
+		if bound := h.detector.Bound(); w.mode == FleetHedged {
+			w.sim.after(bound, func() { r.hedge(bound) })
+		}
 		w.scheduleArrival()
 	})
 }
@@ -94,16 +97,29 @@
 		r.cancelOpen()
 		return
 	}
-	state := retry.Request{
-		Idempotent: true, Attempts: len(r.tried), MaxAttempts: maxAttempts, Remaining: r.start.Add(deadline).Sub(w.sim.now),
-		Expected: medianLatency, OtherUpstream: len(r.tried) < len(w.order),
-	}
-	if (retry.Policy{}).Retry(w.sim.now, state, h.budget) {
+	if (retry.Policy{}).Retry(w.sim.now, r.state(), h.budget) {
 		w.results.retries++
 		r.attempt()
 	}
 }
 
+func (r *request) state() retry.Request {
+	return retry.Request{
+		Idempotent: true, Attempts: len(r.tried), MaxAttempts: maxAttempts,
+		Remaining: r.start.Add(deadline).Sub(r.host.w.sim.now), Expected: medianLatency,
+		OtherUpstream: len(r.tried) < len(r.host.w.order),
+	}
+}
+
+// hedge starts a second attempt if the first one is open for longer than the slow bound.
+func (r *request) hedge(after time.Duration) {
+	h, now := r.host, r.host.w.sim.now
+	if !r.answered && (retry.Policy{HedgeAfter: after}).Hedge(now, r.state(), after, h.budget) {
+		h.w.results.retries++
+		r.attempt()
+	}
+}
+
 // expire ends the request at its deadline.
 func (r *request) expire() {
 	r.cancelOpen()
--- a/bench/upstreambench/run.go
+++ b/bench/upstreambench/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -108,10 +109,10 @@
 	deployment deployment
 }
 
-// modes returns the modes to measure, of which the first is the project's own.
+// modes returns the modes to measure.
 func (r *runner) modes(all ...Mode) []Mode {
 	if r.options.SkipBaselines {
-		return all[:1]
+		return slices.DeleteFunc(all, func(m Mode) bool { return m != FleetWide && m != FleetHedged })
 	}
 	return all
 }
@@ -226,7 +227,7 @@
 func (r *runner) sickUpstreams(report *Report) {
 	for _, fault := range []Fault{Slow, Hang, Fail, FailHalf, Flapping} {
 		for sick := 1; sick <= 2; sick++ {
-			for _, mode := range r.modes(FleetWide, NoEjection, Consecutive) {
+			for _, mode := range r.modes(FleetWide, FleetHedged, NoEjection, Consecutive) {
 				var requests, inTime int
 				for i, upstreams := range r.deployment.upstreams {
 					w := r.world(mode, upstreams, r.options.Seed+uint64(100+i))
--- a/fleet/ejection/arbiter.go
+++ b/fleet/ejection/arbiter.go
@@ -30,6 +30,10 @@
 	// drainMemory is how long a drain sign is believed after a host last reported it.
 	drainMemory = 5 * time.Second
 	probeAfter  = time.Second
+	// suspicion is the part of the threshold from which hosts send more requests to an upstream: two bad samples in a row.
+	suspicion = 0.4
+	// mostSuspects bounds the upstreams of a service that get such requests at once.
+	mostSuspects = 2
 )
 
 // ArbiterOptions configure the test of an Arbiter.
@@ -243,6 +247,9 @@
 		if s.draining(now) {
 			grant.Draining = append(grant.Draining, string(s.id))
 		}
+		if a.isSuspect(now, s) && len(grant.Suspects) < mostSuspects {
+			grant.Suspects = append(grant.Suspects, string(s.id))
+		}
 		if s.state == inUse || (s.hosts != nil && !s.hosts[to]) {
 			continue
 		}
@@ -258,6 +265,12 @@
 	return grant
 }
 
+// isSuspect reports whether more samples of the upstream are wanted.
+func (a *Arbiter) isSuspect(now time.Time, s *subject) bool {
+	return s.state == inUse && !s.leaving && !s.draining(now) && s.ratio.value >= suspicion*a.options.Threshold &&
+		a.medianRate() < serviceSick
+}
+
 // permille is the unit of weights in messages.
 const permille = 1000
 
--- a/fleet/ejection/arbiter_test.go
+++ b/fleet/ejection/arbiter_test.go
@@ -236,3 +236,32 @@
 		}
 	}
 }
+
+// Guards against additional requests for upstreams without evidence against them, and for more than a few at once.
+func TestSuspects(t *testing.T) {
+	b := newBench(4, 13, ArbiterOptions{})
+	suspects := func() (n int) {
+		set := b.hosts[3].Set(b.now, b.service)
+		for _, u := range b.service.Upstreams {
+			if (Sampling{set}).Weight(u.ID) == SuspectWeight {
+				n++
+			}
+			if w := set.Weight(u.ID); w > 1 {
+				t.Errorf("weight %v for requests that must not be retried", w)
+			}
+		}
+		return n
+	}
+	if n := suspects(); n != 0 {
+		t.Errorf("all healthy: %d suspects", n)
+	}
+	b.sicken("u01", "u02", "u03")
+	b.run(250*time.Millisecond, 1)
+	if n := suspects(); n != mostSuspects {
+		t.Errorf("two bad samples each of three upstreams: %d suspects, want %d", n, mostSuspects)
+	}
+	b.run(3*time.Second, 1)
+	if n := suspects(); n != 0 {
+		t.Errorf("all ejected: %d suspects", n)
+	}
+}
--- a/fleet/ejection/reporter.go
+++ b/fleet/ejection/reporter.go
@@ -8,6 +8,9 @@
 	"github.com/bronzeyard/bronzeyard/traffic/outlier"
 )
 
+// suspectsTime is how long a host acts on the suspects of a grant: a few intervals.
+const suspectsTime = time.Second
+
 // held is an ejection that the host acts on.
 type held struct {
 	id      settings.UpstreamID
@@ -29,6 +32,9 @@
 	sent     map[settings.UpstreamID]outlier.Counts
 	held     []held
 	draining map[settings.UpstreamID]bool
+	// suspects are believed until suspectsUntil.
+	suspects      map[settings.UpstreamID]bool
+	suspectsUntil time.Time
 }
 
 // NewReporter returns a reporter that holds no ejections.
@@ -109,6 +115,11 @@
 			expires: sentAt.Add(time.Duration(e.GetRemainingMs()) * time.Millisecond),
 		})
 	}
+	r.suspects = make(map[settings.UpstreamID]bool, len(grant.GetSuspects()))
+	r.suspectsUntil = sentAt.Add(suspectsTime)
+	for _, id := range grant.GetSuspects() {
+		r.suspects[settings.UpstreamID(id)] = true
+	}
 	clear(r.draining)
 	for _, id := range grant.GetDraining() {
 		r.draining[settings.UpstreamID(id)] = true
@@ -120,6 +131,9 @@
 // budget than the arbiter's, the ejections that come last in the grant are left out.
 func (r *Reporter) Set(now time.Time, service *settings.Service) *Set {
 	set := &Set{weights: make(map[settings.UpstreamID]float64)}
+	if now.Before(r.suspectsUntil) {
+		set.suspects = r.suspects
+	}
 	usable := make(map[settings.UpstreamID]bool, len(service.Upstreams))
 	for _, u := range service.Upstreams {
 		if r.draining[u.ID] {
@@ -167,6 +181,7 @@
 type Set struct {
 	weights    map[settings.UpstreamID]float64
 	ejections  []Ejection
+	suspects   map[settings.UpstreamID]bool
 	validUntil time.Time
 }
 
@@ -182,6 +197,22 @@
 	return 1
 }
 
+// Sampling is a Set as it applies to requests that may be retried: its Weight is above 1 for upstreams with some evidence against
+// them, so that the balancer sends them a few more requests and the evidence is settled sooner.
+type Sampling struct{ *Set }
+
+// Weight is SuspectWeight for a suspect that is in use, and Set.Weight otherwise.
+func (s Sampling) Weight(id settings.UpstreamID) float64 {
+	weight := s.Set.Weight(id)
+	if s.Set != nil && weight == 1 && s.suspects[id] {
+		return SuspectWeight
+	}
+	return weight
+}
+
+// SuspectWeight is the weight of a suspect.
+const SuspectWeight = 2
+
 // Ejections lists the ejections, worst first.
 func (s *Set) Ejections() []Ejection {
 	if s == nil {
--- a/traffic/loadbalancer/balancer.go
+++ b/traffic/loadbalancer/balancer.go
@@ -38,10 +38,13 @@
 	slowStartMinimum = 0.1
 	// drainHold is how long a drain sign is believed. A draining upstream gets no requests and so cannot renew the sign.
 	drainHold = 30 * time.Second
+	// sampleInterval is the time between additional requests of all hosts together to an upstream of weight above 1. With
+	// 80 ms, upstreams that were ten times slower became full and so got fewer requests.
+	sampleInterval = 120 * time.Millisecond
 )
 
-// Weighter states the share of requests an upstream may get: 0 for an ejected upstream, 1 for a healthy one, and less
-// than 1 while it returns.
+// Weighter states the share of requests an upstream may get: 0 for an ejected upstream, 1 for a healthy one, less than 1
+// while it returns, and more than 1 if additional requests are wanted to judge it.
 type Weighter interface {
 	Weight(settings.UpstreamID) float64
 }
@@ -100,6 +103,7 @@
 	// since is the time at which the upstream appeared; zero if it needs no slow start.
 	since     time.Time
 	drainTill time.Time
+	sampledAt time.Time
 }
 
 // Balancer chooses upstreams of one service on one host.
@@ -112,6 +116,7 @@
 	// order lists the upstreams of this host's subset by id, so that the choice depends on the seed alone.
 	order    []*upstream
 	inFlight int
+	hosts    int
 	started  bool
 }
 
@@ -133,6 +138,7 @@
 	if len(hosts) == 0 {
 		hosts = []Host{config.Self}
 	}
+	b.hosts = len(hosts)
 	b.order = nil
 	known := make(map[settings.UpstreamID]*upstream, len(config.Upstreams))
 	for _, u := range config.Upstreams {
@@ -186,7 +192,10 @@
 	if len(candidates) == 0 {
 		return settings.Upstream{}, ErrBusy
 	}
-	chosen := b.choose(now, b.admit(candidates))
+	chosen := b.sample(now, candidates)
+	if chosen == nil {
+		chosen = b.choose(now, b.admit(candidates))
+	}
 	chosen.inFlight++
 	b.inFlight++
 	return chosen.Upstream, nil
@@ -206,8 +215,10 @@
 			continue
 		}
 		weight := u.startWeight(now)
-		if weights != nil {
+		if weights != nil && weight < 1 {
 			weight = math.Min(weight, weights.Weight(u.ID))
+		} else if weights != nil {
+			weight = weights.Weight(u.ID)
 		}
 		if weight > 0 {
 			usable = append(usable, candidate{upstream: u, weight: weight})
@@ -216,6 +227,26 @@
 	return usable
 }
 
+// sample returns an upstream that is due for an additional request of this host, or nil. An upstream that is slow reports
+// a high load for that reason, so the load does not count here; the in-flight limit does.
+func (b *Balancer) sample(now time.Time, candidates []candidate) *upstream {
+	interval := time.Duration(b.hosts) * sampleInterval
+	for _, c := range candidates {
+		if c.weight <= 1 {
+			continue
+		}
+		if now.Sub(c.sampledAt) > 2*interval {
+			// Hosts learn of a suspect at the same time and must not all send at once.
+			c.sampledAt = now.Add(-time.Duration(b.rng.Int64N(int64(interval))))
+		}
+		if now.Sub(c.sampledAt) >= interval {
+			c.sampledAt = now
+			return c.upstream
+		}
+	}
+	return nil
+}
+
 // admit leaves out each upstream that is starting with the probability that its share demands. If that leaves none,
 // all are admitted.
 func (b *Balancer) admit(candidates []candidate) []candidate {
--- a/traffic/loadbalancer/balancer_test.go
+++ b/traffic/loadbalancer/balancer_test.go
@@ -193,3 +193,32 @@
 }
 
 func isRemote(h Host) bool { return h.DataCentre != "dc1" }
+
+// Guards against additional requests to a suspect that are too many.
+func TestSamplingIsBounded(t *testing.T) {
+	b := New(Options{DataCentre: "dc0", Seed: 1})
+	b.Update(start, Config{Upstreams: upstreams(6), Hosts: hosts(15), Self: hosts(15)[0]})
+	suspect := weights{"u1": 2}
+	taken := 0
+	now := start
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		taken += shares(t, b, now, suspect, 1)["u1"]
+	}
+	if taken < 4 || taken > 6 {
+		t.Errorf("suspect in another data centre got %d requests in 10 s, want one each 1.8 s", taken)
+	}
+}
+
+// Guards against all hosts sampling a suspect at once when they learn of it.
+func TestSamplingIsSpread(t *testing.T) {
+	first := 0
+	for i, h := range hosts(15) {
+		b := New(Options{DataCentre: "dc0", Seed: uint64(i)})
+		b.Update(start, Config{Upstreams: upstreams(6), Hosts: hosts(15), Self: h})
+		first += shares(t, b, start, weights{"u1": 2}, 1)["u1"]
+	}
+	if first > 3 {
+		t.Errorf("%d of 15 hosts sampled at once", first)
+	}
+}
