Keep claims of operations in the table

Cause: a new owner of a slot answered "outcome unknown" for every id older than its own start plus 3 s, also for operations that had never run. The mode claims: table was refused.

Change: the owner writes the claim to the platform's table before it grants it, under the condition that no row is there, and the result after the run. Its memory is asked first; for other ids the row decides, also where memory cannot vouch. The lease and the ownership are checked again after the write; a claim that is not granted is marked as not run. Without the table the refusal is of the new kind claims_unavailable. Rows are versioned at random, so that a late write matches no later state. Each slot is one partition, in the order of the id times, and its owner deletes expired rows.

Conclusion: a lost owner no longer makes new operations unknown in this mode.

--- a/fleet/idempotency/convert.go
+++ b/fleet/idempotency/convert.go
@@ -17,6 +17,7 @@
 func operationToProto(c *ClaimRequest) *idempotencypb.Operation {
 	return &idempotencypb.Operation{
 		Customer: string(c.Key.Customer), Id: c.Key.ID[:], Fingerprint: c.Fingerprint[:], Attempt: c.Attempt[:],
+		InTable: c.InTable, TableSinceNs: unixNano(c.TableSince),
 	}
 }
 
@@ -35,6 +36,7 @@
 	return ClaimRequest{
 		Key:         Key{Customer: settings.CustomerID(m.GetCustomer()), ID: id},
 		Fingerprint: Fingerprint(m.GetFingerprint()), Attempt: attempt,
+		InTable: m.GetInTable(), TableSince: fromUnixNano(m.GetTableSinceNs()),
 	}, nil
 }
 
@@ -105,8 +107,10 @@
 
 func recordToProto(r *TransferredRecord) *idempotencypb.Record {
 	return &idempotencypb.Record{
-		Operation: operationToProto(&ClaimRequest{Key: r.Key, Fingerprint: r.Fingerprint, Attempt: r.Attempt}),
-		Result:    resultToProto(&r.Result), RemainingMs: r.Remaining.Milliseconds(), Version: r.Version,
+		Operation: operationToProto(&ClaimRequest{
+			Key: r.Key, Fingerprint: r.Fingerprint, Attempt: r.Attempt, InTable: r.InTable,
+		}),
+		Result: resultToProto(&r.Result), RemainingMs: r.Remaining.Milliseconds(), Version: r.Version,
 	}
 }
 
@@ -132,7 +136,7 @@
 		}
 		transfer.Records = append(transfer.Records, TransferredRecord{
 			Key: operation.Key, Fingerprint: operation.Fingerprint, Attempt: operation.Attempt,
-			Result: resultFromProto(r.GetResult()), Version: r.GetVersion(),
+			Result: resultFromProto(r.GetResult()), Version: r.GetVersion(), InTable: operation.InTable,
 			Remaining: time.Duration(r.GetRemainingMs()) * time.Millisecond,
 		})
 	}
--- a/fleet/idempotency/doc.go
+++ b/fleet/idempotency/doc.go
@@ -6,4 +6,8 @@
 //
 // Records live in memory. An owner that is lost takes its records with it; ids that it may have granted are then
 // answered with "outcome unknown", never run again.
+//
+// With settings.ClaimsInTable an operation also has a row in the platform's table, which is written before the claim is
+// granted. A new owner then finds out what became of an operation that it has no record of. Without the table such an
+// operation is refused with kind claims_unavailable.
 package idempotency
--- a/fleet/idempotency/ledger.go
+++ b/fleet/idempotency/ledger.go
@@ -112,6 +112,10 @@
 	Attempt     AttemptID
 	// Remaining is the time to the deadline of the attempt.
 	Remaining time.Duration
+	// InTable is true if the claim is kept in the table too.
+	InTable bool
+	// TableSince is the wall time since which all claims of the route are in the table.
+	TableSince time.Time
 }
 
 type record struct {
@@ -121,9 +125,12 @@
 	result      Result // its State is the state of the record
 	deadline    time.Time
 	// version is the epoch up to which the record's owner served its slot when it handed the record over.
-	version   uint64
-	size      int64
-	heapIndex int // position among the records that can be evicted, -1 for running ones
+	version uint64
+	// inTable is true if the claim has a row, whose version is rowVersion if it is not 0.
+	inTable    bool
+	rowVersion uint64
+	size       int64
+	heapIndex  int // position among the records that can be evicted, -1 for running ones
 }
 
 // Ledger is the state of an owner of slots. It is pure and not safe for concurrent use.
@@ -233,7 +240,7 @@
 
 func (l *Ledger) grant(t Moment, r *record, c ClaimRequest) {
 	l.setResult(r, Result{State: Running})
-	r.attempt = c.Attempt
+	r.attempt, r.inTable, r.rowVersion = c.Attempt, c.InTable, 0
 	r.deadline = t.Now.Add(c.Remaining)
 }
 
@@ -279,7 +286,7 @@
 	if c.Key.Time().Before(t.Wall.Add(-Window)) || !l.makeRoom(recordBytes) {
 		return
 	}
-	r := &record{key: c.Key, fingerprint: c.Fingerprint, attempt: c.Attempt, heapIndex: -1}
+	r := &record{key: c.Key, fingerprint: c.Fingerprint, attempt: c.Attempt, inTable: c.InTable, heapIndex: -1}
 	l.insert(s, r)
 	l.setResult(r, result)
 	l.makeRoom(0)
--- /dev/null
+++ b/fleet/idempotency/ledger_table.go
@@ -0,0 +1,111 @@
+package idempotency
+
+import (
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+)
+
+// tableBasis is what the memory of an owner knows about a claim that the row of the operation decides.
+type tableBasis struct {
+	// ownedSince identifies the ownership of the slot.
+	ownedSince uint64
+	// vouched is true if the operation has provably not run.
+	vouched bool
+	// mustExist is true if the operation was claimed before, so that it has a row.
+	mustExist bool
+	// notRun is an attempt that did not run, the zero AttemptID if none is known.
+	notRun AttemptID
+}
+
+// checkTableClaim decides on a claim in the table as far as memory knows. The zero Decision means that the row decides.
+func (l *Ledger) checkTableClaim(t Moment, c ClaimRequest) (Decision, tableBasis) {
+	s := &l.slots[c.Key.Slot()]
+	if !s.owned || !s.serving {
+		return Decision{Verdict: NotOwner}, tableBasis{}
+	}
+	basis := tableBasis{ownedSince: s.ownedSince}
+	if r, ok := s.records[c.Key]; ok {
+		return l.checkKnownTableClaim(t, r, c, basis)
+	}
+	basis.vouched = s.provablyNew(&c.Key)
+	refusal := s.checkNew(t, &c.Key)
+	if refusal.Kind == errkind.OutcomeUnknown && c.rowsComplete() {
+		return Decision{}, basis
+	}
+	return refusal, basis
+}
+
+// rowsComplete reports whether every earlier claim of the operation must have a row: hosts whose clocks differ granted
+// claims without one only for ids up to futureAllowance ahead of TableSince.
+func (c *ClaimRequest) rowsComplete() bool {
+	return c.TableSince.IsZero() || c.Key.Time().After(c.TableSince.Add(futureAllowance+clockError))
+}
+
+func (l *Ledger) checkKnownTableClaim(t Moment, r *record, c ClaimRequest, basis tableBasis) (Decision, tableBasis) {
+	l.expire(t, r)
+	undecided := r.result.State == NotRun || (r.result.State == Unknown && r.inTable)
+	if !undecided || r.fingerprint != c.Fingerprint {
+		return l.claimKnown(t, r, c), basis
+	}
+	if !t.ClockOK {
+		return Decision{Verdict: Refused, Kind: errkind.OperationNotOwned}, basis
+	}
+	if c.Key.Time().Before(t.Wall.Add(-Window)) {
+		return Decision{Verdict: Refused, Kind: errkind.OperationIDExpired}, basis
+	}
+	if r.result.State == Unknown {
+		basis.mustExist = true
+		return Decision{}, basis
+	}
+	if r.attempt == c.Attempt {
+		return l.claimKnown(t, r, c), basis
+	}
+	basis.vouched, basis.notRun = true, r.attempt
+	return Decision{}, basis
+}
+
+// grantTableClaim decides on a claim whose row this host has written. Unless the decision is Granted, the row must be
+// given back.
+func (l *Ledger) grantTableClaim(t Moment, c ClaimRequest, basis tableBasis, version uint64) Decision {
+	s := &l.slots[c.Key.Slot()]
+	if !s.owned || !s.serving || s.ownedSince != basis.ownedSince {
+		return Decision{Verdict: NotOwner}
+	}
+	if c.Remaining <= 0 || !t.ClockOK {
+		return Decision{Verdict: Refused, Kind: errkind.OperationNotOwned}
+	}
+	r, ok := s.records[c.Key]
+	switch {
+	case !ok:
+		if !l.makeRoom(recordBytes) {
+			return Decision{Verdict: Refused, Kind: errkind.ClaimsUnavailable}
+		}
+		r = &record{key: c.Key, fingerprint: c.Fingerprint, heapIndex: -1}
+		l.insert(s, r)
+	case r.result.State == Running, r.result.State == Done, r.fingerprint != c.Fingerprint,
+		r.result.State == NotRun && r.attempt == c.Attempt:
+		return l.claimKnown(t, r, c) // it became known while the row was written
+	}
+	l.grant(t, r, c)
+	r.rowVersion = version
+	return Decision{Verdict: Granted}
+}
+
+// rowVersion returns the version of the row of an attempt's claim, 0 if it is not known.
+func (l *Ledger) rowVersion(c *ClaimRequest) uint64 {
+	if r, ok := l.slots[c.Key.Slot()].records[c.Key]; ok && r.attempt == c.Attempt {
+		return r.rowVersion
+	}
+	return 0
+}
+
+// learnDone keeps the result of an operation that was found in the table.
+func (l *Ledger) learnDone(c *ClaimRequest, result Result) {
+	s := &l.slots[c.Key.Slot()]
+	if _, ok := s.records[c.Key]; ok || !s.serving || !l.makeRoom(recordBytes) {
+		return
+	}
+	r := &record{key: c.Key, fingerprint: c.Fingerprint, inTable: true, heapIndex: -1}
+	l.insert(s, r)
+	l.setResult(r, result)
+	l.makeRoom(0)
+}
--- a/fleet/idempotency/operation.go
+++ b/fleet/idempotency/operation.go
@@ -55,6 +55,9 @@
 	Deadline time.Time
 	// Claims says where the claim is kept. Default ClaimsInMemory.
 	Claims settings.ClaimMode
+	// TableSince is the wall time since which every host keeps the claims of the route in the table, if Claims is
+	// ClaimsInTable. Older operations may have run without a row. Default the beginning of time.
+	TableSince time.Time
 }
 
 // Result is what became of an operation.
--- a/fleet/idempotency/operations.go
+++ b/fleet/idempotency/operations.go
@@ -12,7 +12,9 @@
 
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/platform"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
@@ -28,6 +30,9 @@
 	ClockOffset func() time.Duration
 	// Logger gets changes of state. Default none.
 	Logger zerolog.Logger
+	// Table keeps claims of mode settings.ClaimsInTable. Default none: such operations are refused with kind
+	// claims_unavailable.
+	Table platform.Table
 	// MemoryBytes bounds the records. Default 16 MiB.
 	MemoryBytes int64
 	// CallTimeout bounds one call to a peer. Default 300 ms.
@@ -53,10 +58,9 @@
 )
 
 var (
-	errNoOwner     = errors.New("the epoch has no owner for the operation's slot")
-	errNotServing  = errors.New("the owner does not serve the operation's slot")
-	errTableClaims = errors.New("claims in the table are not supported by this host")
-	errNoAnswer    = errors.New("no owner has decided on the claim in time")
+	errNoOwner    = errors.New("the epoch has no owner for the operation's slot")
+	errNotServing = errors.New("the owner does not serve the operation's slot")
+	errNoAnswer   = errors.New("no owner has decided on the claim in time")
 )
 
 // Operations makes operations run at most once in the fleet. It answers the claims of other hosts for the slots that this
@@ -66,11 +70,13 @@
 	base    context.Context // of background deliveries, ends with Run
 	stop    context.CancelFunc
 	poke    chan struct{}
+	rows    *tableclaims.Store
 
 	mu        sync.Mutex
 	ledger    *Ledger
 	view      *fleet.View // of the ledger's epoch
 	waiters   map[Key]chan struct{}
+	claiming  map[Key]chan struct{}     // claims that are being written to the table; closed when that is decided
 	delivered map[fleet.Identity]uint64 // newest epoch whose transfers a member has acknowledged
 	sending   map[fleet.Identity]bool
 
@@ -95,7 +101,8 @@
 	o := &Operations{
 		options: options, base: base, stop: stop, poke: make(chan struct{}, 1), ledger: NewLedger(options.MemoryBytes),
 		waiters: make(map[Key]chan struct{}), delivered: make(map[fleet.Identity]uint64),
-		sending: make(map[fleet.Identity]bool), view: &fleet.View{},
+		sending: make(map[fleet.Identity]bool), view: &fleet.View{}, claiming: make(map[Key]chan struct{}),
+		rows: tableclaims.New(base, tableclaims.Options{Table: options.Table}),
 	}
 	o.register()
 	return o
@@ -125,13 +132,11 @@
 	if err != nil {
 		return Claim{}, err
 	}
-	if op.Claims == settings.ClaimsInTable {
-		return Claim{}, errkind.New(errkind.OperationNotOwned, errTableClaims)
-	}
 	ctx, cancel := context.WithDeadline(ctx, op.Deadline)
 	defer cancel()
 	request := ClaimRequest{
 		Key: Key{Customer: op.Customer, ID: id}, Fingerprint: op.Fingerprint, Attempt: uuid.New(),
+		InTable: op.Claims == settings.ClaimsInTable, TableSince: op.TableSince,
 	}
 	return o.claim(ctx, request, op.Deadline)
 }
@@ -147,6 +152,9 @@
 		maybeGranted = maybeGranted || sent
 		waiting := err == nil && decision.Verdict == Wait
 		if err == nil && !waiting && decision.Verdict != NotOwner {
+			if request.InTable && maybeGranted && decision.Verdict == Refused {
+				o.deliver(request, deadline, Result{State: NotRun})
+			}
 			return o.decide(request, deadline, decision)
 		}
 		if ctx.Err() == nil && (waiting || time.Now().Before(lastAsk)) {
@@ -209,8 +217,12 @@
 // hold, and then answers Wait.
 func (o *Operations) claimHere(ctx context.Context, request ClaimRequest, hold time.Duration) Decision {
 	end := time.Now().Add(hold)
+	try := o.tryClaim
+	if request.InTable {
+		try = o.tryTableClaim
+	}
 	for {
-		decision, changed, now := o.tryClaim(request)
+		decision, changed, now := try(request)
 		if decision.Verdict != Wait {
 			return decision
 		}
@@ -240,12 +252,17 @@
 	if decision.Verdict != Wait {
 		return decision, nil, t.Now
 	}
-	waiter, ok := o.waiters[request.Key]
+	return decision, o.waiter(request.Key), t.Now
+}
+
+// waiter returns the channel that is closed by wake. The caller holds mu.
+func (o *Operations) waiter(key Key) <-chan struct{} {
+	waiter, ok := o.waiters[key]
 	if !ok {
 		waiter = make(chan struct{})
-		o.waiters[request.Key] = waiter
+		o.waiters[key] = waiter
 	}
-	return decision, waiter, t.Now
+	return waiter
 }
 
 // enter brings the ledger to the current epoch and reports whether this host may act as an owner. The caller holds mu.
@@ -274,6 +291,9 @@
 	if !ok || !o.ledger.Complete(t, request, result) {
 		return false
 	}
+	if request.InTable {
+		o.storeOutcome(request, result)
+	}
 	o.wake(request.Key)
 	return true
 }
--- a/fleet/idempotency/slot.go
+++ b/fleet/idempotency/slot.go
@@ -185,6 +185,8 @@
 	Fingerprint Fingerprint
 	Attempt     AttemptID
 	Result      Result
+	// InTable is true if the claim has a row in the table.
+	InTable bool
 	// Version is the epoch up to which the record's owner served the slot.
 	Version uint64
 	// Remaining is the time to the deadline of a running attempt.
@@ -201,7 +203,7 @@
 	for _, r := range s.records {
 		transfer.Records = append(transfer.Records, TransferredRecord{
 			Key: r.key, Fingerprint: r.fingerprint, Attempt: r.attempt, Result: r.result, Version: r.version,
-			Remaining: r.deadline.Sub(t.Now),
+			Remaining: r.deadline.Sub(t.Now), InTable: r.inTable,
 		})
 	}
 	return transfer, true
@@ -257,7 +259,7 @@
 	}
 	r := &record{
 		key: from.Key, fingerprint: from.Fingerprint, attempt: from.Attempt, version: from.Version,
-		deadline: t.Now.Add(from.Remaining), heapIndex: -1,
+		deadline: t.Now.Add(from.Remaining), inTable: from.InTable, heapIndex: -1,
 	}
 	l.insert(s, r)
 	l.setResult(r, from.Result)
--- /dev/null
+++ b/fleet/idempotency/tableclaims/batch.go
@@ -0,0 +1,169 @@
+package tableclaims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+const (
+	// maxBatchBytes keeps a transaction with large answers below the 4 MiB that the DynamoDB API allows.
+	maxBatchBytes = 1 << 20
+	// maxConflicts bounds the transactions that one batch needs if many of its rows conflict, since each transaction
+	// reports one of them.
+	maxConflicts = 8
+)
+
+// errConflict means that the row has to be read before the write is tried again.
+var errConflict = errors.New("tableclaims: the row is not in the expected state")
+
+// entry is one write that waits for its transaction.
+type entry struct {
+	write platform.Write
+	done  chan error
+}
+
+// batcher puts writes of different rows into common transactions, one transaction at a time.
+type batcher struct {
+	table platform.Table
+	// collect is how long the first write waits for others.
+	collect time.Duration
+	// timeout bounds a transaction.
+	timeout time.Duration
+
+	mu           sync.Mutex
+	queue        []*entry
+	running      bool
+	transactions int64
+}
+
+// submit writes one row and waits for the result: nil, errConflict, platform.ErrUnavailable if the write has provably
+// not been sent, or platform.ErrUnknownOutcome.
+func (b *batcher) submit(ctx context.Context, write platform.Write) error {
+	e := &entry{write: write, done: make(chan error, 1)}
+	b.mu.Lock()
+	b.queue = append(b.queue, e)
+	if !b.running {
+		b.running = true
+		go b.run()
+	}
+	b.mu.Unlock()
+	select {
+	case err := <-e.done:
+		return err
+	case <-ctx.Done():
+	}
+	if b.withdraw(e) {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+	}
+	return <-e.done // the transaction has a timeout of its own
+}
+
+// withdraw takes an entry out of the queue. It reports false if the entry is being written.
+func (b *batcher) withdraw(e *entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := slices.Index(b.queue, e)
+	if i < 0 {
+		return false
+	}
+	b.queue = slices.Delete(b.queue, i, i+1)
+	return true
+}
+
+func (b *batcher) run() {
+	time.Sleep(b.collect)
+	for {
+		batch := b.take()
+		if batch == nil {
+			return
+		}
+		b.write(batch)
+	}
+}
+
+// take removes the next batch from the queue. It returns nil and ends the run if the queue is empty. A second write of a
+// row waits for the next batch.
+func (b *batcher) take() []*entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch, rest []*entry
+	taken := make(map[platform.Key]bool)
+	size := 0
+	for _, e := range b.queue {
+		fits := len(batch) < platform.MaxWritesInTransaction && (len(batch) == 0 || size+len(e.write.Value) <= maxBatchBytes)
+		if !fits || taken[e.write.Key] {
+			rest = append(rest, e)
+			taken[e.write.Key] = true // writes of a row keep their order
+			continue
+		}
+		batch = append(batch, e)
+		taken[e.write.Key] = true
+		size += len(e.write.Value)
+	}
+	b.queue = rest
+	b.running = len(batch) > 0
+	return batch
+}
+
+// write applies a batch. A row in conflict is left out, and the others are written without it.
+func (b *batcher) write(batch []*entry) {
+	for range maxConflicts {
+		err := b.transactTwice(batch)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) || conflict.Index < 0 || conflict.Index >= len(batch) {
+			finish(batch, err)
+			return
+		}
+		batch[conflict.Index].done <- errConflict
+		batch = slices.Delete(batch, conflict.Index, conflict.Index+1)
+		if len(batch) == 0 {
+			return
+		}
+	}
+	finish(batch, errConflict)
+}
+
+func finish(batch []*entry, err error) {
+	for _, e := range batch {
+		e.done <- err
+	}
+}
+
+// transactTwice repeats a transaction whose outcome is unknown. The conditions keep it from taking effect twice.
+func (b *batcher) transactTwice(batch []*entry) error {
+	err := b.transact(batch)
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		err = b.transact(batch)
+		if errors.Is(err, platform.ErrUnavailable) {
+			err = fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err) // of the first transaction
+		}
+	}
+	return err
+}
+
+// transact applies the batch in one transaction. Every error but a conflict and ErrUnavailable is an unknown outcome.
+func (b *batcher) transact(batch []*entry) error {
+	writes := make([]platform.Write, len(batch))
+	for i, e := range batch {
+		writes[i] = e.write
+	}
+	b.mu.Lock()
+	b.transactions++
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+	defer cancel()
+	err := platform.TransactOnce(ctx, b.table, writes)
+	var conflict *platform.ConflictError
+	known := err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrUnknownOutcome) ||
+		errors.Is(err, platform.ErrUnavailable)
+	if known {
+		return err
+	}
+	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+}
--- /dev/null
+++ b/fleet/idempotency/tableclaims/finish.go
@@ -0,0 +1,65 @@
+package tableclaims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+// Outcome is what became of an attempt.
+type Outcome struct {
+	Key         Key
+	Fingerprint [32]byte
+	Attempt     uuid.UUID
+	// IDTime is the time of the operation's id.
+	IDTime time.Time
+	// Result is done, not run or unknown.
+	Result *idempotencypb.Result
+	// Version is the version of the row of the attempt's claim. If it is 0, the row is read first.
+	Version uint64
+}
+
+// Finish stores the outcome of an attempt in the background, unless the row belongs to another attempt by then.
+func (s *Store) Finish(outcome *Outcome) {
+	if s.options.Table == nil {
+		return
+	}
+	base, known := &Row{Version: outcome.Version}, outcome.Version != 0
+	s.background(func(ctx context.Context) bool {
+		if !known {
+			row, err := s.read(ctx, &outcome.Key)
+			if err != nil {
+				return false
+			}
+			if !outcome.replaces(row) {
+				return true
+			}
+			base, known = row, true
+		}
+		row := Row{
+			Fingerprint: outcome.Fingerprint, Attempt: outcome.Attempt, IDTime: outcome.IDTime, Deadline: outcome.IDTime,
+		}
+		err := s.store(ctx, &outcome.Key, &row, outcome.Result, base)
+		known = !errors.Is(err, errConflict) && !errors.Is(err, platform.ErrUnknownOutcome)
+		return err == nil
+	})
+}
+
+// replaces reports whether the outcome is news for the row. An attempt that did not run leaves a mark even without a
+// row, so that a late write of its claim fails.
+func (o *Outcome) replaces(row *Row) bool {
+	if row == nil {
+		return true
+	}
+	if row.Attempt != o.Attempt {
+		return false
+	}
+	state := row.State()
+	return state == idempotencypb.State_STATE_RUNNING ||
+		(state == idempotencypb.State_STATE_UNKNOWN && o.Result.GetState() != state)
+}
--- /dev/null
+++ b/fleet/idempotency/tableclaims/row.go
@@ -0,0 +1,113 @@
+package tableclaims
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+var errRow = errors.New("tableclaims: malformed row")
+
+// Key names the row of an operation.
+type Key struct {
+	// Slot is the operation's slot. Each slot is one partition of the table.
+	Slot     int
+	Customer string
+	// ID is a UUID of version 7, so that the rows of a partition are in the order of the times of their ids.
+	ID uuid.UUID
+}
+
+func partition(slot int) string { return "claims/" + strconv.Itoa(slot) }
+
+func (k *Key) row() platform.Key {
+	return platform.Key{Partition: partition(k.Slot), Sort: hex.EncodeToString(k.ID[:]) + "/" + k.Customer}
+}
+
+// Row is the state of an operation in the table.
+type Row struct {
+	Fingerprint [32]byte
+	// Attempt claimed the operation last. It is the zero UUID if the owner gave back a claim that it had not granted.
+	Attempt uuid.UUID
+	// Result holds the state of the operation and, once it ran, its answer.
+	Result *idempotencypb.Result
+	// Deadline is the wall time at which the attempt ends.
+	Deadline time.Time
+	// IDTime is the time of the operation's id.
+	IDTime time.Time
+	// Version and WriteID are those of the stored item.
+	Version uint64
+	WriteID string
+}
+
+// State is the state of the operation.
+func (r *Row) State() idempotencypb.State { return r.Result.GetState() }
+
+// encode returns the value of the row. An answer that does not fit into an item is kept without its body, or else
+// without its headers.
+func (r *Row) encode() ([]byte, error) {
+	value, err := r.marshal(r.Result)
+	if err != nil || len(value) <= platform.MaxValueBytes {
+		return value, err
+	}
+	short := proto.CloneOf(r.Result)
+	short.Body, short.BodyLost = nil, true
+	if value, err = r.marshal(short); err != nil || len(value) <= platform.MaxValueBytes {
+		return value, err
+	}
+	short.Header, short.Trailer = nil, nil
+	return r.marshal(short)
+}
+
+func (r *Row) marshal(result *idempotencypb.Result) ([]byte, error) {
+	m := &idempotencypb.ClaimRow{
+		Fingerprint: r.Fingerprint[:], Result: result, DeadlineNs: r.Deadline.UnixNano(), IdTimeMs: r.IDTime.UnixMilli(),
+	}
+	if r.Attempt != (uuid.UUID{}) {
+		m.Attempt = r.Attempt[:]
+	}
+	return proto.Marshal(m)
+}
+
+func decode(item *platform.Item) (*Row, error) {
+	m := &idempotencypb.ClaimRow{}
+	if err := proto.Unmarshal(item.Value, m); err != nil {
+		return nil, fmt.Errorf("%w: %w", errRow, err)
+	}
+	row := &Row{
+		Result: m.GetResult(), Deadline: time.Unix(0, m.GetDeadlineNs()).UTC(), IDTime: time.UnixMilli(m.GetIdTimeMs()).UTC(),
+		Version: item.Version, WriteID: item.WriteID,
+	}
+	if len(m.GetFingerprint()) != len(row.Fingerprint) || row.State() == idempotencypb.State_STATE_UNSPECIFIED {
+		return nil, errRow
+	}
+	row.Fingerprint = [32]byte(m.GetFingerprint())
+	if len(m.GetAttempt()) == len(row.Attempt) {
+		row.Attempt = uuid.UUID(m.GetAttempt())
+	}
+	return row, nil
+}
+
+// newVersion returns a version that no other write has.
+func newVersion() uint64 { return rand.Uint64()>>1 | 1 }
+
+// put returns the write that stores the row if base is still stored, or if nothing is stored and base is nil.
+func (r *Row) put(key *Key, base *Row) (platform.Write, error) {
+	value, err := r.encode()
+	write := platform.Write{
+		Kind: platform.Put, Key: key.row(), Value: value, Version: r.Version, WriteID: r.WriteID,
+		Condition: platform.Condition{Kind: platform.Absent},
+	}
+	if base != nil {
+		write.Condition = platform.Condition{Kind: platform.VersionIs, Version: base.Version}
+	}
+	return write, err
+}
--- /dev/null
+++ b/fleet/idempotency/tableclaims/store.go
@@ -0,0 +1,151 @@
+package tableclaims
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/platform"
+)
+
+// Options configures a Store.
+type Options struct {
+	Table platform.Table
+	// Collect is how long a claim waits for others to share its transaction. Default 2 ms.
+	Collect time.Duration
+	// CollectResults is the same for results and claims that are given back. Default 20 ms.
+	CollectResults time.Duration
+	// Timeout bounds one call to the table. Default 300 ms.
+	Timeout time.Duration
+	// KeepTrying is for how long results are offered to a table that does not take them. Default 24 h.
+	KeepTrying time.Duration
+}
+
+const (
+	defaultCollect        = 2 * time.Millisecond
+	defaultCollectResults = 20 * time.Millisecond
+	defaultTimeout        = 300 * time.Millisecond
+	defaultKeepTrying     = 24 * time.Hour
+	// maxTries bounds the writes of one claim whose row keeps changing.
+	maxTries = 5
+	// firstPause and maxPause are the times between two tries to store a result.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// expirePage is the number of rows that are read at once to be deleted.
+	expirePage = 25
+)
+
+// ErrNoTable means that the Store has no table.
+var ErrNoTable = errors.New("tableclaims: this host has no table")
+
+// Store keeps claims in a table. It is safe for concurrent use.
+type Store struct {
+	options Options
+	base    context.Context // of background writes
+	claims  batcher
+	results batcher
+
+	mu sync.Mutex
+	// unused holds the write ids of claims that this host may have written and has not granted, until they are given back.
+	unused map[string]struct{}
+
+	reads   atomic.Int64
+	pending atomic.Int64
+}
+
+// New returns a Store whose background writes end with base. A nil table is allowed; every claim then fails.
+func New(base context.Context, options Options) *Store {
+	options.Collect = defaultTo(options.Collect, defaultCollect)
+	options.CollectResults = defaultTo(options.CollectResults, defaultCollectResults)
+	options.Timeout = defaultTo(options.Timeout, defaultTimeout)
+	options.KeepTrying = defaultTo(options.KeepTrying, defaultKeepTrying)
+	return &Store{
+		options: options, base: base, unused: make(map[string]struct{}),
+		claims:  batcher{table: options.Table, collect: options.Collect, timeout: options.Timeout},
+		results: batcher{table: options.Table, collect: options.CollectResults, timeout: options.Timeout},
+	}
+}
+
+func defaultTo(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// read returns the row of an operation, nil if there is none.
+func (s *Store) read(ctx context.Context, key *Key) (*Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+	s.reads.Add(1)
+	item, err := s.options.Table.Get(ctx, key.row())
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decode(&item)
+}
+
+// Expire deletes the rows of a slot whose ids are older than before. It returns the error of the table.
+func (s *Store) Expire(ctx context.Context, slot int, before time.Time) error {
+	if s.options.Table == nil {
+		return ErrNoTable
+	}
+	for {
+		writes, err := s.expired(ctx, slot, before)
+		if err != nil || len(writes) == 0 {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+		err = s.options.Table.Transact(callCtx, writes)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// expired returns the deletions of the oldest rows of a slot, as far as their ids are older than before.
+func (s *Store) expired(ctx context.Context, slot int, before time.Time) ([]platform.Write, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+	s.reads.Add(1)
+	items, err := s.options.Table.Query(ctx, partition(slot), "", expirePage)
+	var writes []platform.Write
+	for i := range items {
+		row, decodeErr := decode(&items[i])
+		if decodeErr != nil {
+			return nil, decodeErr
+		}
+		if !row.IDTime.Before(before) {
+			break // rows are in the order of the times of their ids
+		}
+		writes = append(writes, platform.Write{
+			Kind: platform.Delete, Key: items[i].Key, Condition: platform.Condition{Kind: platform.VersionIs, Version: row.Version},
+		})
+	}
+	return writes, err
+}
+
+// Status describes the state of a Store, for metrics.
+type Status struct {
+	// Reads and Transactions count calls to the table, without the readings of platform.TransactOnce.
+	Reads, Transactions int64
+	// Pending counts results and claims to be given back that are not stored yet.
+	Pending int64
+}
+
+// Status returns the current state.
+func (s *Store) Status() Status {
+	status := Status{Reads: s.reads.Load(), Pending: s.pending.Load()}
+	for _, b := range []*batcher{&s.claims, &s.results} {
+		b.mu.Lock()
+		status.Transactions += b.transactions
+		b.mu.Unlock()
+	}
+	return status
+}
--- /dev/null
+++ b/fleet/idempotency/tablefleet_test.go
@@ -0,0 +1,206 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/peer/peertest"
+	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+)
+
+// pausing is a table as a host sees it that is paused, or whose network is, around a write.
+type pausing struct {
+	platform.Table
+	mu   sync.Mutex
+	mode string        // "", "before", "after" the write, or "late": the write takes effect after its call has failed
+	hold chan struct{} // closed to go on
+}
+
+func (p *pausing) set(mode string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hold != nil {
+		close(p.hold)
+		p.hold = nil
+	}
+	if p.mode = mode; mode != "" {
+		p.hold = make(chan struct{})
+	}
+}
+
+func (p *pausing) Transact(ctx context.Context, writes []platform.Write) error {
+	p.mu.Lock()
+	mode, hold := p.mode, p.hold
+	p.mu.Unlock()
+	always := context.WithoutCancel(ctx)
+	switch mode {
+	case "before":
+		<-hold
+		return p.Table.Transact(always, writes)
+	case "after":
+		err := p.Table.Transact(ctx, writes)
+		<-hold
+		return err
+	case "late":
+		go func() {
+			<-hold
+			_ = p.Table.Transact(always, writes)
+		}()
+		<-ctx.Done()
+		return platform.ErrUnknownOutcome
+	default:
+		return p.Table.Transact(ctx, writes)
+	}
+}
+
+// skewed is a clock whose wall clock is off.
+type skewed struct {
+	clock.Standard
+	offset time.Duration
+}
+
+func (s skewed) Wall() time.Time { return s.Standard.Wall().Add(s.offset) }
+
+// tableHost is one host process with the real Operations.
+type tableHost struct {
+	member fleet.Member
+	ops    *Operations
+	table  *pausing
+	view   atomic.Pointer[fleet.View]
+	until  atomic.Pointer[time.Time] // end of the lease, nil while it is renewed
+	stop   context.CancelFunc
+	lost   bool
+}
+
+func (h *tableHost) View() *fleet.View {
+	view := *h.view.Load()
+	view.ActiveUntil = time.Now().Add(leaseTime)
+	if until := h.until.Load(); until != nil {
+		view.ActiveUntil = *until
+	}
+	return &view
+}
+
+func (h *tableHost) learn(epoch fleet.Epoch) {
+	old := h.view.Load()
+	view := &fleet.View{Self: h.member.Identity(), Epoch: epoch, FreeAt: time.Now().Add(freeTime), LearnedAt: time.Now()}
+	h.view.Store(view)
+	h.until.Store(nil)
+	if h.ops != nil {
+		h.ops.OnView(old, view)
+	}
+}
+
+// tableFleet is a fleet of real Operations in a synctest bubble that share a table.
+type tableFleet struct {
+	network *peertest.Network
+	table   *memory.Table
+	hosts   []*tableHost
+	epoch   fleet.Epoch
+}
+
+func newTableFleet(hosts int) *tableFleet {
+	f := &tableFleet{network: peertest.NewNetwork(1), table: memory.NewTable()}
+	for range hosts {
+		f.start(0)
+	}
+	f.changeEpoch()
+	f.learnAll()
+	return f
+}
+
+func (f *tableFleet) start(skew time.Duration) *tableHost {
+	n := len(f.hosts) + 1
+	address := fmt.Sprint("10.0.0.", n)
+	h := &tableHost{table: &pausing{Table: f.table}, member: fleet.Member{
+		ID: fleet.HostID(fmt.Sprint("h", n)), Incarnation: fleet.Incarnation(n), PeerAddress: address, Capacity: 1,
+		State: fleet.Active,
+	}}
+	h.view.Store(&fleet.View{Self: h.member.Identity()})
+	end := f.network.Host(h.member.Identity(), address)
+	h.ops = New(Options{Views: h, Caller: end, Registrar: end, Clock: skewed{offset: skew}, Table: h.table})
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	go func() { _ = h.ops.Run(ctx) }()
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// changeEpoch makes the next epoch of all hosts that are not lost. Hosts learn it by learn; until then their leases are
+// not renewed.
+func (f *tableFleet) changeEpoch() {
+	f.epoch = fleet.Epoch{Number: f.epoch.Number + 1}
+	until := time.Now().Add(leaseTime)
+	for _, h := range f.hosts {
+		if !h.lost {
+			f.epoch.Members = append(f.epoch.Members, h.member)
+		}
+		if h.until.Load() == nil {
+			h.until.Store(&until)
+		}
+	}
+}
+
+func (f *tableFleet) learnAll() {
+	for _, h := range f.hosts {
+		if !h.lost && h.view.Load().Epoch.Number < f.epoch.Number {
+			h.learn(f.epoch)
+		}
+	}
+}
+
+// lose cuts a host off. It keeps running, with the lease that it has.
+func (f *tableFleet) lose(h *tableHost) {
+	h.lost = true
+	f.network.Remove(h.member.PeerAddress)
+	f.changeEpoch()
+}
+
+func (f *tableFleet) owner(key Key) *tableHost {
+	owner, _ := f.epoch.Owner(SlotKey(key.Slot()))
+	for _, h := range f.hosts {
+		if h.member.Identity() == owner.Identity() {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *tableFleet) close() {
+	f.table.Faults.SetDown(false)
+	for _, h := range f.hosts {
+		h.table.set("")
+		h.stop()
+	}
+	time.Sleep(time.Minute) // fake time, in which every call and retry ends
+	f.network.Close()
+	synctest.Wait()
+}
+
+// begin claims an operation at a host and returns the kind of the answer, "granted" or "replayed".
+func (h *tableHost) begin(id uuid.UUID, mode settings.ClaimMode, timeout time.Duration) (Claim, string, errkind.Outcome) {
+	claim, err := h.ops.Begin(context.Background(), Operation{
+		Customer: "c", ID: id.String(), Deadline: time.Now().Add(timeout), Claims: mode, Fingerprint: Fingerprint{1},
+	})
+	var refusal *errkind.Error
+	switch {
+	case errors.As(err, &refusal):
+		return claim, string(refusal.Kind), refusal.StatedOutcome()
+	case claim.Replay != nil:
+		return claim, "replayed", ""
+	default:
+		return claim, "granted", ""
+	}
+}
--- a/fleet/idempotency/transfer.go
+++ b/fleet/idempotency/transfer.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
+	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
 )
 
 // transferPiece is the size in bytes at which a message with records is sent, so that none grows without bound.
@@ -15,6 +16,9 @@
 // HandOver before on a graceful leave.
 func (o *Operations) Run(ctx context.Context) error {
 	defer o.stop()
+	if o.options.Table != nil {
+		go o.expireRows(ctx)
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -227,6 +231,8 @@
 	Evicted uint64
 	// PendingResults counts results that no owner has taken yet.
 	PendingResults int64
+	// Table counts what claims in the table cost.
+	Table tableclaims.Status
 	// Granted, Replayed and Refused count the answers that this host got to its claims.
 	Granted, Replayed, Refused int64
 }
@@ -238,7 +244,7 @@
 	status := Status{
 		Epoch: o.ledger.epoch, OwnedSlots: o.ledger.owned(), Bytes: o.ledger.used, Evicted: o.ledger.evicted,
 		Records: len(o.ledger.idle) + len(o.ledger.running), PendingResults: o.pending.Load(),
-		Granted: o.granted.Load(), Replayed: o.replayed.Load(), Refused: o.refused.Load(),
+		Table: o.rows.Status(), Granted: o.granted.Load(), Replayed: o.replayed.Load(), Refused: o.refused.Load(),
 	}
 	for i := range o.ledger.slots {
 		if o.ledger.slots[i].serving {
--- a/traffic/errkind/errkind.go
+++ b/traffic/errkind/errkind.go
@@ -55,6 +55,7 @@
 	OperationMismatch  Kind = "operation_mismatch"
 	OperationRunning   Kind = "operation_running"
 	OperationNotOwned  Kind = "operation_owner_unavailable"
+	ClaimsUnavailable  Kind = "claims_unavailable"
 	ResultBodyLost     Kind = "outcome_known_body_lost"
 	RequestTooLarge    Kind = "request_too_large"
 	RequestMalformed   Kind = "request_malformed"
@@ -87,8 +88,8 @@
 var kinds = []Kind{
 	RouteNotFound, KeyMissing, KeyInvalid, RateLimited, LimitUnavailable, HostInactive, Misdirected, Overloaded,
 	DeadlineNotRun, NoUpstream, UpstreamRefused, UpstreamFailed, UpstreamTimeout, OutcomeUnknown, OperationIDMissing,
-	OperationIDInvalid, OperationIDExpired, OperationMismatch, OperationRunning, OperationNotOwned, ResultBodyLost,
-	RequestTooLarge, RequestMalformed, ShuttingDown, Internal,
+	OperationIDInvalid, OperationIDExpired, OperationMismatch, OperationRunning, OperationNotOwned, ClaimsUnavailable,
+	ResultBodyLost, RequestTooLarge, RequestMalformed, ShuttingDown, Internal,
 }
 
 var answers = map[Kind]Answer{
@@ -112,6 +113,7 @@
 	OperationMismatch:  {422, Unknown, false, "the Idempotency-Key was used with a different request"},
 	OperationRunning:   {409, Unknown, true, "the operation with this Idempotency-Key is still running"},
 	OperationNotOwned:  {503, Unknown, true, "the owner of the operation cannot be reached; repeat with the same Idempotency-Key"},
+	ClaimsUnavailable:  {503, Unknown, true, "the claim cannot be written to the table now; repeat with the same Idempotency-Key"},
 	ResultBodyLost:     {410, Unknown, false, "the operation ran; its answer was too large to be kept"},
 	RequestTooLarge:    {413, NotRun, false, "the request exceeds a size limit"},
 	RequestMalformed:   {400, NotRun, false, "the request is malformed"},
