Let writes gather between the transactions of claims

Change: each transaction is preceded by the time in which writes gather, 2 ms for claims and 20 ms for results.

--- a/fleet/idempotency/tableclaims/batch.go
+++ b/fleet/idempotency/tableclaims/batch.go
@@ -31,7 +31,7 @@
 // batcher puts writes of different rows into common transactions, one transaction at a time.
 type batcher struct {
 	table platform.Table
-	// collect is how long the first write waits for others.
+	// collect is the time between two transactions, in which writes gather.
 	collect time.Duration
 	// timeout bounds a transaction.
 	timeout time.Duration
@@ -77,18 +77,24 @@
 }
 
 func (b *batcher) run() {
-	time.Sleep(b.collect)
 	for {
-		batch := b.take()
-		if batch == nil {
+		time.Sleep(b.collect)
+		b.write(b.take())
+		if b.idle() {
 			return
 		}
-		b.write(batch)
 	}
 }
 
-// take removes the next batch from the queue. It returns nil and ends the run if the queue is empty. A second write of a
-// row waits for the next batch.
+// idle ends the run if no write waits.
+func (b *batcher) idle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running = len(b.queue) > 0
+	return !b.running
+}
+
+// take removes the next batch from the queue. A second write of a row waits for the next batch.
 func (b *batcher) take() []*entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -107,13 +113,15 @@
 		size += len(e.write.Value)
 	}
 	b.queue = rest
-	b.running = len(batch) > 0
 	return batch
 }
 
 // write applies a batch. A row in conflict is left out, and the others are written without it.
 func (b *batcher) write(batch []*entry) {
 	for range maxConflicts {
+		if len(batch) == 0 {
+			return
+		}
 		err := b.transactTwice(batch)
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) || conflict.Index < 0 || conflict.Index >= len(batch) {
@@ -122,9 +130,6 @@
 		}
 		batch[conflict.Index].done <- errConflict
 		batch = slices.Delete(batch, conflict.Index, conflict.Index+1)
-		if len(batch) == 0 {
-			return
-		}
 	}
 	finish(batch, errConflict)
 }
--- a/fleet/idempotency/tableclaims/store.go
+++ b/fleet/idempotency/tableclaims/store.go
@@ -13,9 +13,10 @@
 // Options configures a Store.
 type Options struct {
 	Table platform.Table
-	// Collect is how long a claim waits for others to share its transaction. Default 2 ms.
+	// Collect is the time between two transactions of claims, in which claims gather. Default 2 ms.
 	Collect time.Duration
-	// CollectResults is the same for results and claims that are given back. Default 20 ms.
+	// CollectResults is the same for results and claims that are given back. Nobody waits for them, but what is not
+	// written yet is lost with this host. Default 20 ms.
 	CollectResults time.Duration
 	// Timeout bounds one call to the table. Default 300 ms.
 	Timeout time.Duration
