fleet/membership: bound the reports that wait for a receiver

Cause: a receiver of OnRevisionHeard that does not return let reports pile up, one per heartbeat. Change: no further report of a settings revision while more than 64 reports wait. Conclusion: memory is bounded; reports of views are not dropped.

--- a/fleet/membership/runtime.go
+++ b/fleet/membership/runtime.go
@@ -257,7 +257,9 @@
 // the event that brought the revision. The caller holds mu.
 func (r *Runtime) hint(from string, at Moment) {
 	revision := r.machine.Heard()
-	if r.options.OnRevisionHeard == nil || revision <= at.Applied {
+	// A receiver that does not return would let the reports pile up.
+	const maxWaiting = 64
+	if r.options.OnRevisionHeard == nil || revision <= at.Applied || len(r.events) > maxWaiting {
 		return
 	}
 	if revision <= r.hinted {
