Test the life of slices lent to guests; describe policy and ownership

Cause: nothing checked that a guest's slice ends with the lender's lease. Change: a test; the package comment names the policy, its weak side and the owner's key. Measured: go test -race ./ratelimit passes; the test fails when the lease is left out of the life. Conclusion: behaviour is unchanged.

--- a/fleet/ratelimit/doc.go
+++ b/fleet/ratelimit/doc.go
@@ -15,6 +15,13 @@
 // it never exceed the burst that the owner counts for it: while a request is outstanding, the holder caps its bucket at
 // the level stated in the request. Hence admissions over any interval t are at most rate*t + burst.
 //
+// Policy. Slices follow measured demand with max-min fairness and some headroom; what demand does not need stays in the
+// reserve, from which an empty holder borrows within one round trip. Holders of customers with a small burst or a small
+// demand have no slice and borrow each token, so such customers are refused while their owner is lost.
+//
+// Ownership. The key of a customer's owner in the epoch is not that of its home set, so that the loss of one host seldom
+// takes both the owner and a part of the slices.
+//
 // Limits. A lost answer loses the tokens that it carried. A new owner grants nothing until every member has reported its
 // slices, or until the last slice of the former owner has expired.
 package ratelimit
--- a/fleet/ratelimit/owner_test.go
+++ b/fleet/ratelimit/owner_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit/ratelimitpb"
 )
 
 // TestReturnAfterExpiry guards against tokens that come back in a delayed report after the owner has already counted the
@@ -44,6 +46,34 @@
 	}
 }
 
+// TestGuestSliceEndsWithLease guards against a slice lent to a guest that outlives the lender's lease: a new owner does not
+// hear of guests.
+func TestGuestSliceEndsWithLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(2, Limits{Rate: 100, Burst: 100})
+		owner := f.hosts[f.ownerOf("zoo")]
+		const lease = 1200 * time.Millisecond
+		f.mu.Lock()
+		owner.view.ActiveUntil = time.Now().Add(lease)
+		f.mu.Unlock()
+		for from, want := range map[fleet.Identity]time.Duration{
+			{ID: "guest", Incarnation: 5}:                 lease,
+			f.hosts[1-f.ownerOf("zoo")].member.Identity(): SliceLife,
+		} {
+			report := Report{Seq: 1, Demand: 10}
+			request := &ratelimitpb.RenewSharesRequest{Epoch: 1, Reports: []*ratelimitpb.Report{reportMessage("zoo", &report)}}
+			response, err := owner.limiter.handle(from, request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if grant := grantOf(response.GetGrants()[0]); grant.Rate == 0 || grant.Life != want {
+				t.Errorf("%s got %+v, want a slice for %v", from.ID, grant, want)
+			}
+		}
+		f.stop()
+	})
+}
+
 // TestDivideMaxMin guards against a division that favours large demands or leaves rate unused.
 func TestDivideMaxMin(t *testing.T) {
 	for _, test := range []struct {
