Serve open routes without a lease; guard cookies and the buffer budget

A host without a lease refuses keyed routes only, and answers host_inactive where its settings may be too old to know the route or key. Both tests are now stricter: other cookies must survive, a cookie alone must not carry a key, and the buffer budget must be given back.

--- a/traffic/proxy/collaborators.go
+++ b/traffic/proxy/collaborators.go
@@ -14,7 +14,8 @@
 	Current() *settings.Snapshot
 }
 
-// Lease tells whether this host may act on what it knows. Active is called at each moment of use.
+// Lease tells whether this host may act on what it knows. Active is called at each moment of use. Routes that are open to
+// all are served without a lease.
 type Lease interface {
 	Active() bool
 }
--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -134,7 +134,7 @@
 		return errkind.New(errkind.RequestMalformed, err)
 	}
 	snapshot := x.h.options.Snapshots.Current()
-	if snapshot == nil || !x.h.options.Lease.Active() {
+	if snapshot == nil {
 		return errkind.New(errkind.HostInactive, nil)
 	}
 	if err := x.resolve(snapshot); err != nil {
@@ -162,7 +162,7 @@
 func (x *exchange) resolve(snapshot *settings.Snapshot) *errkind.Error {
 	route, ok := snapshot.Route(hostName(x.r.Host), x.r.Method, x.r.URL.Path)
 	if !ok {
-		return errkind.New(errkind.RouteNotFound, nil)
+		return x.unlessInactive(errkind.RouteNotFound)
 	}
 	x.route, x.policy = route, route.PolicyFor(x.r.Method)
 	x.event.Service, x.event.Route = route.Service, route.Name
@@ -170,7 +170,10 @@
 	if !x.policy.Open {
 		customer, err := customerOf(snapshot, x.keys)
 		if err != nil {
-			return err
+			return x.unlessInactive(err.Kind)
+		}
+		if !x.h.options.Lease.Active() {
+			return errkind.New(errkind.HostInactive, nil)
 		}
 		x.customer = customer
 		x.event.Customer = customer.ID
@@ -182,6 +185,15 @@
 	return nil
 }
 
+// unlessInactive refuses with the kind, or with HostInactive if the lease has ended: the route or key may be newer than
+// the settings that this host has.
+func (x *exchange) unlessInactive(kind errkind.Kind) *errkind.Error {
+	if !x.h.options.Lease.Active() {
+		kind = errkind.HostInactive
+	}
+	return errkind.New(kind, nil)
+}
+
 // customerOf returns the customer of the presented key. Two different keys are refused, because either choice could
 // charge the wrong customer.
 func customerOf(snapshot *settings.Snapshot, keys []string) (*settings.Customer, *errkind.Error) {
@@ -203,7 +215,7 @@
 // have it now.
 func (x *exchange) stillAllowed() (*settings.Service, *errkind.Error) {
 	snapshot := x.h.options.Snapshots.Current()
-	if snapshot == nil || !x.h.options.Lease.Active() {
+	if snapshot == nil || (x.customer != nil && !x.h.options.Lease.Active()) {
 		return nil, errkind.New(errkind.HostInactive, nil)
 	}
 	if x.customer != nil {
--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -48,6 +48,9 @@
 		}
 		server.Close()
 		w.handler.CloseIdle()
+		if w.budget.Used() != 0 {
+			t.Errorf("size %d: %d bytes of the buffer budget are not given back", size, w.budget.Used())
+		}
 	}
 }
 
@@ -68,6 +71,7 @@
 		"trailer":       "POST /PATH HTTP/1.1\r\nHost: h\r\nX-Api-Key: KEY\r\nTransfer-Encoding: chunked\r\nTrailer: X-Api-Key, X-T\r\n\r\n1\r\nx\r\n0\r\nX-Api-Key: KEY\r\nX-T: KEY\r\n\r\n",
 		"long trailer":  "POST /PATH HTTP/1.1\r\nHost: h\r\nX-Api-Key: KEY\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n11170\r\nLONG\r\n0\r\nX-T: KEY\r\n\r\n",
 		"open":          "GET /OPEN HTTP/1.1\r\nHost: h\r\nAuthorization: bearer KEY\r\nCookie: api_key=KEY\r\n\r\n",
+		"open cookie":   "GET /OPEN HTTP/1.1\r\nHost: h\r\nCookie: api_key=KEY; a=b\r\n\r\n",
 		"open query":    "GET /OPEN?x=1;api_key=KEY HTTP/1.1\r\nHost: h\r\n\r\n",
 		"basic":         "GET /PATH?api_key=KEY HTTP/1.1\r\nHost: h\r\nAuthorization: Basic KEY\r\n\r\n",
 	}
@@ -92,6 +96,9 @@
 		if strings.Contains(strings.ToLower(got), strings.ToLower(testKey)) || strings.Contains(decoded, testKey) || strings.Contains(got, escaped) {
 			t.Errorf("%s: the upstream received the key: %q", name, got)
 		}
+		if strings.Contains(text, "a=b") && !strings.Contains(got, "Cookie: a=b\r\n") {
+			t.Errorf("%s: the other cookie is lost: %q", name, got)
+		}
 		w.handler.CloseIdle()
 	}
 }
@@ -130,6 +137,8 @@
 		{"too large", "PUT", "/lookup", strings.Repeat("x", 1<<20+1), nil, none, errkind.RequestTooLarge, errkind.NotRun},
 		{"no operation id", "POST", "/booking", "", nil, none, errkind.OperationIDMissing, errkind.NotRun},
 		{"no lease", "GET", "/lookup", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
+		{"no lease, route may be new", "GET", "/other", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
+		{"no lease, key may be new", "GET", "/lookup?api_key=y", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
 		{"over the rate", "GET", "/lookup", "", nil, func(w *world) { w.limit = proxy.LimitDecision{} }, errkind.RateLimited, errkind.NotRun},
 		{"operation over the rate", "POST", "/booking", "", id, func(w *world) { w.limit = proxy.LimitDecision{} }, errkind.RateLimited, errkind.Unknown},
 		{"lease ends in the queue", "GET", "/lookup", "", nil, queued(lapse), errkind.HostInactive, errkind.NotRun},
@@ -158,6 +167,11 @@
 	if seen.Load() != 0 {
 		t.Errorf("an upstream saw %d refused requests", seen.Load())
 	}
+	w := newWorld(t, forward.Options{}, time.Minute, address)
+	lapse(w)
+	if got := w.exchange("GET", "/open", "", nil); got.Code != http.StatusOK {
+		t.Errorf("open route without a lease: %d", got.Code)
+	}
 }
 
 // Guards against an operation that ends with its caller, a result that is not recorded, and a repeat that runs again.
