Use one context per request up to its attempts

Admission, queue and run each derived a context with the same deadline. go test -run xxx -bench Forward -benchtime 2s ./traffic/proxy: proxied lookup 197 to 194 allocs, operation 287 to 273 allocs; times are within the noise of a machine under a load average of 20 (lookup 118-143 us before, 141 us after). Conclusion: fewer allocations, no measurable change of latency.

--- a/traffic/proxy/attempt.go
+++ b/traffic/proxy/attempt.go
@@ -41,12 +41,11 @@
 	return picked, nil
 }
 
-// newTry prepares an attempt at a picked upstream.
-func (x *exchange) newTry(ctx context.Context, picked Attempt) (*try, context.Context) {
+// newTry prepares an attempt at a picked upstream. cancel ends the attempt's context.
+func (x *exchange) newTry(picked Attempt, cancel context.CancelFunc) *try {
 	x.tried = append(x.tried, picked.Upstream.ID)
 	x.event.Attempts++
-	tryCtx, cancel := context.WithCancel(ctx)
-	return &try{picked: picked, cancel: cancel, start: time.Now(), granted: time.Until(x.deadline)}, tryCtx
+	return &try{picked: picked, cancel: cancel, start: time.Now(), granted: time.Until(x.deadline)}
 }
 
 // do sends the request. firstByte bounds the time to the header of the answer, 0 leaves it to the deadline.
--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -97,6 +97,8 @@
 	id       string
 	start    time.Time
 	deadline time.Time
+	ctx      context.Context // ends at the deadline, and when the caller goes away
+	cancel   context.CancelFunc
 	keys     []string
 	route    *settings.Route
 	policy   settings.Policy
@@ -112,7 +114,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, start: time.Now()}
+	x := &exchange{h: h, w: w, r: r, start: time.Now(), cancel: func() {}}
 	x.id = requestID(r)
 	x.event.RequestID = x.id
 	if !h.inflight.enter() {
@@ -121,6 +123,7 @@
 		return
 	}
 	defer h.inflight.leave()
+	defer func() { x.cancel() }()
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
@@ -146,9 +149,7 @@
 	if x.customer == nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
-	decision := x.h.options.Limiter.Admit(ctx, x.customer.ID)
+	decision := x.h.options.Limiter.Admit(x.ctx, x.customer.ID)
 	if decision.Allowed {
 		return nil
 	}
@@ -248,6 +249,7 @@
 		timeout = min(timeout, shorter)
 	}
 	x.deadline = x.start.Add(timeout)
+	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
 	return nil
 }
 
--- a/traffic/proxy/idempotent.go
+++ b/traffic/proxy/idempotent.go
@@ -14,20 +14,18 @@
 
 // runIdempotent does a request that may be sent again. It ends when the caller goes away.
 func (x *exchange) runIdempotent() {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
 	if refusal := x.readBody(x.h.options.ReplayableBody, false); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
-	release, refusal := x.enqueue(ctx)
+	release, refusal := x.enqueue()
 	if refusal != nil {
 		x.refuse(refusal)
 		return
 	}
 	slot := onceFunc(release)
 	defer slot()
-	race := &race{x: x, ctx: ctx, results: make(chan *try, x.maxAttempts())}
+	race := &race{x: x, ctx: x.ctx, results: make(chan *try, x.maxAttempts())}
 	defer race.stop()
 	best, refusal := race.run()
 	if refusal != nil {
@@ -110,7 +108,8 @@
 }
 
 func (r *race) launch(picked Attempt) {
-	t, ctx := r.x.newTry(r.ctx, picked)
+	ctx, cancel := context.WithCancel(r.ctx)
+	t := r.x.newTry(picked, cancel)
 	r.running = append(r.running, t)
 	go func() {
 		t.do(ctx, r.x, r.x.h.options.FirstByte)
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -57,15 +57,13 @@
 		x.refuse(refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
 	operation := idempotency.Operation{
 		ID: id, Fingerprint: x.fingerprint(), Deadline: x.deadline, Claims: x.policy.Claims,
 	}
 	if x.customer != nil {
 		operation.Customer = x.customer.ID
 	}
-	claim, err := x.h.options.Operations.Begin(ctx, operation)
+	claim, err := x.h.options.Operations.Begin(x.ctx, operation)
 	x.decided = true
 	switch {
 	case err != nil:
@@ -140,9 +138,7 @@
 // runOnce makes the attempt. Only attempts without a connection are followed by another, at another upstream. The
 // request runs to its deadline if its caller goes away after it was sent.
 func (x *exchange) runOnce() (*try, func(), *errkind.Error) {
-	queueCtx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	release, refusal := x.enqueue(queueCtx)
-	cancel()
+	release, refusal := x.enqueue()
 	if refusal != nil {
 		return nil, nil, refusal
 	}
@@ -186,13 +182,8 @@
 
 func (x *exchange) attemptOnce(ctx context.Context, picked Attempt) *try {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	t, tryCtx := x.newTry(ctx, picked)
-	cancelTry := t.cancel
-	t.cancel = func() {
-		cancelTry()
-		cancel()
-	}
-	t.do(tryCtx, x, 0)
+	t := x.newTry(picked, cancel)
+	t.do(ctx, x, 0)
 	if t.answer != nil && judge(t.answer.Status, &x.policy) == OutcomeOK {
 		x.h.options.Retries.OnSuccess(x.route.Service)
 	}
--- a/traffic/proxy/run.go
+++ b/traffic/proxy/run.go
@@ -22,16 +22,16 @@
 }
 
 // enqueue waits for a slot of the service.
-func (x *exchange) enqueue(ctx context.Context) (release func(), refusal *errkind.Error) {
+func (x *exchange) enqueue() (release func(), refusal *errkind.Error) {
 	service, refusal := x.stillAllowed()
 	if refusal != nil {
 		return nil, refusal
 	}
-	release, err := x.h.options.Queue.Acquire(ctx, service, x.customer)
+	release, err := x.h.options.Queue.Acquire(x.ctx, service, x.customer)
 	if err == nil {
 		return release, nil
 	}
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		return nil, asKind(err, errkind.DeadlineNotRun)
 	}
 	return nil, asKind(err, errkind.Overloaded)
