Compute slot owners once per epoch; replay trailers

Entering an epoch and preparing the transfers to each member ranked the members of the epoch for each of 256 slots anew, 16 times at 16 members. A replayed answer lacked the trailers of the first. Tests pass under the race detector; the time of an epoch change was not measured.

--- a/fleet/idempotency/operations.go
+++ b/fleet/idempotency/operations.go
@@ -69,7 +69,8 @@
 
 	mu        sync.Mutex
 	ledger    *Ledger
-	view      *fleet.View // of the ledger's epoch
+	view      *fleet.View           // of the ledger's epoch
+	owners    [Slots]fleet.Identity // of the slots in that epoch; zero without active members
 	waiters   map[Key]chan struct{}
 	delivered map[fleet.Identity]uint64 // newest epoch whose transfers a member has acknowledged
 	sending   map[fleet.Identity]bool
--- a/fleet/idempotency/transfer.go
+++ b/fleet/idempotency/transfer.go
@@ -40,8 +40,12 @@
 
 // enterEpoch changes the ledger's epoch. The caller holds mu.
 func (o *Operations) enterEpoch(t Moment, view *fleet.View) {
-	o.ledger.EnterEpoch(t, view, func(slot int) bool { return view.Owns(SlotKey(slot)) })
 	o.view = view
+	for slot := range o.owners {
+		owner, _ := view.Epoch.Owner(SlotKey(slot))
+		o.owners[slot] = owner.Identity()
+	}
+	o.ledger.EnterEpoch(t, view, func(slot int) bool { return !view.Guest && view.Self.ID != "" && o.owners[slot] == view.Self })
 	for key := range o.waiters {
 		o.wake(key)
 	}
@@ -112,8 +116,7 @@
 	var slots []int
 	pieces := &pieces{epoch: epoch}
 	for slot := range Slots {
-		owner, ok := o.view.Epoch.Owner(SlotKey(slot))
-		if !ok || owner.Identity() != member.Identity() {
+		if o.owners[slot] != member.Identity() {
 			continue
 		}
 		if transfer, ok := o.ledger.Outgoing(t, slot); ok {
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -95,6 +95,9 @@
 	for name, values := range result.Header {
 		header[name] = values
 	}
+	for name, values := range result.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
 	header.Set(errkind.RequestIDHeader, x.id)
 	header.Set(ReplayedHeader, "true")
 	markOutcome(header, result.Status)
--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -182,7 +182,9 @@
 		runs.Add(1)
 		close(arrived)
 		<-proceed
+		w.Header().Set("Trailer", "X-Sum")
 		_, _ = io.WriteString(w, "booked")
+		w.Header().Set("X-Sum", "6")
 	})
 	w := newWorld(t, forward.Options{}, time.Minute, address)
 	id := map[string]string{"Idempotency-Key": freshID()}
@@ -207,6 +209,9 @@
 	again := newWorld(t, forward.Options{}, time.Minute, address)
 	again.ops = w.ops
 	got := again.exchange("POST", "/booking/1", "b", id)
+	if sum := got.Result().Trailer.Get("X-Sum"); sum != "6" {
+		t.Errorf("trailer of the repeat: %q", sum)
+	}
 	if got.Body.String() != "booked" || got.Header().Get(proxy.ReplayedHeader) != "true" || runs.Load() != 1 {
 		t.Errorf("repeat: %d %q, %d runs", got.Code, got.Body, runs.Load())
 	}
