Keep the free time of earlier epochs and of epochs not seen

A pending owner took the free time of the newest view alone; a later epoch without an exclusion could have shortened it, and a host that joins or misses an epoch may not know of an exclusion at all. The ledger keeps the latest free time and waits a lease and a margin after the first epoch that it learns or one that follows a gap. Trials on scratch copies: without either rule TestOwnershipRules fails. Conclusion: no start before old leases are over.

--- a/fleet/idempotency/slot.go
+++ b/fleet/idempotency/slot.go
@@ -52,7 +52,11 @@
 		return
 	}
 	next := epoch.Number == l.epoch+1 && l.epoch > 0
-	l.self, l.epoch, l.freeAt = view.Self, epoch.Number, view.FreeAt
+	l.self, l.epoch, l.freeAt = view.Self, epoch.Number, later(l.freeAt, view.FreeAt)
+	if !next && epoch.Number > 1 {
+		// Members of the epochs that this host has not seen may hold leases that the view does not tell of.
+		l.freeAt = later(l.freeAt, t.Now.Add(leaseAndMargin))
+	}
 	l.members = l.members[:0]
 	for i := range epoch.Members {
 		l.members = append(l.members, epoch.Members[i].Identity())
@@ -77,6 +81,16 @@
 	l.Tick(t)
 }
 
+// leaseAndMargin is the duration of an activity lease and the margin for clock drift.
+const leaseAndMargin = 2 * time.Second
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // giveUp ends the ownership. Records and reports stay until they are handed over.
 func (s *slot) giveUp() {
 	report := Report{Through: s.through, Served: s.serving}
--- a/fleet/idempotency/slot_test.go
+++ b/fleet/idempotency/slot_test.go
@@ -89,6 +89,8 @@
 			handOver(l, NotRun, 1)
 		}, 0, Refused},
 		{"another host may have owned the slot in a missed epoch", "B-B", time.Hour, func(*Ledger) {}, 0, NotOwner},
+		{"leases of unseen epochs", "-B", 0, release, 0, NotOwner},
+		{"leases of an exclusion before the newest epoch", "A-BB", 0, release, 0, NotOwner},
 		{"uninterrupted ownership", "BBB", time.Hour, func(*Ledger) {}, 0, Granted},
 	} {
 		l := ledgerIn(c.history, origin.Add(c.freeAt))
