Test an answer that comes before the end of the caller's body

Without the Connection: close of closeUnread the test hangs (trial); without stopStream it passes, because net/http aborts the blocked read, so the comment now says which read stopStream is for.

--- a/traffic/proxy/body.go
+++ b/traffic/proxy/body.go
@@ -141,8 +141,9 @@
 	return n, err
 }
 
-// stopStream unblocks a transport that still waits for the caller's body when the request has ended: net/http does not
-// end a request as long as a Read of its body is blocked.
+// stopStream makes further reads of the caller's body fail when the request has ended. net/http aborts a Read that is
+// blocked when the handler returns, but a transport that still sends the body may start another right after, and net/http
+// would wait for that one.
 func (x *exchange) stopStream() {
 	if x.body == nil || x.body.ended.Load() {
 		return
--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -247,3 +247,24 @@
 	}
 	<-cancelled
 }
+
+// Guards against a request that hangs when the upstream answers before the caller has sent its whole body, and against
+// the rest of that body being taken for the next request.
+func TestAnswerBeforeEndOfBody(t *testing.T) {
+	upstream := newRawUpstream(t, script{read: 100, write: goodAnswer, end: serves})
+	w := newWorld(t, forward.Options{}, time.Minute, upstream.address)
+	server := httptest.NewServer(w.handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "PUT /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: %s\r\nContent-Length: 500000\r\n\r\n%s",
+		testKey, strings.Repeat("x", 100<<10))
+	got, err := io.ReadAll(conn) // ends when the host closes the connection
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 OK") || !strings.HasSuffix(string(got), wholeBody) {
+		t.Errorf("%v, %q", err, got)
+	}
+	w.handler.CloseIdle()
+}
