--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -48,6 +48,9 @@
 		}
 		server.Close()
 		w.handler.CloseIdle()
+		if w.budget.Used() != 0 {
+			t.Errorf("size %d: %d bytes of the buffer budget are not given back", size, w.budget.Used())
+		}
 	}
 }
 
@@ -68,6 +71,7 @@
 		"trailer":       "POST /PATH HTTP/1.1\r\nHost: h\r\nX-Api-Key: KEY\r\nTransfer-Encoding: chunked\r\nTrailer: X-Api-Key, X-T\r\n\r\n1\r\nx\r\n0\r\nX-Api-Key: KEY\r\nX-T: KEY\r\n\r\n",
 		"long trailer":  "POST /PATH HTTP/1.1\r\nHost: h\r\nX-Api-Key: KEY\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n11170\r\nLONG\r\n0\r\nX-T: KEY\r\n\r\n",
 		"open":          "GET /OPEN HTTP/1.1\r\nHost: h\r\nAuthorization: bearer KEY\r\nCookie: api_key=KEY\r\n\r\n",
+		"open cookie":   "GET /OPEN HTTP/1.1\r\nHost: h\r\nCookie: api_key=KEY; a=b\r\n\r\n",
 		"open query":    "GET /OPEN?x=1;api_key=KEY HTTP/1.1\r\nHost: h\r\n\r\n",
 		"basic":         "GET /PATH?api_key=KEY HTTP/1.1\r\nHost: h\r\nAuthorization: Basic KEY\r\n\r\n",
 	}
@@ -92,6 +96,9 @@
 		if strings.Contains(strings.ToLower(got), strings.ToLower(testKey)) || strings.Contains(decoded, testKey) || strings.Contains(got, escaped) {
 			t.Errorf("%s: the upstream received the key: %q", name, got)
 		}
+		if strings.Contains(text, "a=b") && !strings.Contains(got, "Cookie: a=b\r\n") {
+			t.Errorf("%s: the other cookie is lost: %q", name, got)
+		}
 		w.handler.CloseIdle()
 	}
 }
@@ -130,6 +137,8 @@
 		{"too large", "PUT", "/lookup", strings.Repeat("x", 1<<20+1), nil, none, errkind.RequestTooLarge, errkind.NotRun},
 		{"no operation id", "POST", "/booking", "", nil, none, errkind.OperationIDMissing, errkind.NotRun},
 		{"no lease", "GET", "/lookup", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
+		{"no lease, route may be new", "GET", "/other", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
+		{"no lease, key may be new", "GET", "/lookup?api_key=y", "", nil, lapse, errkind.HostInactive, errkind.NotRun},
 		{"over the rate", "GET", "/lookup", "", nil, func(w *world) { w.limit = proxy.LimitDecision{} }, errkind.RateLimited, errkind.NotRun},
 		{"operation over the rate", "POST", "/booking", "", id, func(w *world) { w.limit = proxy.LimitDecision{} }, errkind.RateLimited, errkind.NotRun},
 		{"lease ends in the queue", "GET", "/lookup", "", nil, queued(lapse), errkind.HostInactive, errkind.NotRun},
@@ -158,6 +167,11 @@
 	if seen.Load() != 0 {
 		t.Errorf("an upstream saw %d refused requests", seen.Load())
 	}
+	w := newWorld(t, forward.Options{}, time.Minute, address)
+	lapse(w)
+	if got := w.exchange("GET", "/open", "", nil); got.Code != http.StatusOK {
+		t.Errorf("open route without a lease: %d", got.Code)
+	}
 }
 
 // Guards against an operation that ends with its caller, a result that is not recorded, and a repeat that runs again.
@@ -168,7 +182,9 @@
 		runs.Add(1)
 		close(arrived)
 		<-proceed
+		w.Header().Set("Trailer", "X-Sum")
 		_, _ = io.WriteString(w, "booked")
+		w.Header().Set("X-Sum", "6")
 	})
 	w := newWorld(t, forward.Options{}, time.Minute, address)
 	id := map[string]string{"Idempotency-Key": freshID()}
@@ -193,6 +209,9 @@
 	again := newWorld(t, forward.Options{}, time.Minute, address)
 	again.ops = w.ops
 	got := again.exchange("POST", "/booking/1", "b", id)
+	if sum := got.Result().Trailer.Get("X-Sum"); sum != "6" {
+		t.Errorf("trailer of the repeat: %q", sum)
+	}
 	if got.Body.String() != "booked" || got.Header().Get(proxy.ReplayedHeader) != "true" || runs.Load() != 1 {
 		t.Errorf("repeat: %d %q, %d runs", got.Code, got.Body, runs.Load())
 	}
@@ -228,3 +247,24 @@
 	}
 	<-cancelled
 }
+
+// Guards against a request that hangs when the upstream answers before the caller has sent its whole body, and against
+// the rest of that body being taken for the next request.
+func TestAnswerBeforeEndOfBody(t *testing.T) {
+	upstream := newRawUpstream(t, script{read: 100, write: goodAnswer, end: serves})
+	w := newWorld(t, forward.Options{}, time.Minute, upstream.address)
+	server := httptest.NewServer(w.handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "PUT /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: %s\r\nContent-Length: 500000\r\n\r\n%s",
+		testKey, strings.Repeat("x", 100<<10))
+	got, err := io.ReadAll(conn) // ends when the host closes the connection
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 OK") || !strings.HasSuffix(string(got), wholeBody) {
+		t.Errorf("%v, %q", err, got)
+	}
+	w.handler.CloseIdle()
+}
