--- a/fleet/ejection/arbiter.go
+++ b/fleet/ejection/arbiter.go
@@ -49,7 +49,8 @@
 	// BurstLimit is how many bad samples of an upstream count within BurstWindow; a pause of an upstream makes all
 	// its samples of that moment bad, which is one event and not several. Default 2.
 	BurstLimit float64
-	// BurstWindow is the length of the window. Default 400 ms.
+	// BurstWindow is the length of the window. Default 600 ms: the samples of a pause of 200 ms
+	// arrive with the digests of the next 250 ms, and with 400 ms one pause could count twice.
 	BurstWindow time.Duration
 	// Probes is true if the owner of the Arbiter carries out the probes of Probes. Default false.
 	Probes bool
@@ -60,7 +61,7 @@
 	o.SickRate = cmp.Or(o.SickRate, 0.5)
 	o.Threshold = cmp.Or(o.Threshold, 10)
 	o.BurstLimit = cmp.Or(o.BurstLimit, 2)
-	o.BurstWindow = cmp.Or(o.BurstWindow, 400*time.Millisecond)
+	o.BurstWindow = cmp.Or(o.BurstWindow, 600*time.Millisecond)
 }
 
 type state int
