Average reported loads in the balancer

Reports that lag 0.5 s made all hosts turn to the same upstream. Change: reports are averaged over 4 s; in the bench, requests wait while all upstreams are at the in-flight limit, as behind the queue, instead of being lost.

--- a/bench/upstreambench/request.go
+++ b/bench/upstreambench/request.go
@@ -1,6 +1,7 @@
 package upstreambench
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -10,6 +11,10 @@
 	"github.com/bronzeyard/bronzeyard/traffic/retry"
 )
 
+// busyWait stands for the queue in front of the balancer: a request waits this long for a place within the host's
+// in-flight limits.
+const busyWait = 2 * time.Millisecond
+
 // request is one idempotent request at one host.
 type request struct {
 	host     *host
@@ -38,7 +43,13 @@
 // attempt sends the request to one more upstream.
 func (r *request) attempt() {
 	h, w := r.host, r.host.w
+	if r.answered {
+		return
+	}
 	u, err := h.pick(r.tried)
+	if errors.Is(err, loadbalancer.ErrBusy) {
+		w.sim.after(busyWait, r.attempt)
+	}
 	if err != nil {
 		return
 	}
--- a/traffic/loadbalancer/balancer.go
+++ b/traffic/loadbalancer/balancer.go
@@ -24,6 +24,9 @@
 	// loadHalfLife is the age at which a reported load counts half. Reports come with answers, so at 0.3 requests/s
 	// per host and upstream most are older than this and must not outweigh the in-flight count.
 	loadHalfLife = time.Second
+	// loadSmoothing is the time after which a report has replaced half of the average. Reports lag by more than a request
+	// takes; used as they come, they made all hosts turn to the same upstream, and p99 was worse than with round robin.
+	loadSmoothing = 4 * time.Second
 	// spillLoad is the load of the own data centre's candidate above which other data centres are considered.
 	spillLoad = 0.5
 	// remotePenalty is the load by which an upstream in another data centre must be better.
@@ -334,8 +337,7 @@
 		return
 	}
 	if result.HasLoad {
-		u.load = clamp(result.Load, 0, 1)
-		u.loadAt = now
+		u.observeLoad(now, clamp(result.Load, 0, 1))
 	}
 	if result.Draining {
 		u.drainTill = now.Add(drainHold)
@@ -344,6 +346,16 @@
 	u.inFlight = max(0, u.inFlight-1)
 }
 
+// observeLoad averages reported loads over loadSmoothing. A single report is older than the requests that it would steer.
+func (u *upstream) observeLoad(now time.Time, load float64) {
+	keep := 0.0
+	if !u.loadAt.IsZero() {
+		keep = math.Exp2(-float64(now.Sub(u.loadAt)) / float64(loadSmoothing))
+	}
+	u.load = load + keep*(u.load-load)
+	u.loadAt = now
+}
+
 // adapt reduces the limit on a shed answer and raises it while the host uses all that it may.
 func (b *Balancer) adapt(now time.Time, u *upstream, result Result) {
 	switch {
