Judge slowness with the medians of two upstreams

Cause: hosts that prefer their own data centre often use two upstreams. A single sample of a third one set the slow bound back to its maximum of 1 s, so 2 of 100 upstreams that were ten times slower were not seen by all hosts within 20 s. Change: two medians suffice; the lower median of two is the faster one.

--- a/traffic/outlier/outlier.go
+++ b/traffic/outlier/outlier.go
@@ -52,8 +52,10 @@
 	history = 16
 	// fewest is how many latencies an upstream needs for a median of its own.
 	fewest = 3
-	// fewestPeers is how many upstreams need a median of their own; with fewer, one sick upstream could set the bound.
-	fewestPeers = 3
+	// fewestPeers is how many upstreams need a median of their own, unless the host uses a single one. The lower median of
+	// two is the faster one. Hosts that prefer their own data centre may use no more than two; with 3, a few samples of
+	// others set the bound back to its maximum, and 2 of 100 upstreams ten times slower went unnoticed.
+	fewestPeers = 2
 )
 
 type upstream struct {
--- a/traffic/outlier/outlier_test.go
+++ b/traffic/outlier/outlier_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// Guards against a bound at its maximum on hosts that use two upstreams and have single samples of others.
+func TestBoundWithFewUpstreams(t *testing.T) {
+	d := NewDetector(Options{})
+	for range 3 {
+		try(d, "near", 50*time.Millisecond, OK)
+		try(d, "sick", 500*time.Millisecond, OK)
+	}
+	try(d, "far", 50*time.Millisecond, OK)
+	d.Sweep(start)
+	if got := d.Bound(); got != 200*time.Millisecond {
+		t.Errorf("bound %v, want 200ms", got)
+	}
+}
+
 // Guards against an attempt that hangs being counted late, twice or as a success, and against shed answers as sickness.
 func TestOutcomes(t *testing.T) {
 	for _, test := range []struct {
