Stop using a draining upstream at once on the host that sees the sign

Cause: the set of ejections knew drain signs only by the arbiter's grant, so a host cut off from it went on (I9). Change: the host's own signs count at once; the option also takes upstreams that the platform's host list gives as leaving. Measured: go test ./fleet/ejection; the new test fails without the host's own signs and without the rule for all draining.

--- a/fleet/ejection/arbiter_test.go
+++ b/fleet/ejection/arbiter_test.go
@@ -265,3 +265,28 @@
 		t.Errorf("all ejected: %d suspects", n)
 	}
 }
+
+// Guards I9: an upstream whose drain sign one host has seen gets no work from any host that reaches the arbiter, and none from
+// that host if it does not; when all drain, none is left out.
+func TestDraining(t *testing.T) {
+	b := newBench(3, 4, ArbiterOptions{})
+	first := b.hosts[0]
+	weight := func(host int, id settings.UpstreamID) float64 { return b.hosts[host].Set(b.now, b.service).Weight(id) }
+	digest := first.Digest(b.now, first.all, []settings.UpstreamID{"u02"})
+	if w := weight(0, "u02"); w != 0 {
+		t.Errorf("before any answer: weight %v on the host that saw the sign, want 0", w)
+	}
+	b.arbiter.Report(b.now, first.id, digest)
+	b.run(250*time.Millisecond, 1)
+	if w := weight(2, "u02"); w != 0 {
+		t.Errorf("after one interval: weight %v on another host, want 0", w)
+	}
+	b.run(6*time.Second, 1)
+	if w := weight(2, "u02"); w != 1 {
+		t.Errorf("sign no longer reported: weight %v, want 1", w)
+	}
+	first.Digest(b.now, first.all, []settings.UpstreamID{"u00", "u01", "u02", "u03"})
+	if w := weight(0, "u02"); w != 1 {
+		t.Errorf("all upstreams drain: weight %v, want 1", w)
+	}
+}
--- a/fleet/ejection/reporter.go
+++ b/fleet/ejection/reporter.go
@@ -1,6 +1,7 @@
 package ejection
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet/ejection/ejectionpb"
@@ -29,9 +30,11 @@
 	applied   uint64
 	confirmed map[settings.UpstreamID]outlier.Counts
 	// sent holds the counts of the last digest until its answer confirms them.
-	sent     map[settings.UpstreamID]outlier.Counts
-	held     []held
-	draining map[settings.UpstreamID]bool
+	sent map[settings.UpstreamID]outlier.Counts
+	held []held
+	// draining are the upstreams whose drain sign any host has seen, by the last grant; ownDraining those of this host.
+	draining    map[settings.UpstreamID]bool
+	ownDraining []settings.UpstreamID
 	// suspects are believed until suspectsUntil.
 	suspects      map[settings.UpstreamID]bool
 	suspectsUntil time.Time
@@ -77,6 +80,7 @@
 			digest.Held = append(digest.Held, h.message(now))
 		}
 	}
+	r.ownDraining = draining
 	for _, id := range draining {
 		digest.Draining = append(digest.Draining, string(id))
 	}
@@ -136,7 +140,7 @@
 	}
 	usable := make(map[settings.UpstreamID]bool, len(service.Upstreams))
 	for _, u := range service.Upstreams {
-		if r.draining[u.ID] {
+		if r.draining[u.ID] || slices.Contains(r.ownDraining, u.ID) {
 			set.weights[u.ID] = 0
 			continue
 		}
--- a/fleet/ejection/service.go
+++ b/fleet/ejection/service.go
@@ -41,7 +41,8 @@
 	// Probe sends one probe to an upstream and returns an error unless it answers well within the context's deadline.
 	// Without it, upstreams return without a probe. Default nil.
 	Probe func(ctx context.Context, upstream settings.Upstream) error
-	// Draining returns the upstreams of a service whose drain sign this host has seen. Default none.
+	// Draining returns the upstreams of a service whose drain sign this host has seen, or that the platform's host list
+	// gives as leaving. All hosts stop using them, and they do not count for the floor. Default none.
 	Draining func(service settings.ServiceName) []settings.UpstreamID
 	Outlier  outlier.Options
 	Arbiter  ArbiterOptions
