Test a bad rate of 2% against 40%

Cause: upstreams that fail half of their requests collect evidence slowly; errors of healthy ones are nearer 2% than 5%. Change: rates 0.02 and 0.4 with threshold 13 instead of 0.05 and 0.5 with 10; still five bad samples.

--- a/fleet/ejection/arbiter.go
+++ b/fleet/ejection/arbiter.go
@@ -38,12 +38,13 @@
 
 // ArbiterOptions configure the test of an Arbiter.
 type ArbiterOptions struct {
-	// HealthyRate is the rate of bad samples of a healthy upstream. Default 0.05.
+	// HealthyRate is the rate of bad samples of a healthy upstream. Default 0.02.
 	HealthyRate float64
-	// SickRate is the rate of bad samples of a sick upstream. Default 0.5.
+	// SickRate is the rate of bad samples of a sick upstream. Default 0.4. With rates of 0.05 and 0.5 and a threshold of
+	// 10, upstreams that failed half of their requests took a fifth longer to detect.
 	SickRate float64
-	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 10, which five bad
-	// samples reach with at most two good ones between them. With 8.5, which four bad samples reach, upstreambench saw 4
+	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 13, which five bad
+	// samples reach with at most four good ones between them. Where four bad samples were enough, upstreambench saw 4
 	// false ejections in 26 upstream-hours.
 	Threshold float64
 	// BurstLimit is how many bad samples of an upstream count within BurstWindow; a pause of an upstream makes all
@@ -57,9 +58,9 @@
 }
 
 func (o *ArbiterOptions) setDefaults() {
-	o.HealthyRate = cmp.Or(o.HealthyRate, 0.05)
-	o.SickRate = cmp.Or(o.SickRate, 0.5)
-	o.Threshold = cmp.Or(o.Threshold, 10)
+	o.HealthyRate = cmp.Or(o.HealthyRate, 0.02)
+	o.SickRate = cmp.Or(o.SickRate, 0.4)
+	o.Threshold = cmp.Or(o.Threshold, 13)
 	o.BurstLimit = cmp.Or(o.BurstLimit, 2)
 	o.BurstWindow = cmp.Or(o.BurstWindow, 600*time.Millisecond)
 }
