--- a/fleet/ejection/arbiter.go
+++ b/fleet/ejection/arbiter.go
@@ -38,29 +38,31 @@
 
 // ArbiterOptions configure the test of an Arbiter.
 type ArbiterOptions struct {
-	// HealthyRate is the rate of bad samples of a healthy upstream. Default 0.05.
+	// HealthyRate is the rate of bad samples of a healthy upstream. Default 0.02.
 	HealthyRate float64
-	// SickRate is the rate of bad samples of a sick upstream. Default 0.5.
+	// SickRate is the rate of bad samples of a sick upstream. Default 0.4. With rates of 0.05 and 0.5 and a threshold of
+	// 10, upstreams that failed half of their requests took a fifth longer to detect.
 	SickRate float64
-	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 10, which five bad
-	// samples reach with at most two good ones between them. With 8.5, which four bad samples reach, upstreambench saw 4
+	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 13, which five bad
+	// samples reach with at most four good ones between them. Where four bad samples were enough, upstreambench saw 4
 	// false ejections in 26 upstream-hours.
 	Threshold float64
 	// BurstLimit is how many bad samples of an upstream count within BurstWindow; a pause of an upstream makes all
 	// its samples of that moment bad, which is one event and not several. Default 2.
 	BurstLimit float64
-	// BurstWindow is the length of the window. Default 400 ms.
+	// BurstWindow is the length of the window. Default 600 ms: the samples of a pause of 200 ms
+	// arrive with the digests of the next 250 ms, and with 400 ms one pause could count twice.
 	BurstWindow time.Duration
 	// Probes is true if the owner of the Arbiter carries out the probes of Probes. Default false.
 	Probes bool
 }
 
 func (o *ArbiterOptions) setDefaults() {
-	o.HealthyRate = cmp.Or(o.HealthyRate, 0.05)
-	o.SickRate = cmp.Or(o.SickRate, 0.5)
-	o.Threshold = cmp.Or(o.Threshold, 10)
+	o.HealthyRate = cmp.Or(o.HealthyRate, 0.02)
+	o.SickRate = cmp.Or(o.SickRate, 0.4)
+	o.Threshold = cmp.Or(o.Threshold, 13)
 	o.BurstLimit = cmp.Or(o.BurstLimit, 2)
-	o.BurstWindow = cmp.Or(o.BurstWindow, 400*time.Millisecond)
+	o.BurstWindow = cmp.Or(o.BurstWindow, 600*time.Millisecond)
 }
 
 type state int
