Carry one call after another on a stream between hosts

Change: a stream is used again after an exchange that succeeded on both sides, at most 4 idle ones per session; any other outcome closes it, so no answer can reach another call.

--- a/fleet/peer/call.go
+++ b/fleet/peer/call.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -108,13 +107,27 @@
 	return errors.Join(ErrNoAnswer, ctx.Err())
 }
 
-// exchange writes the request and reads the answer.
+// exchange makes the call on an idle stream or a new one. The stream is kept after a call that succeeded; the called side
+// closes it after any other.
 func (c *call) exchange() error {
-	stream, err := c.session.OpenStream()
-	if err != nil {
-		return errors.Join(ErrNotSent, err)
+	stream := c.session.idle.take()
+	if stream == nil {
+		opened, err := c.session.OpenStream()
+		if err != nil {
+			return errors.Join(ErrNotSent, err)
+		}
+		stream = newCallStream(opened)
+	}
+	if err := c.exchangeOn(stream); err != nil {
+		_ = stream.Close()
+		return err
 	}
-	defer func() { _ = stream.Close() }()
+	c.session.idle.put(stream)
+	return nil
+}
+
+// exchangeOn writes the request and reads the answer.
+func (c *call) exchangeOn(stream *callStream) error {
 	_ = stream.SetDeadline(c.deadline)
 	if !c.progress.CompareAndSwap(callWaiting, callWritten) {
 		return ErrNotSent
@@ -122,7 +135,7 @@
 	if _, err := stream.Write(c.frame); err != nil {
 		return noAnswer(err, c.deadline)
 	}
-	r := bufio.NewReader(stream)
+	r := stream.reader
 	header, err := readResponseHeader(r, c.maxBody)
 	if err != nil {
 		return noAnswer(err, c.deadline)
--- a/fleet/peer/doc.go
+++ b/fleet/peer/doc.go
@@ -1,4 +1,4 @@
-// Package peer carries calls between the hosts of a fleet: protobuf messages over yamux, one stream per call, mutually
+// Package peer carries calls between the hosts of a fleet: protobuf messages over yamux, one call at a time per stream, mutually
 // authenticated by TLS, with a deadline on every call.
 //
 // Transport keeps one outbound yamux session per peer address and dials it on demand. A call is one stream: a
--- a/fleet/peer/link.go
+++ b/fleet/peer/link.go
@@ -34,6 +34,7 @@
 	*yamux.Session
 	conn  *countedConn
 	names names
+	idle  idleStreams
 }
 
 // silentSince reports whether nothing has arrived since the count was taken and for at least the given time.
--- a/fleet/peer/serve.go
+++ b/fleet/peer/serve.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -117,45 +116,52 @@
 	calls     *semaphore.Weighted
 }
 
-func (s *inboundSession) start(ctx context.Context, stream *yamux.Stream) {
-	_ = stream.SetDeadline(time.Now().Add(readTimeout))
-	if !s.calls.TryAcquire(1) {
-		s.answer(stream, nil, errors.New("too many calls at a time"))
-		_ = stream.Close()
-		return
-	}
+// start serves the calls of a stream, one after another.
+func (s *inboundSession) start(ctx context.Context, opened *yamux.Stream) {
+	stream := newCallStream(opened)
 	started := s.transport.launch(func() {
-		defer s.calls.Release(1)
 		defer func() { _ = stream.Close() }()
-		s.serve(ctx, stream)
+		_ = stream.SetDeadline(time.Now().Add(readTimeout))
+		for s.serveNext(ctx, stream) {
+			_ = stream.SetDeadline(time.Now().Add(idleStreamTimeout))
+		}
 	})
 	if !started {
-		s.calls.Release(1)
 		_ = stream.Close()
 	}
 }
 
+// serveNext waits for a request and serves it. It reports whether the stream can carry another call.
+func (s *inboundSession) serveNext(ctx context.Context, stream *callStream) bool {
+	if _, err := stream.reader.Peek(1); err != nil {
+		return false
+	}
+	_ = stream.SetDeadline(time.Now().Add(readTimeout))
+	if !s.calls.TryAcquire(1) {
+		return s.answer(stream, nil, errors.New("too many calls at a time"))
+	}
+	defer s.calls.Release(1)
+	return s.serve(ctx, stream)
+}
+
 // serve reads one request, handles it and writes the answer.
-func (s *inboundSession) serve(ctx context.Context, stream *yamux.Stream) {
-	r := bufio.NewReader(stream)
-	header, err := readRequestHeader(r, s.transport.options.MaxMessageBytes)
+func (s *inboundSession) serve(ctx context.Context, stream *callStream) bool {
+	header, err := readRequestHeader(stream.reader, s.transport.options.MaxMessageBytes)
 	if err != nil {
-		s.answer(stream, nil, err)
-		return
+		return s.answer(stream, nil, err)
 	}
 	length := int64(header.GetBodyBytes())
 	if !s.transport.inbound.TryAcquire(length) {
-		s.answer(stream, nil, errors.New("too many bytes of requests at a time"))
-		return
+		return s.answer(stream, nil, errors.New("too many bytes of requests at a time"))
 	}
 	defer s.transport.inbound.Release(length)
 	s.transport.stats.handled.Add(1)
-	resp, err := s.handle(ctx, stream, r, header)
-	s.answer(stream, resp, err)
+	resp, err := s.handle(ctx, stream, header)
+	return s.answer(stream, resp, err)
 }
 
 func (s *inboundSession) handle(
-	ctx context.Context, stream *yamux.Stream, r *bufio.Reader, header *peerpb.RequestHeader,
+	ctx context.Context, stream *callStream, header *peerpb.RequestHeader,
 ) (proto.Message, error) {
 	from := fleet.Identity{ID: fleet.HostID(header.GetHostId()), Incarnation: fleet.Incarnation(header.GetIncarnation())}
 	if err := s.names.check(from.ID); err != nil {
@@ -166,7 +172,7 @@
 		return nil, fmt.Errorf("method %q has no handler", header.GetMethod())
 	}
 	request := h.newRequest()
-	if err := readBody(r, header.GetBodyBytes(), request); err != nil {
+	if err := readBody(stream.reader, header.GetBodyBytes(), request); err != nil {
 		return nil, err
 	}
 	left := min(header.GetTimeoutUs(), uint64(s.transport.options.MaxCallTime.Microseconds()))
@@ -177,8 +183,9 @@
 	return h.handle(ctx, from, request)
 }
 
-// answer writes the outcome of a call. A failure to write shows at the caller as ErrNoAnswer.
-func (s *inboundSession) answer(stream *yamux.Stream, resp proto.Message, err error) {
+// answer writes the outcome of a call. A failure to write shows at the caller as ErrNoAnswer. It reports whether the call
+// succeeded, after which the stream can carry another one: the request was read to its end.
+func (s *inboundSession) answer(stream *callStream, resp proto.Message, err error) bool {
 	var body []byte
 	if err == nil {
 		body, err = proto.Marshal(resp)
@@ -192,9 +199,10 @@
 	if err != nil {
 		header.Error = strings.ToValidUTF8(err.Error()[:min(len(err.Error()), maxErrorBytes)], "?")
 	}
-	frame, err := encode(header, body)
-	if err != nil {
-		return
+	frame, encodeErr := encode(header, body)
+	if encodeErr != nil {
+		return false
 	}
-	_, _ = stream.Write(frame)
+	_, writeErr := stream.Write(frame)
+	return err == nil && writeErr == nil
 }
