Check that no step of the protocol creates tokens

Cause: tokens copied into a slice instead of moved went unnoticed while the sum stayed under the burst. Change: the sum over holders, owners and messages must not grow in a step in which no time passes.

--- a/fleet/ratelimit/protocol_test.go
+++ b/fleet/ratelimit/protocol_test.go
@@ -55,6 +55,9 @@
 	answers  []answer
 	checker  *Checker
 	admitted int
+	last     total
+	// handled are the sequence numbers of the reports that an owner has handled.
+	handled map[uint64]bool
 	// handledAt is the time of the newest grant.
 	handledAt time.Time
 	// gained is the sum of what the hosts' clocks have gained. A clock that gains d refills up to rate*d tokens more.
@@ -62,7 +65,7 @@
 }
 
 func newProtocol(hosts int, limits Limits) *protocol {
-	p := &protocol{now: time.Unix(1000, 0), limits: limits, epoch: 1}
+	p := &protocol{now: time.Unix(1000, 0), limits: limits, epoch: 1, handled: make(map[uint64]bool)}
 	p.checker = NewChecker(p.now, limits)
 	for i := range hosts {
 		h := &protocolHost{epoch: 1, reportedIn: 1, lease: p.now.Add(leaseLife)}
@@ -156,6 +159,7 @@
 	grant := owner.owner.Handle(p.time(owner), r.from, r.report, SliceLife)
 	p.answers = append(p.answers, answer{to: r.from, grant: grant})
 	p.handledAt = p.now
+	p.handled[r.report.Seq] = true
 	if h := p.hostOf(r.from); h != nil {
 		h.reportedIn = max(h.reportedIn, r.epoch)
 	}
@@ -283,6 +287,40 @@
 	if rate > WholeShare {
 		t.Fatalf("rates sum to %v of %v", rate, WholeShare)
 	}
+	p.checkGrowth(t)
+}
+
+// total is the sum of all tokens at one moment, in bursts.
+type total struct {
+	tokens float64
+	at     time.Time
+	limits Limits
+}
+
+// checkGrowth checks that the sum of all tokens, those of inactive hosts, former owners and messages included, has not grown
+// in a step in which no time passed: tokens are moved and never copied.
+func (p *protocol) checkGrowth(t *rapid.T) {
+	now := total{at: p.now.Add(p.gained), limits: p.limits}
+	for _, h := range p.hosts {
+		h.holder.expire(p.time(h))
+		now.tokens += h.holder.bucket.Tokens(p.time(h)) + h.holder.borrowed + h.holder.returning + p.inFlight(h)
+		if h.owner != nil && h.owner.Granting() {
+			now.tokens += max(0, h.owner.reserve.Tokens(p.time(h)))
+		}
+	}
+	for _, r := range p.requests {
+		if !p.handled[r.report.Seq] {
+			now.tokens += tokensOf(r.report.Returned)
+		}
+	}
+	last := p.last
+	p.last = now
+	if last.at != now.at || last.limits != now.limits {
+		return
+	}
+	if grown := now.tokens - last.tokens; grown > 1e-8 {
+		t.Fatalf("tokens grew by %v bursts in no time", grown)
+	}
 }
 
 // TestProtocolBound guards the bound of rate and burst (I5) under lost, doubled and late messages, replaced owners,
@@ -361,6 +399,8 @@
 	drift := time.Duration(rapid.SampledFrom([]int{-100, 0, 100}).Draw(t, "ms")) * time.Millisecond
 	p.gained += max(0, drift-p.hosts[i].drift)
 	p.hosts[i].drift = drift
+	// A clock set back can make an expired answer valid again.
+	p.last = total{}
 }
 
 // healthyRound lets every member learn the epoch and renew, without faults and without delay.
