Keep the read deadline of a body that did not arrive in time

The deadline was taken back before the refusal, so net/http waited for the rest of the body after the answer and held its goroutine for as long as the caller liked. Before: the new test case hung until its 50 s timeout. After: it passes. Conclusion: a caller that stops sending is answered and its connection closed at the deadline.

--- a/traffic/proxy/body.go
+++ b/traffic/proxy/body.go
@@ -47,10 +47,10 @@
 	// Fails only for writers that are not net/http's, which have no connection to wait for.
 	_ = control.SetReadDeadline(x.deadline)
 	buffer, whole, err := x.buffer(min(keep, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
-		return err
+		return err // the read deadline stays, because net/http reads on for the rest of the body
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	if !whole {
 		x.stream(buffer)
 		return nil
--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -248,23 +248,31 @@
 	<-cancelled
 }
 
-// Guards against a request that hangs when the upstream answers before the caller has sent its whole body, and against
-// the rest of that body being taken for the next request.
+// Guards against a request that hangs when its answer comes before the caller has sent its whole body, and against the
+// rest of that body being taken for the next request.
 func TestAnswerBeforeEndOfBody(t *testing.T) {
-	upstream := newRawUpstream(t, script{read: 100, write: goodAnswer, end: serves})
-	w := newWorld(t, forward.Options{}, time.Minute, upstream.address)
-	server := httptest.NewServer(w.handler)
-	defer server.Close()
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "PUT /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: %s\r\nContent-Length: 500000\r\n\r\n%s",
-		testKey, strings.Repeat("x", 100<<10))
-	got, err := io.ReadAll(conn) // ends when the host closes the connection
-	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 OK") || !strings.HasSuffix(string(got), wholeBody) {
-		t.Errorf("%v, %q", err, got)
+	for _, c := range []struct {
+		request    string // up to the end of its header
+		sent       int
+		begin, end string // of the answer
+	}{
+		{"PUT /lookup/x HTTP/1.1\r\nContent-Length: 500000\r\n", 100 << 10, "HTTP/1.1 200 OK", wholeBody},
+		{"PUT /lookup/x HTTP/1.1\r\nContent-Length: 5\r\nBronzeyard-Timeout-Ms: 20\r\n", 1, "HTTP/1.1 504", "}\n"},
+	} {
+		upstream := newRawUpstream(t, script{read: 100, write: goodAnswer, end: serves})
+		w := newWorld(t, forward.Options{}, time.Minute, upstream.address)
+		server := httptest.NewServer(w.handler)
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "%sHost: h\r\nX-Api-Key: %s\r\n\r\n%s", c.request, testKey, strings.Repeat("x", c.sent))
+		got, err := io.ReadAll(conn) // ends when the host closes the connection
+		if err != nil || !strings.HasPrefix(string(got), c.begin) || !strings.HasSuffix(string(got), c.end) {
+			t.Errorf("%v, %q", err, got)
+		}
+		_ = conn.Close()
+		server.Close()
+		w.handler.CloseIdle()
 	}
-	w.handler.CloseIdle()
 }
