--- a/fleet/ejection/service.go
+++ b/fleet/ejection/service.go
@@ -36,7 +36,7 @@
 	Caller    peer.Caller
 	Registrar peer.Registrar
 	Clock     clock.Clock
-	// Services calls yield for each service of the newest settings.
+	// Services calls yield for each service of the newest settings. Services and Draining must not call the Service.
 	Services func(yield func(*settings.Service) bool)
 	// Probe sends one probe to an upstream and returns an error unless it answers well within the context's deadline.
 	// Without it, upstreams return without a probe. Default nil.
