Let a leaving host wait for its results in the table

Cause: a host that left gracefully could exit before the results of its last operations were written; after the loss of their next owner they would have been unknown.

Change: HandOver waits for results unless the table did not take the last one at three tries.

Measured: go test -race ./fleet/idempotency/... passes in 17 s and 2 s; without the wait TestHandOverWaitsForResults sees 1 of 2 rows, without the check for an outage it ends with the context.

--- a/fleet/idempotency/table_test.go
+++ b/fleet/idempotency/table_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
@@ -210,6 +211,32 @@
 	})
 }
 
+// Guards against a host that leaves before its results are in the table, and against one that cannot leave without it.
+func TestHandOverWaitsForResults(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTableFleet(2)
+			defer f.close()
+			f.table.Faults.SetDelay(100 * time.Millisecond)
+			leaving := f.hosts[0]
+			claim, _, _ := leaving.begin(f.newID(leaving), settings.ClaimsInTable, time.Second)
+			leaving.member.State = fleet.Leaving
+			f.table.Faults.SetDown(down)
+			claim.Complete(Result{State: Done, Status: 201})
+			f.changeEpoch()
+			f.learnAll()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			if err := leaving.ops.HandOver(ctx); err != nil {
+				t.Errorf("table down %v: %v", down, err)
+			}
+			if _, rows := f.table.Counts(); !down && rows != 2 {
+				t.Errorf("the host left when %d of 2 rows were written", rows)
+			}
+		})
+	}
+}
+
 // Guards against table calls for what the owner's memory knows.
 func TestMemoryIsAskedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/idempotency/tableclaims/claim.go
+++ b/fleet/idempotency/tableclaims/claim.go
@@ -197,7 +197,12 @@
 		defer s.pending.Add(-1)
 		ctx, cancel := context.WithTimeout(s.base, s.options.KeepTrying)
 		defer cancel()
-		for pause := firstPause; ctx.Err() == nil && !step(ctx); pause = min(2*pause, maxPause) {
+		for try, pause := 1, firstPause; ctx.Err() == nil; try, pause = try+1, min(2*pause, maxPause) {
+			done := step(ctx)
+			s.failing.Store(!done && try >= failingTries)
+			if done {
+				return
+			}
 			timer := time.NewTimer(pause)
 			select {
 			case <-ctx.Done():
--- a/fleet/idempotency/tableclaims/store.go
+++ b/fleet/idempotency/tableclaims/store.go
@@ -34,6 +34,8 @@
 	// firstPause and maxPause are the times between two tries to store a result.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 2 * time.Second
+	// failingTries is the number of tries after which the table is taken to be down. One may fail by a conflict.
+	failingTries = 3
 	// expirePage is the number of rows that are read at once to be deleted.
 	expirePage = 25
 )
@@ -54,6 +56,7 @@
 
 	reads   atomic.Int64
 	pending atomic.Int64
+	failing atomic.Bool
 }
 
 // New returns a Store whose background writes end with base. A nil table is allowed; every claim then fails.
@@ -138,11 +141,13 @@
 	Reads, Transactions int64
 	// Pending counts results and claims to be given back that are not stored yet.
 	Pending int64
+	// Failing is true if the table did not take the last of them at several tries.
+	Failing bool
 }
 
 // Status returns the current state.
 func (s *Store) Status() Status {
-	status := Status{Reads: s.reads.Load(), Pending: s.pending.Load()}
+	status := Status{Reads: s.reads.Load(), Pending: s.pending.Load(), Failing: s.failing.Load()}
 	for _, b := range []*batcher{&s.claims, &s.results} {
 		b.mu.Lock()
 		status.Transactions += b.transactions
--- a/fleet/idempotency/transfer.go
+++ b/fleet/idempotency/transfer.go
@@ -189,8 +189,8 @@
 }
 
 // HandOver waits until every other member has taken over what this host knows and every result has been taken by an
-// owner. The host must have left or be leaving the epoch, so that it owns no slot. It returns the error of ctx if that
-// ends first.
+// owner, and by the table if it takes writes. The host must have left or be leaving the epoch, so that it owns no slot.
+// It returns the error of ctx if that ends first.
 func (o *Operations) HandOver(ctx context.Context) error {
 	for !o.handedOver() {
 		pause(ctx, o.options.Retry)
@@ -208,6 +208,9 @@
 	if o.pending.Load() > 0 || o.ledger.owned() > 0 {
 		return false
 	}
+	if rows := o.rows.Status(); rows.Pending > 0 && !rows.Failing {
+		return false // results are on their way to the table; an outage does not keep the host from leaving
+	}
 	view := o.view
 	for i := range view.Epoch.Members {
 		member := &view.Epoch.Members[i]
