Measure the cost of control by layer and derive the target scale

docs/CAPACITY.md needs slopes at three or more sizes, and the capacity experiment measured idle hosts only.

The test of packages.md fails with -count=1 when the page is edited by hand.

--- /dev/null
+++ b/bench/capacitybench/decisions.go
@@ -0,0 +1,106 @@
+package capacitybench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/addresses"
+	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/loadbalancer"
+)
+
+// Decision is the time of one decision at one size.
+type Decision struct {
+	Name  string `json:"name"`
+	Unit  string `json:"unit"`
+	Count int    `json:"count"`
+	// Microseconds of processor time for one decision, the collection of its garbage included.
+	Microseconds float64 `json:"microseconds"`
+}
+
+func decisions() []Decision {
+	var all []Decision
+	for _, hosts := range []int{4, 8, 16} {
+		all = append(all, decide("address answer", "hosts of the cell", hosts, addressAnswer(hosts)))
+		all = append(all, decide("owner of a customer", "hosts of the cell", hosts, owner(hosts)))
+	}
+	for _, upstreams := range []int{5, 20, 80} {
+		all = append(all, decide("choice of an upstream", "upstreams of the service", upstreams, pick(upstreams)))
+	}
+	for _, hosts := range []int{100, 400, 1600} {
+		all = append(all, decide("subset of one upstream", "hosts that send to it", hosts, subset(hosts)))
+	}
+	return all
+}
+
+// decisionTime is for how long each decision is repeated.
+const decisionTime = 200 * time.Millisecond
+
+func decide(name, unit string, count int, run func(i int)) Decision {
+	const batch = 100
+	n, start := 0, processorTime()
+	for processorTime()-start < decisionTime {
+		for range batch {
+			run(n)
+			n++
+		}
+	}
+	taken := processorTime() - start
+	return Decision{
+		Name: name, Unit: unit, Count: count,
+		Microseconds: float64(taken) / float64(n) / float64(time.Microsecond),
+	}
+}
+
+func epochOfSize(hosts int) *fleet.Epoch {
+	list := make([]string, hosts)
+	for i := range list {
+		list[i] = fmt.Sprintf("192.0.2.%d:7000", i+1)
+	}
+	epoch := epochOf(list)
+	return &epoch
+}
+
+func addressAnswer(hosts int) func(int) {
+	epoch := epochOfSize(hosts)
+	return func(i int) {
+		addresses.Compute(epoch, nil, fmt.Sprintf("customer-%d", i), "dc-1", addresses.Options{})
+	}
+}
+
+func owner(hosts int) func(int) {
+	epoch := epochOfSize(hosts)
+	return func(i int) { epoch.Owner(fmt.Sprintf("customer-%d", i)) }
+}
+
+func upstreamsOf(n int) []settings.Upstream {
+	all := make([]settings.Upstream, n)
+	for i := range all {
+		all[i] = settings.Upstream{ID: settings.UpstreamID(fmt.Sprintf("upstream-%d", i)), Slots: 6, Connections: 360}
+	}
+	return all
+}
+
+func pick(upstreams int) func(int) {
+	balancer := loadbalancer.New(loadbalancer.Options{Seed: 1})
+	now := time.Now()
+	self := loadbalancer.Host{ID: hostID(0)}
+	balancer.Update(now, loadbalancer.Config{Upstreams: upstreamsOf(upstreams), Self: self})
+	return func(int) {
+		chosen, err := balancer.Pick(now, nil, nil)
+		if err != nil {
+			panic(err)
+		}
+		balancer.Done(now, chosen.ID, loadbalancer.Result{OK: true})
+	}
+}
+
+func subset(count int) func(int) {
+	hosts := make([]loadbalancer.Host, count)
+	for i := range hosts {
+		hosts[i].ID = hostID(i)
+	}
+	upstream := upstreamsOf(1)[0]
+	return func(int) { loadbalancer.Subset(upstream, hosts) }
+}
--- /dev/null
+++ b/tools/packagemap/packagemap_test.go
@@ -0,0 +1,70 @@
+package packagemap
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write docs/packages.md")
+
+const (
+	root = "../.."
+	page = root + "/docs/packages.md"
+)
+
+// The tests read files of other modules, which the cache of test results does not watch: run them with -count=1.
+
+// Guards against a page that no longer says which packages there are and what they import.
+func TestPageIsUpToDate(t *testing.T) {
+	packages, err := List(t.Context(), root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Markdown(packages)
+	if *update {
+		if err := os.WriteFile(page, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("docs/packages.md is not up to date, run go test -count=1 ./tools/packagemap -update")
+	}
+}
+
+// Guards against imports that break the layers of the design: the pure foundations import nothing above them, and no
+// package that runs in a host imports a stand-in or an experiment.
+func TestLayers(t *testing.T) {
+	packages, err := List(t.Context(), root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	forbidden := map[string][]string{
+		"platform": {"settings", "fleet", "traffic", "host", "emulator", "bench", "cmd"},
+		"settings": {"traffic", "host", "emulator", "bench", "cmd"},
+		"fleet":    {"host", "emulator", "bench", "cmd"},
+		"traffic":  {"host", "emulator", "bench", "cmd"},
+		"host":     {"emulator", "bench", "cmd"},
+		"emulator": {"bench", "cmd"},
+	}
+	checked := 0
+	for _, p := range packages {
+		module, _, _ := strings.Cut(p.Path, "/")
+		for _, imported := range p.Imports {
+			checked++
+			for _, upper := range forbidden[module] {
+				if imported == upper || strings.HasPrefix(imported, upper+"/") {
+					t.Errorf("%s imports %s", p.Path, imported)
+				}
+			}
+		}
+	}
+	if checked == 0 {
+		t.Error("no imports were listed")
+	}
+}
