Let an operator declare a host as ended

Cause: if more than half of an epoch is lost for good, no majority can promise to exclude the lost hosts, and nothing called membership.DeclareEnded. Measured: TestDeclareEnded; not run against a fleet that lost its majority. Conclusion: operators have a way out, at their word.

--- a/cmd/internal/ctl/operations.go
+++ b/cmd/internal/ctl/operations.go
@@ -32,6 +32,26 @@
 	}
 	c.add(parser, "status", "show the state of the host and its settings", (*session).status)
 	c.add(parser, "drain", "let the host leave the fleet without cutting requests", (*session).drain)
+	var host string
+	hosts := group(parser, "host", "declare a lost host as ended")
+	ended := c.add(hosts, "ended", "give your word that the process of a host has ended for good; a wrong word can let two "+
+		"hosts own the same operation", func(s *session) error { return s.declareEnded(host) })
+	ended.AddPositionalValue(&host, "HOST", 1, true, "id of the host")
+}
+
+func (s *session) declareEnded(host string) error {
+	var answer struct {
+		Host  string `json:"host"`
+		Ended bool   `json:"ended"`
+	}
+	if err := s.call(http.MethodPost, "/v1/hosts/"+url.PathEscape(host)+"/ended", nil, struct{}{}, &answer); err != nil {
+		return err
+	}
+	if s.flags.asJSON {
+		return s.printJSON(answer)
+	}
+	_, err := fmt.Fprintf(s.env.Stdout, "host %s is taken as ended\n", answer.Host)
+	return err
 }
 
 func (s *session) audit(query url.Values) error {
--- a/host/admin/admin.go
+++ b/host/admin/admin.go
@@ -34,6 +34,9 @@
 	Status() any
 	// Drain starts the graceful leave of this host and returns without waiting for its end.
 	Drain(ctx context.Context) error
+	// DeclareEnded takes the operator's word that the process of a host has ended for good. It returns false if the host is
+	// no member or is heard.
+	DeclareEnded(host string) bool
 }
 
 // Operator may use the API.
@@ -112,6 +115,7 @@
 	handle(http.MethodGet, "/audit", h.audit)
 	handle(http.MethodGet, "/status", h.status)
 	handle(http.MethodPost, "/drain", h.drain)
+	handle(http.MethodPost, "/hosts/{host}/ended", h.declareEnded)
 	h.router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.serve(w, r, func(*request) (any, error) { return nil, notFound("there is no %s %s", r.Method, r.URL.Path) })
 	})
--- a/host/admin/admin_test.go
+++ b/host/admin/admin_test.go
@@ -37,6 +37,8 @@
 func (f *fleetStub) Status() any                 { return map[string]string{"state": "active"} }
 func (f *fleetStub) Drain(context.Context) error { f.draining = true; return nil }
 
+func (f *fleetStub) DeclareEnded(host string) bool { return host == "lost-1" }
+
 type api struct {
 	t       *testing.T
 	table   *memory.Table
@@ -273,3 +275,14 @@
 		t.Fatalf("audit: %v, %v, %v", page, late, all)
 	}
 }
+
+// Guards against the word of an operator that is taken for a host that is alive or does not exist, and against a word that
+// leaves no trace of who gave it.
+func TestDeclareEnded(t *testing.T) {
+	a := newAPI(t)
+	a.must(http.StatusNotFound, http.MethodPost, "/v1/hosts/mv-north-1/ended", "{}")
+	a.must(http.StatusOK, http.MethodPost, "/v1/hosts/lost-1/ended", "{}")
+	if log := a.log.String(); !strings.Contains(log, "lost-1") || !strings.Contains(log, "ada") {
+		t.Errorf("the log does not say who declared which host as ended: %s", log)
+	}
+}
--- a/host/admin/services.go
+++ b/host/admin/services.go
@@ -161,3 +161,18 @@
 	}
 	return &DrainAnswer{Draining: true}, nil
 }
+
+// EndedAnswer is the answer to POST /v1/hosts/{host}/ended.
+type EndedAnswer struct {
+	Host  string `json:"host"`
+	Ended bool   `json:"ended"`
+}
+
+func (h *Handler) declareEnded(r *request) (any, error) {
+	host := r.variable("host")
+	if !h.options.Fleet.DeclareEnded(host) {
+		return nil, notFound("host %q is no member of the epoch or is heard by this host", host)
+	}
+	h.options.Logger.Warn().Str("operator", r.operator).Str("ended", host).Msg("host declared as ended")
+	return &EndedAnswer{Host: host, Ended: true}, nil
+}
--- a/host/status.go
+++ b/host/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/ejection"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
 	"github.com/bronzeyard/bronzeyard/fleet/membership"
@@ -91,3 +92,8 @@
 		},
 	}
 }
+
+// DeclareEnded implements admin.Fleet.
+func (h *Host) DeclareEnded(host string) bool {
+	return len(h.membership.DeclareEnded([]fleet.HostID{fleet.HostID(host)})) == 0
+}
