Suspect after one bad sample and eject at threshold 14

Change: suspicion at 0.2 of the threshold; threshold 14, which takes five bad samples with at most two good ones between.

--- a/bench/upstreambench/fleet.go
+++ b/bench/upstreambench/fleet.go
@@ -59,10 +59,8 @@
 // results are counted over the whole run.
 type results struct {
 	requests, inTime, attempts, retries, probes int
-	// ejections counts the changes from use to ejection at any host, per upstream and time.
-	ejections      int
-	floorCrossings int
-	latencies      []time.Duration
+	floorCrossings                              int
+	latencies                                   []time.Duration
 }
 
 type host struct {
--- a/bench/upstreambench/standin.go
+++ b/bench/upstreambench/standin.go
@@ -51,8 +51,6 @@
 	busy       int
 	waiting    []func()
 	load       float64
-	// hung holds the slots that hanging requests never give back; they are bounded by the deadline of the callers.
-	served int
 }
 
 func newStandIn(sim *simulation, rng *rand.Rand, u settings.Upstream) *standIn {
@@ -131,7 +129,6 @@
 
 // draw returns how a request comes out at present.
 func (s *standIn) draw(rng *rand.Rand) (outcome outlier.Outcome, took time.Duration, hangs bool) {
-	s.served++
 	factor := math.Exp(latencySigma * rng.NormFloat64())
 	noise := rng.Float64()
 	outcome = outlier.OK
--- a/fleet/ejection/arbiter.go
+++ b/fleet/ejection/arbiter.go
@@ -30,8 +30,9 @@
 	// drainMemory is how long a drain sign is believed after a host last reported it.
 	drainMemory = 5 * time.Second
 	probeAfter  = time.Second
-	// suspicion is the part of the threshold from which hosts send more requests to an upstream: two bad samples in a row.
-	suspicion = 0.4
+	// suspicion is the part of the threshold from which hosts send more requests to an upstream: one bad sample. The
+	// requests are only moved, so early suspicion costs little.
+	suspicion = 0.2
 	// mostSuspects bounds the upstreams of a service that get such requests at once.
 	mostSuspects = 2
 )
@@ -43,8 +44,8 @@
 	// SickRate is the rate of bad samples of a sick upstream. Default 0.4. With rates of 0.05 and 0.5 and a threshold of
 	// 10, upstreams that failed half of their requests took a fifth longer to detect.
 	SickRate float64
-	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 13, which five bad
-	// samples reach with at most four good ones between them. Where four bad samples were enough, upstreambench saw 4
+	// Threshold is the log-likelihood ratio of sick to healthy that ejects an upstream. Default 14, which five bad
+	// samples reach with at most two good ones between them. Where four bad samples were enough, upstreambench saw 4
 	// false ejections in 26 upstream-hours.
 	Threshold float64
 	// BurstLimit is how many bad samples of an upstream count within BurstWindow; a pause of an upstream makes all
@@ -60,7 +61,7 @@
 func (o *ArbiterOptions) setDefaults() {
 	o.HealthyRate = cmp.Or(o.HealthyRate, 0.02)
 	o.SickRate = cmp.Or(o.SickRate, 0.4)
-	o.Threshold = cmp.Or(o.Threshold, 13)
+	o.Threshold = cmp.Or(o.Threshold, 14)
 	o.BurstLimit = cmp.Or(o.BurstLimit, 2)
 	o.BurstWindow = cmp.Or(o.BurstWindow, 600*time.Millisecond)
 }
--- a/fleet/ejection/arbiter_test.go
+++ b/fleet/ejection/arbiter_test.go
@@ -176,11 +176,13 @@
 	}
 }
 
-// Guards against the samples of a suspect host: host 0 blames everything, and two others had one bad sample each of u01,
+// Guards against the samples of a suspect host: host 0 blames half of the upstreams, and two others had one bad sample each of u01,
 // which alone are noise.
 func TestSuspectSamplesAreIgnored(t *testing.T) {
 	b := newBench(4, 6, ArbiterOptions{})
-	b.hosts[0].blames = true
+	for _, id := range []settings.UpstreamID{"u01", "u02", "u03"} {
+		b.hosts[0].sick[id] = true
+	}
 	b.run(time.Second, 1)
 	for _, h := range b.hosts[1:3] {
 		c := h.counts["u01"]
@@ -290,3 +292,40 @@
 		t.Errorf("all upstreams drain: weight %v, want 1", w)
 	}
 }
+
+// Guards the union of hosts that are cut off from each other: the place of an ejection that was released is given to another
+// upstream only after the lease of the host that was cut off has ended.
+func TestReleasedPlaceWaitsForLeases(t *testing.T) {
+	b := newBench(3, 4, ArbiterOptions{})
+	b.service.Policy.Floor = 0.75
+	b.arbiter.SetService(b.service)
+	lost := b.hosts[0]
+	lost.sick["u00"] = true
+	b.run(3*time.Second, 1)
+	if got := b.out(0); !slices.Equal(got, []settings.UpstreamID{"u00"}) {
+		t.Fatalf("host 0 alone ejects %v, want u00", got)
+	}
+	b.hosts = b.hosts[1:]
+	b.sicken("u01")
+	for range 40 {
+		b.run(250*time.Millisecond, 1)
+		if n := len(lost.Set(b.now, b.service).Ejections()) + len(b.out(0)); n > 1 {
+			t.Fatalf("%d of 4 upstreams out of use over all hosts at floor 0.75", n)
+		}
+	}
+	if got := b.out(0); !slices.Equal(got, []settings.UpstreamID{"u01"}) {
+		t.Errorf("after the lease: ejected %v, want u01", got)
+	}
+}
+
+// Guards against ejections that only move the load of a service that is sick as a whole, however long it lasts.
+func TestSickServiceStaysInUse(t *testing.T) {
+	b := newBench(4, 6, ArbiterOptions{})
+	for _, h := range b.hosts {
+		h.blames = true
+	}
+	b.run(time.Minute, 1)
+	if got := b.out(0); len(got) > 0 {
+		t.Errorf("ejected %v, want none", got)
+	}
+}
