Take upstreams without a report to be as loaded as their peers

Change: missing reports count as the mean of the data centre, which loses weight with age; differences below 0.03 do not decide. The new test fails without the mean.

--- a/traffic/loadbalancer/balancer.go
+++ b/traffic/loadbalancer/balancer.go
@@ -29,6 +29,8 @@
 	loadSmoothing = 4 * time.Second
 	// spillLoad is the load of the own data centre's candidate above which other data centres are considered.
 	spillLoad = 0.5
+	// loadTolerance is a difference of loads that decides nothing. It is far below the 1/slots of one request in flight.
+	loadTolerance = 0.03
 	// remotePenalty is the load by which an upstream in another data centre must be better.
 	remotePenalty = 0.1
 	// shedFactor shrinks the in-flight limit on a shed answer.
@@ -294,30 +296,45 @@
 	if len(candidates) == 0 {
 		return nil, math.Inf(1)
 	}
+	mean := meanLoad(now, candidates)
 	i := b.rng.IntN(len(candidates))
 	first := candidates[i].upstream
 	if len(candidates) == 1 {
-		return first, first.loadAtTime(now)
+		return first, first.loadAtTime(now, mean)
 	}
 	j := b.rng.IntN(len(candidates) - 1)
 	if j >= i {
 		j++
 	}
 	second := candidates[j].upstream
-	if second.loadAtTime(now) < first.loadAtTime(now) {
+	if second.loadAtTime(now, mean)+loadTolerance < first.loadAtTime(now, mean) {
 		first = second
 	}
-	return first, first.loadAtTime(now)
+	return first, first.loadAtTime(now, mean)
 }
 
-// loadAtTime is the share of the upstream's slots that is believed to be taken.
-func (u *upstream) loadAtTime(now time.Time) float64 {
-	load := float64(u.inFlight) / float64(max(1, u.Slots))
+// loadAtTime is the share of the upstream's slots that is believed to be taken. Without a recent report it is taken to be as
+// loaded as the mean of its data centre: an upstream that fails reports nothing, and must not draw requests by seeming idle.
+func (u *upstream) loadAtTime(now time.Time, mean float64) float64 {
+	load := float64(u.inFlight)/float64(max(1, u.Slots)) + mean
 	if u.loadAt.IsZero() {
 		return load
 	}
 	age := now.Sub(u.loadAt)
-	return load + u.load*math.Exp2(-float64(age)/float64(loadHalfLife))
+	return load + (u.load-mean)*math.Exp2(-float64(age)/float64(loadHalfLife))
+}
+
+// meanLoad is the mean of the loads that the candidates reported; 0 if none did. It loses weight with age, so that a data
+// centre that was avoided is tried again.
+func meanLoad(now time.Time, candidates []candidate) float64 {
+	sum, n := 0.0, 0.0
+	for _, c := range candidates {
+		if !c.loadAt.IsZero() {
+			sum += c.load * math.Exp2(-float64(now.Sub(c.loadAt))/float64(loadSmoothing))
+			n++
+		}
+	}
+	return sum / math.Max(1, n)
 }
 
 func (u *upstream) startWeight(now time.Time) float64 {
--- a/traffic/loadbalancer/balancer_test.go
+++ b/traffic/loadbalancer/balancer_test.go
@@ -222,3 +222,31 @@
 		t.Errorf("%d of 15 hosts sampled at once", first)
 	}
 }
+
+// Guards against an upstream that fails at once drawing requests: it reports no load, while its peers report some.
+func TestSilentUpstreamIsNotIdle(t *testing.T) {
+	list := upstreams(4)
+	for i := range list {
+		list[i].DataCentre = "dc0"
+	}
+	b := New(Options{DataCentre: "dc0", Seed: 1})
+	b.Update(start, Config{Upstreams: list, Self: Host{ID: "h00"}})
+	now := start
+	silent := 0
+	for range 1000 {
+		now = now.Add(50 * time.Millisecond)
+		u, err := b.Pick(now, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u.ID == "u2" {
+			silent++
+			b.Done(now, u.ID, Result{})
+			continue
+		}
+		b.Done(now, u.ID, Result{OK: true, Load: 0.2, HasLoad: true})
+	}
+	if silent > 300 {
+		t.Errorf("the upstream that reports nothing got %d of 1000 requests, want about 250", silent)
+	}
+}
