--- a/fleet/idempotency/transfer.go
+++ b/fleet/idempotency/transfer.go
@@ -44,8 +44,12 @@
 
 // enterEpoch changes the ledger's epoch. The caller holds mu.
 func (o *Operations) enterEpoch(t Moment, view *fleet.View) {
-	o.ledger.EnterEpoch(t, view, func(slot int) bool { return view.Owns(SlotKey(slot)) })
 	o.view = view
+	for slot := range o.owners {
+		owner, _ := view.Epoch.Owner(SlotKey(slot))
+		o.owners[slot] = owner.Identity()
+	}
+	o.ledger.EnterEpoch(t, view, func(slot int) bool { return !view.Guest && view.Self.ID != "" && o.owners[slot] == view.Self })
 	for key := range o.waiters {
 		o.wake(key)
 	}
@@ -116,8 +120,7 @@
 	var slots []int
 	pieces := &pieces{epoch: epoch}
 	for slot := range Slots {
-		owner, ok := o.view.Epoch.Owner(SlotKey(slot))
-		if !ok || owner.Identity() != member.Identity() {
+		if o.owners[slot] != member.Identity() {
 			continue
 		}
 		if transfer, ok := o.ledger.Outgoing(t, slot); ok {
@@ -189,8 +192,8 @@
 }
 
 // HandOver waits until every other member has taken over what this host knows and every result has been taken by an
-// owner. The host must have left or be leaving the epoch, so that it owns no slot. It returns the error of ctx if that
-// ends first.
+// owner, and by the table if it takes writes. The host must have left or be leaving the epoch, so that it owns no slot.
+// It returns the error of ctx if that ends first.
 func (o *Operations) HandOver(ctx context.Context) error {
 	for !o.handedOver() {
 		pause(ctx, o.options.Retry)
@@ -208,6 +211,9 @@
 	if o.pending.Load() > 0 || o.ledger.owned() > 0 {
 		return false
 	}
+	if rows := o.rows.Status(); rows.Pending > 0 && !rows.Failing {
+		return false // results are on their way to the table; an outage does not keep the host from leaving
+	}
 	view := o.view
 	for i := range view.Epoch.Members {
 		member := &view.Epoch.Members[i]
--- a/traffic/proxy/body.go
+++ b/traffic/proxy/body.go
@@ -47,10 +47,10 @@
 	// Fails only for writers that are not net/http's, which have no connection to wait for.
 	_ = control.SetReadDeadline(x.deadline)
 	buffer, whole, err := x.buffer(min(keep, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
-		return err
+		return err // the read deadline stays, because net/http reads on for the rest of the body
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	if !whole {
 		x.stream(buffer)
 		return nil
@@ -141,8 +141,9 @@
 	return n, err
 }
 
-// stopStream unblocks a transport that still waits for the caller's body when the request has ended: net/http does not
-// end a request as long as a Read of its body is blocked.
+// stopStream makes further reads of the caller's body fail when the request has ended. net/http aborts a Read that is
+// blocked when the handler returns, but a transport that still sends the body may start another right after, and net/http
+// would wait for that one.
 func (x *exchange) stopStream() {
 	if x.body == nil || x.body.ended.Load() {
 		return
--- a/traffic/proxy/handler.go
+++ b/traffic/proxy/handler.go
@@ -97,6 +97,8 @@
 	id       string
 	start    time.Time
 	deadline time.Time
+	ctx      context.Context // ends at the deadline, and when the caller goes away
+	cancel   context.CancelFunc
 	keys     []string
 	route    *settings.Route
 	policy   settings.Policy
@@ -112,7 +114,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, start: time.Now()}
+	x := &exchange{h: h, w: w, r: r, start: time.Now(), cancel: func() {}}
 	x.id = requestID(r)
 	x.event.RequestID = x.id
 	if !h.inflight.enter() {
@@ -121,6 +123,7 @@
 		return
 	}
 	defer h.inflight.leave()
+	defer func() { x.cancel() }()
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
@@ -134,7 +137,7 @@
 		return errkind.New(errkind.RequestMalformed, err)
 	}
 	snapshot := x.h.options.Snapshots.Current()
-	if snapshot == nil || !x.h.options.Lease.Active() {
+	if snapshot == nil {
 		return errkind.New(errkind.HostInactive, nil)
 	}
 	if err := x.resolve(snapshot); err != nil {
@@ -155,9 +158,7 @@
 	if x.customer == nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
-	decision := x.h.options.Limiter.Admit(ctx, x.customer.ID)
+	decision := x.h.options.Limiter.Admit(x.ctx, x.customer.ID)
 	if decision.Allowed {
 		return nil
 	}
@@ -171,7 +172,7 @@
 func (x *exchange) resolve(snapshot *settings.Snapshot) *errkind.Error {
 	route, ok := snapshot.Route(hostName(x.r.Host), x.r.Method, x.r.URL.Path)
 	if !ok {
-		return errkind.New(errkind.RouteNotFound, nil)
+		return x.unlessInactive(errkind.RouteNotFound)
 	}
 	x.route, x.policy = route, route.PolicyFor(x.r.Method)
 	x.event.Service, x.event.Route = route.Service, route.Name
@@ -179,7 +180,10 @@
 	if !x.policy.Open {
 		customer, err := customerOf(snapshot, x.keys)
 		if err != nil {
-			return err
+			return x.unlessInactive(err.Kind)
+		}
+		if !x.h.options.Lease.Active() {
+			return errkind.New(errkind.HostInactive, nil)
 		}
 		x.customer = customer
 		x.event.Customer = customer.ID
@@ -191,6 +195,15 @@
 	return nil
 }
 
+// unlessInactive refuses with the kind, or with HostInactive if the lease has ended: the route or key may be newer than
+// the settings that this host has.
+func (x *exchange) unlessInactive(kind errkind.Kind) *errkind.Error {
+	if !x.h.options.Lease.Active() {
+		kind = errkind.HostInactive
+	}
+	return errkind.New(kind, nil)
+}
+
 // customerOf returns the customer of the presented key. Two different keys are refused, because either choice could
 // charge the wrong customer.
 func customerOf(snapshot *settings.Snapshot, keys []string) (*settings.Customer, *errkind.Error) {
@@ -212,7 +225,7 @@
 // have it now.
 func (x *exchange) stillAllowed() (*settings.Service, *errkind.Error) {
 	snapshot := x.h.options.Snapshots.Current()
-	if snapshot == nil || !x.h.options.Lease.Active() {
+	if snapshot == nil || (x.customer != nil && !x.h.options.Lease.Active()) {
 		return nil, errkind.New(errkind.HostInactive, nil)
 	}
 	if x.customer != nil {
@@ -245,6 +258,7 @@
 		timeout = min(timeout, shorter)
 	}
 	x.deadline = x.start.Add(timeout)
+	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
 	return nil
 }
 
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -57,15 +57,13 @@
 		x.refuse(refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
 	operation := idempotency.Operation{
 		ID: id, Fingerprint: x.fingerprint(), Deadline: x.deadline, Claims: x.policy.Claims,
 	}
 	if x.customer != nil {
 		operation.Customer = x.customer.ID
 	}
-	claim, err := x.h.options.Operations.Begin(ctx, operation)
+	claim, err := x.h.options.Operations.Begin(x.ctx, operation)
 	x.decided = true
 	switch {
 	case err != nil:
@@ -97,6 +95,9 @@
 	for name, values := range result.Header {
 		header[name] = values
 	}
+	for name, values := range result.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
 	header.Set(errkind.RequestIDHeader, x.id)
 	header.Set(ReplayedHeader, "true")
 	markOutcome(header, result.Status)
@@ -145,9 +146,7 @@
 			return nil, nil, refusal
 		}
 	}
-	queueCtx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	release, refusal := x.enqueue(queueCtx)
-	cancel()
+	release, refusal := x.enqueue()
 	if refusal != nil {
 		return nil, nil, refusal
 	}
@@ -191,13 +190,8 @@
 
 func (x *exchange) attemptOnce(ctx context.Context, picked Attempt) *try {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	t, tryCtx := x.newTry(ctx, picked)
-	cancelTry := t.cancel
-	t.cancel = func() {
-		cancelTry()
-		cancel()
-	}
-	t.do(tryCtx, x, 0)
+	t := x.newTry(picked, cancel)
+	t.do(ctx, x, 0)
 	if t.answer != nil && judge(t.answer.Status, &x.policy) == OutcomeOK {
 		x.h.options.Retries.OnSuccess(x.route.Service)
 	}
