--- a/fleet/idempotency/ledger_test.go
+++ b/fleet/idempotency/ledger_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 			panic(err)
 		}
 	}
+	runtime.GOMAXPROCS(1) // the race detector of Go 1.26.8 crashes on timers of synctest bubbles on several
 	os.Exit(m.Run())
 }
 
--- a/settings/inherit.go
+++ b/settings/inherit.go
@@ -41,6 +41,7 @@
 	replace(&p.Idempotent, b.Idempotent)
 	replace(&p.OperationID, b.OperationID)
 	replace(&p.Claims, b.Claims)
+	replace(&p.ClaimsSince, b.ClaimsSince)
 	replace(&p.Open, b.Open)
 	replace(&p.MaxRequestBytes, (*int64)(b.MaxRequestBytes))
 	replace(&p.MaxAttempts, b.MaxAttempts)
@@ -197,7 +198,8 @@
 	name, _, _ := strings.Cut(reflect.TypeFor[Branch]().Field(index).Tag.Get("json"), ",")
 	explained := Explained{Field: name, Branch: BranchDefault}
 	value := reflect.ValueOf(defaults).Elem().Field(index)
-	if value.IsNil() {
+	decidedByMethod := name == "idempotent"
+	if decidedByMethod {
 		explained.Branch = BranchMethod
 	}
 	for _, p := range places {
@@ -210,7 +212,7 @@
 		explained.Branch = p.path
 		value = reflect.ValueOf(p.branch).Elem().Field(index)
 	}
-	if value.IsNil() {
+	if value.IsNil() && decidedByMethod {
 		explained.Value = json.RawMessage(`"by method"`)
 		return explained, nil
 	}
@@ -219,7 +221,7 @@
 	return explained, err
 }
 
-// branchOf states every value of a policy except Idempotent.
+// branchOf states every value of a policy that has a default.
 func branchOf(p Policy) *Branch {
 	empty := []int{}
 	b := &Branch{
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -33,6 +33,8 @@
 	ClaimsInMemory ClaimMode = "memory"
 	// ClaimsInTable also writes claims and results to the platform's table.
 	ClaimsInTable ClaimMode = "table"
+	// ClaimsAuto is like ClaimsInTable while the table answers, and like ClaimsInMemory during an outage of the table.
+	ClaimsAuto ClaimMode = "auto"
 )
 
 // Policy is the effective policy of a route at one data centre, after inheritance.
@@ -45,6 +47,10 @@
 	OperationID OperationIDMode
 	// Claims applies to non-idempotent routes. Default memory.
 	Claims ClaimMode
+	// ClaimsSince is the time from which every claim of the route is in the table, at the earliest when claims of "table" or
+	// "auto" were in force on all hosts. Older operations of a lost owner are answered as unknown, because they may have
+	// been claimed in memory. Required with these modes.
+	ClaimsSince Time
 	// Open routes need no key and count against no customer. Default false.
 	Open bool
 	// MaxRequestBytes bounds the request body. Default 1 MiB.
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -43,6 +43,7 @@
 	Idempotent      *bool            `json:"idempotent,omitzero"`
 	OperationID     *OperationIDMode `json:"operation_id,omitzero"`
 	Claims          *ClaimMode       `json:"claims,omitzero"`
+	ClaimsSince     *Time            `json:"claims_since,omitzero"`
 	Open            *bool            `json:"open,omitzero"`
 	MaxRequestBytes *Bytes           `json:"max_request_bytes,omitzero"`
 	MaxAttempts     *int             `json:"max_attempts,omitzero"`
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -113,6 +113,7 @@
 		"floor on a route":      {`"claims": "table"`, `"claims": "table", "floor": 0.1`, "services/intake/routes/check-in/policy/floor"},
 		"queue on a route":      {`"claims": "table"`, `"claims": "table", "queue_length": 1`, "services/intake/routes/check-in/policy/queue_length"},
 		"unknown mode":          {`"claims": "table"`, `"claims": "disk"`, "services/intake/routes/check-in/policy/claims"},
+		"claims without time":   {`"claims_since": "2026-01-01T00:00:00Z"`, `"max_attempts": 1`, "services/intake/routes/check-in/policy/claims_since"},
 		"repeated address":      {`"127.0.0.2:80"`, `"127.0.0.1:80"`, "services/intake/upstreams/i2/address"},
 		"address by name":       {`"127.0.0.2:80"`, `"localhost:80"`, "services/intake/upstreams/i2/address"},
 		"unknown data centre":   {`"data_centre": "mv-north"`, `"data_centre": "north"`, "services/intake/upstreams/i1/data_centre"},
--- a/settings/units.go
+++ b/settings/units.go
@@ -89,6 +89,14 @@
 // Time is in seconds since the Unix epoch; 0 is no time. It is written in JSON as RFC 3339 in UTC.
 type Time int64
 
+// Standard returns the time as a time.Time; no time is the zero time.
+func (t Time) Standard() time.Time {
+	if t == 0 {
+		return time.Time{}
+	}
+	return time.Unix(int64(t), 0).UTC()
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (t Time) MarshalText() ([]byte, error) {
 	return time.Unix(int64(t), 0).UTC().AppendFormat(nil, time.RFC3339), nil
--- a/traffic/proxy/operation.go
+++ b/traffic/proxy/operation.go
@@ -59,6 +59,7 @@
 	}
 	operation := idempotency.Operation{
 		ID: id, Fingerprint: x.fingerprint(), Deadline: x.deadline, Claims: x.policy.Claims,
+		TableSince: x.policy.ClaimsSince.Standard(),
 	}
 	if x.customer != nil {
 		operation.Customer = x.customer.ID
