--- /dev/null
+++ b/emulator/local/fleet_test.go
@@ -0,0 +1,213 @@
+package local_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/emulator/deployment"
+	"github.com/bronzeyard/bronzeyard/emulator/local"
+	"github.com/bronzeyard/bronzeyard/host/admin"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+const (
+	// conditionTimeout ends a wait for a condition that a correct fleet reaches much sooner.
+	conditionTimeout  = 30 * time.Second
+	conditionInterval = 10 * time.Millisecond
+)
+
+// small is a deployment that three hosts under the race detector serve without queues.
+func small(services ...deployment.Service) *deployment.Deployment {
+	return &deployment.Deployment{
+		Name: "test", DataCentres: []string{"mv-north", "mv-mill", "mv-hall"}, Services: services,
+		Customers: []deployment.Customer{{Name: "desk-1", Rate: 500, Burst: 1000}, {Name: "desk-2", Rate: 500, Burst: 1000}},
+		Slots:     6, Connections: 360,
+	}
+}
+
+func startFleet(t *testing.T, options local.Options) *local.Fleet {
+	t.Helper()
+	options.Seed = 1
+	fleet, err := local.Start(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := fleet.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	waitReady(t, fleet)
+	return fleet
+}
+
+func waitReady(t *testing.T, fleet *local.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	timeout := time.After(conditionTimeout)
+	ticker := time.NewTicker(conditionInterval)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-timeout:
+			t.Fatalf("after %s: not yet %s", conditionTimeout, what)
+		case <-ticker.C:
+		}
+	}
+}
+
+// hostStatus is the part of a host's status that the tests use.
+type hostStatus struct {
+	Leaving  bool `json:"leaving"`
+	InFlight int  `json:"in_flight"`
+	Settings struct {
+		Revision uint64 `json:"revision"`
+	} `json:"settings"`
+	Membership struct {
+		Guest   bool
+		Members []struct {
+			Member          struct{ ID string }
+			Self            bool
+			HearsUs         bool
+			HeardAgo        time.Duration
+			AcknowledgedAgo time.Duration
+		}
+		Guests []string
+	} `json:"membership"`
+}
+
+func statusOf(t *testing.T, node *local.Node) hostStatus {
+	t.Helper()
+	encoded, err := json.Marshal(node.Host.Status())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var status hostStatus
+	if err := json.Unmarshal(encoded, &status); err != nil {
+		t.Fatalf("%v: %s", err, encoded)
+	}
+	return status
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	kind   string
+	body   string
+	major  int
+	// reused is true if the request went over a connection that was open before.
+	reused bool
+}
+
+// exchange sends one request with a customer's key.
+func exchange(ctx context.Context, client *http.Client, method, url, key, operation string) (answer, error) {
+	var got answer
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { got.reused = info.Reused },
+	})
+	request, err := http.NewRequestWithContext(ctx, method, url, http.NoBody)
+	if err != nil {
+		return got, err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	if operation != "" {
+		request.Header.Set("Idempotency-Key", operation)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return got, err
+	}
+	body, err := io.ReadAll(response.Body)
+	got.status, got.kind = response.StatusCode, response.Header.Get("Bronzeyard-Error")
+	got.body, got.major = string(body), response.ProtoMajor
+	return got, errors.Join(err, response.Body.Close())
+}
+
+func get(t *testing.T, client *http.Client, url, key string) answer {
+	t.Helper()
+	got, err := exchange(t.Context(), client, http.MethodGet, url, key, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+func newClient(t *testing.T) *http.Client {
+	t.Helper()
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// operate sends one request of an operator and returns the status and the answer.
+func operate(t *testing.T, node *local.Node, path string, body any) (int, admin.ChangeResult) {
+	t.Helper()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + node.Host.AdminAddress() + "/v1/" + path
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(encoded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+local.OperatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var result admin.ChangeResult
+	if response.StatusCode < http.StatusMultipleChoices {
+		if err := json.Unmarshal(text, &result); err != nil {
+			t.Fatalf("%v: %s", err, text)
+		}
+	}
+	return response.StatusCode, result
+}
+
+// change is the body of a change.
+type change struct {
+	ChangeID string          `json:"change_id"`
+	Base     uint64          `json:"base"`
+	Edits    []settings.Edit `json:"edits,omitempty"`
+	Hash     string          `json:"hash,omitempty"`
+}
+
+// mustOperate repeats a change until it is answered as in force and returns its revision.
+func mustOperate(t *testing.T, node *local.Node, path string, body change) uint64 {
+	t.Helper()
+	var result admin.ChangeResult
+	waitFor(t, "in force: "+path, func() bool {
+		var status int
+		if status, result = operate(t, node, path, body); status >= http.StatusBadRequest {
+			t.Logf("%s is answered with %d", path, status)
+		}
+		return status == http.StatusOK
+	})
+	return result.Revision
+}
+
+func revisionOf(t *testing.T, node *local.Node) uint64 {
+	t.Helper()
+	return statusOf(t, node).Settings.Revision
+}
--- a/emulator/local/local.go
+++ b/emulator/local/local.go
@@ -32,8 +32,12 @@
 	ServiceTime time.Duration
 	Seed        uint64
 	// Dial opens connections between hosts. Default net.Dialer.
-	Dial   peer.DialFunc
-	Logger zerolog.Logger
+	Dial peer.DialFunc
+	// HostDial returns how the named host opens connections to other hosts. Default Dial for every host.
+	HostDial func(hostID string) peer.DialFunc
+	// Configure changes the static settings of each of the first hosts before it starts. Default none.
+	Configure func(*config.Config)
+	Logger    zerolog.Logger
 }
 
 // OperatorToken is the bearer token of the operator "local". It is for loopback only.
@@ -128,6 +132,9 @@
 		return err
 	}
 	for _, c := range configs {
+		if f.Options.Configure != nil {
+			f.Options.Configure(c)
+		}
 		if _, err := f.StartHost(ctx, c); err != nil {
 			return err
 		}
@@ -201,7 +208,11 @@
 // StartHost starts a host and adds it to the fleet. The host lives until Stop or Close, independently of ctx.
 func (f *Fleet) StartHost(ctx context.Context, c *config.Config) (*Node, error) {
 	logger := f.Options.Logger.With().Str("host", c.HostID).Logger()
-	h, err := host.New(ctx, host.Options{Config: c, Table: f.Table, Objects: f.Objects, Dial: f.Options.Dial, Logger: logger})
+	dial := f.Options.Dial
+	if f.Options.HostDial != nil {
+		dial = f.Options.HostDial(c.HostID)
+	}
+	h, err := host.New(ctx, host.Options{Config: c, Table: f.Table, Objects: f.Objects, Dial: dial, Logger: logger})
 	if err != nil {
 		return nil, err
 	}
