Honour leaving upstreams of the host list, bound leaves, sample suspects

Cause: the host list's leaving upstreams got work until their own drain sign; a leave started by drain had no deadline and could hang with a lost member (found by reading); requests that may be retried were not sent to suspects more often. Change: hosts read the host list each second and treat its leaving entries as drain signs; a leave is given the drain time and 30 s; the balancer weighs suspects double for idempotent requests. Measured: TestLeavingList.

--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -9,7 +9,6 @@
 	"io"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
@@ -23,9 +22,6 @@
 	"github.com/bronzeyard/bronzeyard/platform/s3"
 )
 
-// leaveAllowance is how long a leave may take beyond the drain time before the process ends anyway.
-const leaveAllowance = 30 * time.Second
-
 // Run serves with the static settings at the path. When ctx ends, the host leaves the fleet gracefully.
 func Run(ctx context.Context, path string, logOutput io.Writer) error {
 	c, err := config.Load(path)
@@ -47,7 +43,7 @@
 		return err
 	}
 	context.AfterFunc(ctx, func() {
-		leaving, cancel := context.WithTimeout(running, time.Duration(c.DrainTime)+leaveAllowance)
+		leaving, cancel := context.WithTimeout(running, h.LeaveTimeout())
 		defer cancel()
 		if err := h.Leave(leaving); err != nil {
 			logger.Warn().Err(err).Msg("leaving the fleet was not completed")
--- a/host/host.go
+++ b/host/host.go
@@ -98,7 +98,7 @@
 		h.options.Logger.Warn().Err(err).Msg("no settings yet")
 	}
 	defer h.snapshots.watch(h.store)()
-	for _, run := range []func(context.Context){h.sync.Run, h.limiter.Run} {
+	for _, run := range []func(context.Context){h.sync.Run, h.limiter.Run, h.services.leaving.run} {
 		group.Go(func() error { run(ctx); return nil })
 	}
 	group.Go(func() error { return h.membership.Run(ctx) })
--- /dev/null
+++ b/host/hostlist_test.go
@@ -0,0 +1,31 @@
+package host
+
+import (
+	"testing"
+
+	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// Guards against a leaving upstream that goes on getting work because the list names it by IP number alone, and against an
+// outage of the list that brings leaving upstreams back.
+func TestLeavingList(t *testing.T) {
+	list := &memory.HostList{}
+	list.Set([]platform.ListedHost{
+		{Address: "192.0.2.1", State: platform.HostLeaving},
+		{Address: "192.0.2.2:80", State: platform.HostLeaving},
+		{Address: "192.0.2.3", State: platform.HostLive},
+	})
+	l := &leavingList{list: list}
+	l.read(t.Context())
+	list.Faults.SetDown(true)
+	l.read(t.Context())
+	for address, want := range map[string]bool{
+		"192.0.2.1:80": true, "192.0.2.2:80": true, "192.0.2.2:81": false, "192.0.2.3:80": false, "192.0.2.4:80": false,
+	} {
+		if got := l.contains(&settings.Upstream{Address: address}); got != want {
+			t.Errorf("%s leaving: %t, want %t", address, got, want)
+		}
+	}
+}
--- a/host/leave.go
+++ b/host/leave.go
@@ -52,10 +52,21 @@
 	return errors.Join(errs...)
 }
 
+// leaveAllowance is how long a leave may take beyond the drain time. What is not handed over by then is left to the other
+// hosts, as after a crash.
+const leaveAllowance = 30 * time.Second
+
+// LeaveTimeout is the time that a leave is given.
+func (h *Host) LeaveTimeout() time.Duration {
+	return time.Duration(h.config.DrainTime) + leaveAllowance
+}
+
 // Drain implements admin.Fleet.
 func (h *Host) Drain(ctx context.Context) error {
 	go func() {
-		if err := h.Leave(context.WithoutCancel(ctx)); err != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.LeaveTimeout())
+		defer cancel()
+		if err := h.Leave(ctx); err != nil {
 			h.options.Logger.Warn().Err(err).Msg("leaving the fleet was not completed")
 		}
 	}()
--- a/host/provision.go
+++ b/host/provision.go
@@ -87,6 +87,7 @@
 		Logger: h.options.Logger,
 	})
 	h.services = newServices(h.config.DataCentre)
+	h.services.leaving = &leavingList{list: h.options.HostList, logger: h.options.Logger}
 	h.services.ejections = ejection.NewService(ejection.Options{
 		Views: h.membership, Caller: h.transport, Registrar: h.transport, Clock: h.options.Clock,
 		Services: h.snapshots.services, Probe: h.probe, Draining: h.services.draining, Logger: h.options.Logger,
--- a/host/services.go
+++ b/host/services.go
@@ -30,6 +30,7 @@
 	dataCentre string
 	// ejections is set before the first request.
 	ejections *ejection.Service
+	leaving   *leavingList
 
 	mu    sync.RWMutex
 	byID  map[settings.ServiceName]*service
@@ -105,13 +106,13 @@
 
 // Pick implements proxy.Selector.
 func (s *services) Pick(
-	spec *settings.Service, _ *settings.Policy, exclude []settings.UpstreamID,
+	spec *settings.Service, policy *settings.Policy, exclude []settings.UpstreamID,
 ) (proxy.Attempt, error) {
 	entry, ok := s.lookup(spec.Name)
 	if !ok {
 		return proxy.Attempt{}, errkind.New(errkind.NoUpstream, nil)
 	}
-	chosen, err := entry.balancer.Pick(time.Now(), s.ejections.Ejected(spec.Name), exclude)
+	chosen, err := entry.balancer.Pick(time.Now(), s.weights(spec.Name, policy.Idempotent), exclude)
 	switch {
 	case errors.Is(err, loadbalancer.ErrBusy):
 		return proxy.Attempt{}, errkind.New(errkind.Overloaded, err)
@@ -129,6 +130,16 @@
 	return proxy.Attempt{Upstream: chosen, Done: done}, nil
 }
 
+// weights returns the weights of a service's upstreams. Requests that may be retried go to suspects more often, so that the
+// arbiter learns sooner whether they are sick.
+func (s *services) weights(name settings.ServiceName, idempotent bool) loadbalancer.Weighter {
+	set := s.ejections.Ejected(name)
+	if idempotent {
+		return ejection.Sampling{Set: set}
+	}
+	return set
+}
+
 // evidence returns what an attempt says about the health of its upstream.
 func evidence(outcome proxy.Outcome) outlier.Outcome {
 	switch outcome {
@@ -143,13 +154,25 @@
 	}
 }
 
-// draining returns the upstreams of a service whose drain sign this host has seen.
+// draining returns the upstreams of a service whose drain sign this host has seen or that the host list marks as leaving.
 func (s *services) draining(name settings.ServiceName) []settings.UpstreamID {
-	entry, ok := s.lookup(name)
-	if !ok {
+	s.mu.RLock()
+	entry, snapshot := s.byID[name], s.shown
+	s.mu.RUnlock()
+	if entry == nil {
 		return nil
 	}
-	return entry.balancer.Draining(time.Now())
+	draining := entry.balancer.Draining(time.Now())
+	spec, ok := snapshot.Service(name)
+	if !ok {
+		return draining
+	}
+	for i := range spec.Upstreams {
+		if s.leaving.contains(&spec.Upstreams[i]) {
+			draining = append(draining, spec.Upstreams[i].ID)
+		}
+	}
+	return draining
 }
 
 // Acquire implements proxy.Queue.
