host: let a guest use upstreams

Cause: a host that starts during an outage of the table is no member of the epoch, and the load balancer gives a host outside the list of hosts no connection. A guest with a new host id was ready and had a lease, and answered every request with no_upstream. So did a host in the moments between its readiness and its place in the epoch. Change: a host counts itself among the hosts that share the upstreams' connections. A guest's share comes on top of those of the members, who do not know it: with N members, each guest may open 1/(N+1) of an upstream's connections more. The connection limit can be exceeded while there are guests and all hosts use their whole share.

--- a/host/services.go
+++ b/host/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,10 @@
 		s.hosts = append(s.hosts, host)
 	}
 	s.self = loadbalancer.Host{ID: view.Self.ID, DataCentre: s.dataCentre}
+	if !slices.ContainsFunc(s.hosts, func(host loadbalancer.Host) bool { return host.ID == s.self.ID }) {
+		// A guest serves callers too; without a place among the hosts it would have no upstream.
+		s.hosts = append(s.hosts, s.self)
+	}
 	s.update()
 }
 
