Keep claims of the local deployments in the table while it answers

Cause: operations that a lost owner had in memory end as unknown; the deployments have a table. Change: non-idempotent services of local deployments use claims auto.

--- a/emulator/local/tree.go
+++ b/emulator/local/tree.go
@@ -45,6 +45,11 @@
 			"all": {PathPrefix: "/" + s.Name, Policy: &settings.Branch{Idempotent: &s.Idempotent}},
 		},
 	}
+	if !s.Idempotent {
+		// The fleet is new, so no operation can have been claimed elsewhere before.
+		claims, since := settings.ClaimsAuto, settings.Time(1)
+		spec.Policy = &settings.Branch{Claims: &claims, ClaimsSince: &since}
+	}
 	for i, server := range upstreams {
 		spec.Upstreams[server.ID()] = &settings.UpstreamSpec{
 			Address: server.Address(), DataCentre: d.DataCentres[i%len(d.DataCentres)],
