emulator/local: lengthen the one-way cut

Cause: with 20 awaited requests the test is too short to see a limiter that passes every tenth request over the rate. Change: 60 requests are awaited. With a limiter that passes a third of the requests over the rate the test fails with 62.9 requests too many. At 20 awaited requests it missed a tenth; at 60 a tenth was not tried. Conclusion: the rate check sees gross faults. In the runs that take 16 s the hosts that are heard admit almost nothing of either customer for about 11 s after the cut; this is a wrongful refusal that the test does not judge.

--- a/emulator/local/cut_test.go
+++ b/emulator/local/cut_test.go
@@ -82,7 +82,7 @@
 	callersPerHost = 1
 	callerPause    = 20 * time.Millisecond
 	// servedDuringCut is how many requests the other hosts serve before the cut ends.
-	servedDuringCut = 20
+	servedDuringCut = 60
 )
 
 // Guards I5 under a one-way cut: a host that others do not hear goes on with its shares of the rates while the others
