Read the settings head once a second, with the epoch

Cause: the head was read by the membership and again by the settings, 3 table reads a second and host; at the target scale reads are the scarce part. Change: the membership passes newer heads on; the settings poll every 10 s as a way back.

--- a/host/settingsync/settingsync.go
+++ b/host/settingsync/settingsync.go
@@ -25,7 +25,8 @@
 	Registrar peer.Registrar
 	// Seeds are peer addresses that a starting host asks when the platform is out of reach.
 	Seeds []string
-	// PollInterval is the time between two reads of the head. Default 1 s.
+	// PollInterval is the time between two reads of the head. The membership reads it each second together with the epoch
+	// and passes newer ones to Heard, so this is the way back after a lost statement. Default 10 s.
 	PollInterval time.Duration
 	// FetchTimeout bounds a fetch from another host. Default 2 s.
 	FetchTimeout time.Duration
@@ -34,7 +35,7 @@
 }
 
 const (
-	defaultPollInterval = time.Second
+	defaultPollInterval = 10 * time.Second
 	defaultFetchTimeout = 2 * time.Second
 	// heardBacklog bounds the statements about newer revisions that wait. A dropped one is repeated by a heartbeat.
 	heardBacklog = 32
@@ -88,7 +89,8 @@
 	return fmt.Errorf("settings cannot be loaded from the platform nor from a seed: %w", err)
 }
 
-// Heard notes that the host at the address has the revision in force. It does not block.
+// Heard notes that the host at the address has the revision in force, or, without an address, that the table's head states
+// it. It does not block.
 func (s *Syncer) Heard(revision uint64, address string) {
 	if revision <= s.Applied() {
 		return
@@ -119,9 +121,10 @@
 	if statement.revision <= s.Applied() {
 		return
 	}
-	if err := s.fetch(ctx, statement.address); err != nil || s.Applied() < statement.revision {
-		s.poll(ctx)
+	if statement.address != "" && s.fetch(ctx, statement.address) == nil && s.Applied() >= statement.revision {
+		return
 	}
+	s.poll(ctx)
 }
 
 func (s *Syncer) poll(ctx context.Context) {
