--- a/bench/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package bench is under construction.
-package bench
