--- a/bench/processbench/figures.go
+++ b/bench/processbench/figures.go
@@ -12,6 +12,7 @@
 	phaseIdle     = "idle"
 	phaseRestart  = "rolling restart of every host"
 	phaseSettings = "settings changes"
+	phaseLeaving  = "leaving upstreams"
 	phaseKey      = "key withdrawal"
 	phaseOutage   = "table outage"
 	phaseLoss     = "loss of a third of the hosts"
@@ -51,6 +52,11 @@
 		return []bounds.Figure{{Name: "refused below the rate, rolling restart", Value: p.refusedPercent()}}
 	case phaseSettings:
 		return []bounds.Figure{{Name: "settings in force, longest", Value: p.Figures[figureInForce]}}
+	case phaseLeaving:
+		return []bounds.Figure{
+			{Name: "work to an upstream marked as leaving", Value: p.Figures[figureLeaving]},
+			{Name: "work to an upstream after its drain sign", Value: p.Figures[figureDraining]},
+		}
 	case phaseKey:
 		return []bounds.Figure{{Name: "key accepted after withdrawal", Value: p.Figures[figureAccepted]}}
 	case phaseOutage:
--- a/bench/processbench/phases.go
+++ b/bench/processbench/phases.go
@@ -25,6 +25,8 @@
 	figureInForce   = "in_force_longest_s"
 	figureAccepted  = "last_accepted_after_s"
 	figureExcluded  = "excluded_after_s"
+	figureLeaving   = "work_after_leaving_s"
+	figureDraining  = "work_after_drain_sign_s"
 )
 
 func (b *bench) runPhases(ctx context.Context) error {
@@ -37,6 +39,7 @@
 		{"one upstream hangs, another is slow", b.greyUpstreams},
 		{phaseRestart, b.rollingRestart},
 		{phaseSettings, b.changeSettings},
+		{phaseLeaving, b.leaveUpstreams},
 		{phaseKey, b.withdrawKey},
 		{phaseOutage, b.tableOutage},
 		{phaseLoss, b.loseHosts},
@@ -209,6 +212,38 @@
 	return nil
 }
 
+// leaveUpstreams marks one upstream as leaving in the settings and lets another one give its drain sign, and measures until
+// when each still gets work.
+func (b *bench) leaveUpstreams(ctx context.Context, figures map[string]float64) error {
+	services := b.options.Deployment.Services
+	marked, draining := b.upstreams[services[0].Name][1], b.upstreams[services[len(services)-1].Name][1]
+	begin := time.Now()
+	path := "services/" + services[0].Name + "/upstreams/" + marked.ID() + "/leaving"
+	edit := settings.Edit{Op: settings.Set, Path: path, Value: []byte("true")}
+	if err := b.change(ctx, editsPath, map[string]any{"edits": []settings.Edit{edit}}); err != nil {
+		return err
+	}
+	draining.SetFault(upstream.Drain)
+	defer draining.SetFault(upstream.Healthy)
+	signed := time.Now()
+	lastMarked, lastDraining := begin, signed
+	const watch = 6 * time.Second
+	for counts := [2]int64{marked.Served(), draining.Served()}; time.Since(signed) < watch && ctx.Err() == nil; {
+		pause(ctx, 10*time.Millisecond)
+		now := [2]int64{marked.Served(), draining.Served()}
+		if now[0] != counts[0] {
+			lastMarked = time.Now()
+		}
+		if now[1] != counts[1] {
+			lastDraining = time.Now()
+		}
+		counts = now
+	}
+	figures[figureLeaving] = lastMarked.Sub(begin).Seconds()
+	figures[figureDraining] = lastDraining.Sub(signed).Seconds()
+	return ctx.Err()
+}
+
 // withdrawKey withdraws a key and measures until when any host still accepts it.
 func (b *bench) withdrawKey(ctx context.Context, figures map[string]float64) error {
 	customer := b.options.Deployment.Customers[len(b.options.Deployment.Customers)-1].Name
