Use plain words for the statement that a host has ended

Cause: the read-through found a figure of speech in doc comments and help texts. Change: wording only. Conclusion: none.

--- a/cmd/internal/ctl/operations.go
+++ b/cmd/internal/ctl/operations.go
@@ -34,7 +34,7 @@
 	c.add(parser, "drain", "let the host leave the fleet without cutting requests", (*session).drain)
 	var host string
 	hosts := group(parser, "host", "declare a lost host as ended")
-	ended := c.add(hosts, "ended", "give your word that the process of a host has ended for good; a wrong word can let two "+
+	ended := c.add(hosts, "ended", "state that the process of a host has ended for good; a wrong statement can let two "+
 		"hosts own the same operation", func(s *session) error { return s.declareEnded(host) })
 	ended.AddPositionalValue(&host, "HOST", 1, true, "id of the host")
 }
--- a/fleet/membership/change.go
+++ b/fleet/membership/change.go
@@ -126,9 +126,9 @@
 	}
 }
 
-// DeclareEnded takes an operator's word that the processes of the given hosts have ended and will not come back, so that they
+// DeclareEnded accepts an operator's statement that the processes of the given hosts have ended for good, so that they
 // are excluded without the promises of a majority. It is needed only if more than half of an epoch is lost and nothing
-// answers at the lost addresses. A wrong word can let two hosts own the same key. It returns the hosts that it did not take:
+// answers at the lost addresses. A wrong statement can let two hosts own the same key. It returns the hosts that it did not accept:
 // those that are no members, and those that are heard.
 func (r *Runtime) DeclareEnded(ids []fleet.HostID) (refused []fleet.HostID) {
 	r.options.Logger.Warn().Interface("hosts", ids).Msg("operator declares hosts as ended")
--- a/fleet/membership/exclude.go
+++ b/fleet/membership/exclude.go
@@ -9,7 +9,7 @@
 	pb "github.com/bronzeyard/bronzeyard/fleet/membership/membershippb"
 )
 
-// DeclareEnded takes an operator's word that the processes of the given hosts have ended and will not come back. It returns
+// DeclareEnded accepts an operator's statement that the processes of the given hosts have ended for good. It returns
 // those of them that are no silent members, which it leaves as they are.
 func (m *Machine) DeclareEnded(ids []fleet.HostID, at Moment) (refused []fleet.HostID) {
 	for _, id := range ids {
--- a/host/admin/admin.go
+++ b/host/admin/admin.go
@@ -34,7 +34,7 @@
 	Status() any
 	// Drain starts the graceful leave of this host and returns without waiting for its end.
 	Drain(ctx context.Context) error
-	// DeclareEnded takes the operator's word that the process of a host has ended for good. It returns false if the host is
+	// DeclareEnded accepts the operator's statement that the process of a host has ended for good. It returns false if the host is
 	// no member or is heard.
 	DeclareEnded(host string) bool
 }
