Export ejections and pending results as metrics

Cause: docs/operators named no metric for ejected upstreams and for results that no owner has taken.

--- a/host/status.go
+++ b/host/status.go
@@ -83,6 +83,21 @@
 			Name: "bronzeyard.settings.revision", Unit: "{revision}", Description: "Revision of the settings in force.",
 			Read: func() float64 { return float64(h.sync.Applied()) },
 		},
+		{
+			Name: "bronzeyard.ejections", Unit: "{upstream}", Description: "Upstreams that this host keeps out of use or returns to it.",
+			Read: func() float64 {
+				ejected := 0
+				for _, service := range h.services.ejections.Status() {
+					ejected += len(service.Ejections)
+				}
+				return float64(ejected)
+			},
+		},
+		{
+			Name: "bronzeyard.operations.pending_results", Unit: "{operation}",
+			Description: "Results of operations that no owner has taken yet.",
+			Read:        func() float64 { return float64(h.operations.Status().PendingResults) },
+		},
 		{
 			Name: "bronzeyard.settings.lag", Unit: "{revision}", Description: "Revisions known but not in force.",
 			Read: func() float64 {
