Wait until held requests are in the queue, not only at the host

Cause: TestWithdrawnKeyStopsEverywhere failed in one fresh clone: two of the requests that should wait got a slot before the withdrawal, because the test took requests that had arrived for requests that hold or await a slot. Ruled out: a queued request that ran after the withdrawal (the two were sent before it and hung at the stand-in for 2 minutes). Change: status shows each service's queue, and the test waits until all 20 held requests hold or await a slot, then all 24. What it asserts is unchanged. Conclusion: the verdict no longer depends on which goroutine is first.

--- a/emulator/local/fleet_test.go
+++ b/emulator/local/fleet_test.go
@@ -89,6 +89,14 @@
 		}
 		Guests []string
 	} `json:"membership"`
+	Queues map[string]struct{ InFlight, Waiting int } `json:"queues"`
+}
+
+// queuedAt counts the requests that hold or await a slot of the service at the host.
+func queuedAt(t *testing.T, node *local.Node, service string) int {
+	t.Helper()
+	queue := statusOf(t, node).Queues[service]
+	return queue.InFlight + queue.Waiting
 }
 
 func statusOf(t *testing.T, node *local.Node) hostStatus {
--- a/emulator/local/settings_test.go
+++ b/emulator/local/settings_test.go
@@ -49,9 +49,9 @@
 		// Each host has a service of its own, whose only upstream would shed load if several hosts filled its slots.
 		service := fmt.Sprintf("hold-%d", i)
 		fleet.Upstreams[service][0].SetFault(upstream.Hang)
-		release[i] = hold(t, node, open[i].client, open[i].base+"/"+service+"/holding")
+		release[i] = hold(t, node, service, open[i].client, open[i].base+"/"+service+"/holding")
 		defer release[i]()
-		waiting[i] = wait(t, node, open[i].client, open[i].base+"/"+service+"/queued")
+		waiting[i] = wait(t, node, service, open[i].client, open[i].base+"/"+service+"/queued")
 	}
 
 	mustOperate(t, nodes[1], "customers/desk-1/keys/first/withdraw",
@@ -110,7 +110,7 @@
 }
 
 // hold sends requests of another customer that fill all slots of a service at a host until release is called.
-func hold(t *testing.T, node *local.Node, client *http.Client, url string) (release context.CancelFunc) {
+func hold(t *testing.T, node *local.Node, service string, client *http.Client, url string) (release context.CancelFunc) {
 	t.Helper()
 	ctx, release := context.WithCancel(t.Context())
 	for range holding {
@@ -122,12 +122,13 @@
 			}
 		}()
 	}
-	waitFor(t, "all slots held", func() bool { return statusOf(t, node).InFlight == holding })
+	// A request that has only arrived could still be overtaken by one of the other customer, which then gets a slot.
+	waitFor(t, "all slots held", func() bool { return queuedAt(t, node, service) == holding })
 	return release
 }
 
 // wait sends requests that wait in the queue behind those of hold.
-func wait(t *testing.T, node *local.Node, client *http.Client, url string) <-chan answer {
+func wait(t *testing.T, node *local.Node, service string, client *http.Client, url string) <-chan answer {
 	t.Helper()
 	answers := make(chan answer, queued)
 	for range queued {
@@ -139,7 +140,7 @@
 			answers <- got
 		}()
 	}
-	waitFor(t, "requests queued", func() bool { return statusOf(t, node).InFlight == holding+queued })
+	waitFor(t, "requests queued", func() bool { return queuedAt(t, node, service) == holding+queued })
 	return answers
 }
 
--- a/host/services.go
+++ b/host/services.go
@@ -109,6 +109,17 @@
 	return entry, ok
 }
 
+// queueStats returns the state of each service's queue.
+func (s *services) queueStats() map[settings.ServiceName]queue.Stats {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	stats := make(map[settings.ServiceName]queue.Stats, len(s.byID))
+	for name, entry := range s.byID {
+		stats[name] = entry.queue.Stats()
+	}
+	return stats
+}
+
 // Pick implements proxy.Selector.
 func (s *services) Pick(
 	spec *settings.Service, policy *settings.Policy, exclude []settings.UpstreamID,
--- a/host/status.go
+++ b/host/status.go
@@ -11,7 +11,9 @@
 	"github.com/bronzeyard/bronzeyard/fleet/membership"
 	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
 	"github.com/bronzeyard/bronzeyard/host/metrics"
+	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/traffic/queue"
 )
 
 // Status is the state of a host for operators.
@@ -26,6 +28,8 @@
 	Limits     ratelimit.Status   `json:"limits"`
 	Operations idempotency.Status `json:"operations"`
 	Services   []ejection.Status  `json:"services"`
+	// Queues are by service.
+	Queues map[settings.ServiceName]queue.Stats `json:"queues"`
 }
 
 // Status implements admin.Fleet. Durations are encoded by encoding/json, in nanoseconds.
@@ -42,7 +46,7 @@
 		Host: h.config.HostID, DataCentre: h.config.DataCentre, Ready: h.Ready(), Leaving: h.isLeaving(),
 		InFlight: h.handler.InFlight(), Settings: h.store.Status(), Membership: h.membership.Status(),
 		Limits: h.limiter.Status(), Operations: h.operations.Status(),
-		Services: h.services.ejections.Status(),
+		Services: h.services.ejections.Status(), Queues: h.services.queueStats(),
 	}
 }
 
