--- /dev/null
+++ b/fleet/ratelimit/checker.go
@@ -0,0 +1,99 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+)
+
+// checkTolerance is the excess in tokens that float rounding may cause.
+const checkTolerance = 1e-6
+
+// Checker replays the admissions of one customer through one bucket. It shares no code with Bucket: it counts the level
+// of used tokens, which falls at the rate, where Bucket counts the tokens that are left.
+type Checker struct {
+	limits     Limits
+	used       float64
+	at         time.Time
+	violations int
+	excess     float64
+}
+
+// NewChecker returns a checker whose bucket is full at start.
+func NewChecker(start time.Time, limits Limits) *Checker {
+	return &Checker{limits: limits, at: start}
+}
+
+func (c *Checker) advance(at time.Time) {
+	if elapsed := at.Sub(c.at); elapsed > 0 {
+		c.used = max(0, c.used-elapsed.Seconds()*c.limits.Rate)
+		c.at = at
+	}
+}
+
+// Admitted records an admission and returns false if the bucket had no token for it. Times must not decrease.
+func (c *Checker) Admitted(at time.Time) bool {
+	c.advance(at)
+	c.used++
+	excess := c.used - c.limits.Burst
+	if excess <= checkTolerance {
+		return true
+	}
+	c.violations++
+	c.excess = max(c.excess, excess)
+	return false
+}
+
+// HasToken reports whether the bucket holds a token at the given time, which must not be before an earlier call's.
+func (c *Checker) HasToken(at time.Time) bool {
+	c.advance(at)
+	return c.used+1 <= c.limits.Burst
+}
+
+// SetLimits changes the limits. The tokens that are left scale with the burst, as they do at the hosts.
+func (c *Checker) SetLimits(at time.Time, limits Limits) {
+	c.advance(at)
+	c.used *= limits.Burst / c.limits.Burst
+	c.limits = limits
+}
+
+// Violations is the number of admissions over the limit.
+func (c *Checker) Violations() int { return c.violations }
+
+// LargestExcess is the largest number of tokens by which admissions exceeded the limit.
+func (c *Checker) LargestExcess() float64 { return c.excess }
+
+// Admission is one recorded admission.
+type Admission struct {
+	At       time.Time
+	Customer string
+}
+
+// CheckResult is the result of Check.
+type CheckResult struct {
+	// Violations are the admissions over the limit, in order of time.
+	Violations []Admission
+	// LargestExcess is in tokens.
+	LargestExcess float64
+}
+
+// Check replays recorded admissions, in any order, each customer through one bucket that is full at the start. An
+// admission of a customer without limits is a violation.
+func Check(admissions []Admission, limits func(customer string) (Limits, bool)) CheckResult {
+	sorted := slices.Clone(admissions)
+	slices.SortStableFunc(sorted, func(a, b Admission) int { return a.At.Compare(b.At) })
+	checkers := make(map[string]*Checker)
+	var result CheckResult
+	for _, admission := range sorted {
+		checker, known := checkers[admission.Customer]
+		if !known {
+			customerLimits, _ := limits(admission.Customer)
+			checker = NewChecker(admission.At, customerLimits)
+			checkers[admission.Customer] = checker
+		}
+		if !checker.Admitted(admission.At) {
+			result.Violations = append(result.Violations, admission)
+			result.LargestExcess = max(result.LargestExcess, checker.LargestExcess())
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/fleet/ratelimit/divide.go
@@ -0,0 +1,80 @@
+package ratelimit
+
+// Policy of the division. The figures were chosen by measurement with bench/fleetbench.
+const (
+	// reserveShare is the least share of the rate that stays in the reserve when demand exceeds the rate.
+	reserveShare = 0.04
+	// headroom multiplies measured demand, for its noise.
+	headroom = 1.3
+	// reserveBurst is the least share of the burst that slices leave in the reserve, in shares. Without it a small burst
+	// would be lent out whole and nothing could be borrowed.
+	reserveBurst = WholeShare / 4
+	// topUpPart, plus the slice's share of the rate, is the part of the reserve's tokens that a renewal may move.
+	topUpPart = 0.25
+	// spareToSlices is the part of the rate beyond demand that goes into slices by demand; the rest stays in the reserve.
+	spareToSlices = 0.5
+	// burstPerRate is a slice's share of the burst for each share of the rate.
+	burstPerRate = 0.5
+	// leastSliceBurst is the smallest burst of a slice in requests. A slice that cannot hold one token strands its tokens.
+	leastSliceBurst = 2
+)
+
+// divideMaxMin divides total among the demands with max-min fairness: nobody gets more than its demand, and what is short
+// is shared equally by those whose demand is not met. The result is written to shares, which has the length of demands.
+func divideMaxMin(total float64, demands, shares []float64) {
+	open := 0
+	for i, demand := range demands {
+		shares[i] = -1
+		if demand <= 0 {
+			shares[i] = 0
+			continue
+		}
+		open++
+	}
+	for open > 0 {
+		level := total / float64(open)
+		satisfied := 0
+		for i, demand := range demands {
+			if shares[i] < 0 && demand <= level {
+				shares[i] = demand
+				total -= demand
+				satisfied++
+			}
+		}
+		if satisfied == 0 {
+			fillOpen(shares, level)
+			return
+		}
+		open -= satisfied
+	}
+}
+
+func fillOpen(shares []float64, level float64) {
+	for i := range shares {
+		if shares[i] < 0 {
+			shares[i] = level
+		}
+	}
+}
+
+// targetRate returns the share of the rate that the holder at index i should have, given the demands of all holders in
+// shares of the rate.
+func targetRate(demands []float64, i int) float64 {
+	if demands[i] <= 0 {
+		return 0
+	}
+	const inline = 16
+	var buffer [inline]float64
+	shares := buffer[:]
+	if len(demands) > inline {
+		shares = make([]float64, len(demands))
+	}
+	shares = shares[:len(demands)]
+	divideMaxMin(1-reserveShare, demands, shares)
+	var given float64
+	for _, share := range shares {
+		given += share
+	}
+	spare := max(0, 1-reserveShare-given) * spareToSlices
+	return shares[i] + spare*shares[i]/given
+}
--- /dev/null
+++ b/fleet/ratelimit/message.go
@@ -0,0 +1,71 @@
+package ratelimit
+
+import "time"
+
+// Units of the messages.
+const (
+	// WholeShare is the customer's whole rate, and the whole burst, in the unit of shares.
+	WholeShare = 1_000_000
+	// WholeTokens is the customer's whole burst in the unit in which tokens are moved.
+	WholeTokens = 1_000_000_000
+)
+
+// Durations of the protocol.
+const (
+	// SliceLife is how long a slice lasts without renewal, so that the loss of an owner does not stop traffic.
+	SliceLife = 10 * time.Second
+	// BorrowLife is how long borrowed tokens last. It is short because the owner cannot lend them again until then.
+	BorrowLife = 100 * time.Millisecond
+	// Margin is how much longer than the holder the owner counts what it lent, for drift between their clocks.
+	Margin = 500 * time.Millisecond
+	// RenewInterval is the time between two renewals of a slice.
+	RenewInterval = 500 * time.Millisecond
+	// BorrowWait is the longest wait of a request for borrowed tokens.
+	BorrowWait = 50 * time.Millisecond
+)
+
+// Report is what a holder tells the owner of a customer: all that it holds at the moment of sending. From that moment
+// it takes no grant that answers an older report.
+type Report struct {
+	// Seq grows with each report of a holder's process.
+	Seq uint64
+	// Rate and Burst are the holder's slice, in shares.
+	Rate, Burst uint32
+	// Cap bounds the tokens of the slice until the report is answered or given up, in billionths of the burst.
+	Cap uint32
+	// Borrowed are the unexpired borrowed tokens, in billionths of the burst.
+	Borrowed uint32
+	// Returned are tokens that the holder gives back with this report, in billionths of the burst.
+	Returned uint32
+	// Need is how much the holder must borrow to admit one request, and Want how much it would like to borrow, in
+	// billionths of the burst. Both are 0 if it does not borrow.
+	Need, Want uint32
+	// Demand is the measured demand at the holder in requests per second.
+	Demand float32
+}
+
+// Grant is the owner's answer to a report.
+type Grant struct {
+	// Seq is the sequence number of the report. Stale is true if the owner has seen it or a later one; the grant is then
+	// empty and must not be applied.
+	Seq   uint64
+	Stale bool
+	// Rate and Burst are the new slice, in shares.
+	Rate, Burst uint32
+	// Tokens are moved into the slice, Borrowed into the borrowed tokens, in billionths of the burst.
+	Tokens, Borrowed uint32
+	// Life is how long the slice lasts from the moment at which the report was sent.
+	Life time.Duration
+	// RetryAfter is set if nothing could be borrowed: the time until a token is due in the reserve.
+	RetryAfter time.Duration
+}
+
+// empty reports whether the holder holds nothing and asks for nothing.
+func (r *Report) empty() bool {
+	return r.Rate == 0 && r.Burst == 0 && r.Borrowed == 0 && r.Want == 0 && r.Demand == 0
+}
+
+// empty reports whether the grant lends nothing.
+func (g *Grant) empty() bool {
+	return g.Rate == 0 && g.Burst == 0 && g.Tokens == 0 && g.Borrowed == 0
+}
--- /dev/null
+++ b/fleet/ratelimit/owner.go
@@ -0,0 +1,241 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// retryUnknown is the retry time of an answer if the reserve has no rate to tell when a token is due.
+const retryUnknown = 100 * time.Millisecond
+
+// longestRetry bounds the retry time of an answer, because a holder does not ask again before.
+const longestRetry = time.Second
+
+// loan is what the owner counts for one holder.
+type loan struct {
+	holder fleet.Identity
+	// seq is the newest report seen.
+	seq uint64
+	// expiry and borrowExpiry are when the loan ends by the owner's count, margin included.
+	expiry, borrowExpiry int64
+	// rate and burst are the larger of what the holder reported and what it was granted, in shares.
+	rate, burst uint32
+	// borrowed is in billionths of the burst.
+	borrowed uint32
+	demand   float32
+}
+
+// Owner divides the limits of one customer. It is not safe for concurrent use.
+type Owner struct {
+	limits Limits
+	// reserve is in bursts.
+	reserve  Bucket
+	loans    []loan
+	granting bool
+}
+
+// NewOwner returns an owner that grants at once. tokens is the level of its reserve in bursts, between 0 and 1.
+func NewOwner(now time.Time, limits Limits, tokens float64) *Owner {
+	return &Owner{limits: limits, granting: true, reserve: NewBucket(now, limits.refill(), 1, tokens)}
+}
+
+// NewCarryingOwner returns an owner that follows another: it honours the slices that holders report and grants nothing
+// new until Start.
+func NewCarryingOwner(now time.Time, limits Limits) *Owner {
+	return &Owner{limits: limits, reserve: NewBucket(now, 0, 0, 0)}
+}
+
+// Start begins granting, with an empty reserve of what no holder has reported. The caller makes sure that no slice
+// exists that was not reported.
+func (o *Owner) Start(now time.Time) {
+	o.granting = true
+	o.reserve = NewBucket(now, 0, 0, 0)
+	o.settle(now)
+}
+
+// Granting reports whether the owner grants anything new.
+func (o *Owner) Granting() bool { return o.granting }
+
+// settle drops what has expired and sizes the reserve. Loans may move in memory.
+func (o *Owner) settle(now time.Time) {
+	at := now.UnixNano()
+	kept := o.loans[:0]
+	for i := range o.loans {
+		l := o.loans[i]
+		if at >= l.borrowExpiry {
+			l.borrowed = 0
+		}
+		if at >= l.expiry {
+			l.rate, l.burst = 0, 0
+		}
+		if at < l.expiry || l.borrowed != 0 {
+			kept = append(kept, l)
+		}
+	}
+	o.loans = kept
+	o.sizeReserve(now)
+}
+
+// sizeReserve gives the reserve the rate and burst that no loan holds.
+func (o *Owner) sizeReserve(now time.Time) {
+	if !o.granting {
+		return
+	}
+	rate, burst := o.unlent()
+	o.reserve.Resize(now, shareOf(rate)*o.limits.refill(), tokensOf(burst))
+}
+
+// unlent returns the rate that no loan holds, in shares, and the burst that no loan holds, in billionths.
+func (o *Owner) unlent() (rate, burst uint32) {
+	rate, burst = WholeShare, WholeTokens
+	for i := range o.loans {
+		l := &o.loans[i]
+		rate -= min(rate, l.rate)
+		burst -= min(burst, shareInTokens(l.burst)+l.borrowed)
+	}
+	return rate, burst
+}
+
+// Handle answers a report. life is how long the granted slice lasts, at most SliceLife.
+func (o *Owner) Handle(now time.Time, from fleet.Identity, report Report, life time.Duration) Grant {
+	o.settle(now)
+	l := o.loanOf(from)
+	if report.Seq <= l.seq {
+		return Grant{Seq: report.Seq, Stale: true}
+	}
+	// No settle below: it would move the loan.
+	o.accept(now, l, report)
+	grant := Grant{Seq: report.Seq, Life: life}
+	if o.granting {
+		o.grantSlice(now, l, report, &grant)
+		o.grantBorrow(now, l, report, &grant)
+	} else {
+		grant.Rate, grant.Burst, grant.RetryAfter = l.rate, l.burst, retryUnknown
+	}
+	l.expiry = now.Add(life + Margin).UnixNano()
+	if report.empty() && grant.empty() {
+		o.loans = slices.DeleteFunc(o.loans, func(l loan) bool { return l.holder == from })
+	}
+	return grant
+}
+
+// loanOf returns the loan of a holder, which it adds if there is none. The pointer is valid until the next settle.
+func (o *Owner) loanOf(holder fleet.Identity) *loan {
+	i := slices.IndexFunc(o.loans, func(l loan) bool { return l.holder == holder })
+	if i < 0 {
+		i = len(o.loans)
+		o.loans = append(o.loans, loan{holder: holder})
+	}
+	return &o.loans[i]
+}
+
+// accept replaces the count of a loan by what its holder reports. A granting owner knows every loan, so a report can
+// only lower the count; a report that states more is older than the expiry of the loan.
+func (o *Owner) accept(now time.Time, l *loan, report Report) {
+	l.seq = report.Seq
+	l.demand = report.Demand
+	if !o.granting {
+		l.rate, l.burst, l.borrowed = report.Rate, report.Burst, report.Borrowed
+		l.borrowExpiry = now.Add(BorrowLife + Margin).UnixNano()
+		return
+	}
+	freed := shareInTokens(l.burst - min(l.burst, report.Burst))
+	l.rate = min(l.rate, report.Rate)
+	l.burst = min(l.burst, report.Burst)
+	l.borrowed = min(l.borrowed, report.Borrowed)
+	o.sizeReserve(now)
+	o.reserve.Add(now, tokensOf(min(report.Returned, freed)))
+}
+
+// grantSlice resizes the slice towards the holder's share by demand and tops it up. A larger slice is limited to what the
+// reserve has; a smaller one counts at its old size until the next report.
+func (o *Owner) grantSlice(now time.Time, l *loan, report Report, grant *Grant) {
+	rate, burst := o.target(l)
+	spareRate, unlentBurst := o.unlent()
+	spareBurst := unlentBurst / (WholeTokens / WholeShare)
+	spareBurst -= min(spareBurst, reserveBurst)
+	grant.Rate = min(rate, l.rate+spareRate)
+	grant.Burst = min(burst, l.burst+spareBurst)
+	if shareOf(grant.Burst)*o.limits.Burst < 1 {
+		grant.Rate, grant.Burst = 0, 0
+	}
+	if room := shareInTokens(grant.Burst); room > report.Cap {
+		part := max(0, o.reserve.Tokens(now)) * min(1, shareOf(grant.Rate)+topUpPart)
+		grant.Tokens = min(room-report.Cap, tokensDown(part))
+		o.reserve.tokens -= tokensOf(grant.Tokens)
+	}
+	l.rate = max(l.rate, grant.Rate)
+	l.burst = max(l.burst, grant.Burst)
+	o.sizeReserve(now)
+}
+
+// target returns the slice that the holder should have, in shares.
+func (o *Owner) target(l *loan) (rate, burst uint32) {
+	const inline = 16
+	var buffer [inline]float64
+	demands := buffer[:0]
+	index := 0
+	for i := range o.loans {
+		if &o.loans[i] == l {
+			index = i
+		}
+		demands = append(demands, float64(o.loans[i].demand)*headroom/o.limits.Rate)
+	}
+	share := targetRate(demands, index)
+	if share <= 0 {
+		return 0, 0
+	}
+	least := leastSliceBurst / o.limits.Burst
+	return uint32(share * WholeShare), uint32(min(1, max(share*burstPerRate, least)) * WholeShare)
+}
+
+// grantBorrow lends tokens of the reserve, or tells when one is due.
+func (o *Owner) grantBorrow(now time.Time, l *loan, report Report, grant *Grant) {
+	if report.Want == 0 || grant.Tokens >= report.Need {
+		return
+	}
+	need := report.Need - grant.Tokens
+	level := tokensDown(o.reserve.Tokens(now))
+	if level < need {
+		wait := o.reserve.TimeUntil(now, tokensOf(need))
+		if wait == never {
+			wait = retryUnknown
+		}
+		grant.RetryAfter = min(max(wait, time.Millisecond), longestRetry)
+		return
+	}
+	grant.Borrowed = max(need, min(report.Want, level/2))
+	o.reserve.tokens -= tokensOf(grant.Borrowed)
+	l.borrowed += grant.Borrowed
+	l.borrowExpiry = now.Add(BorrowLife + Margin).UnixNano()
+	o.sizeReserve(now)
+}
+
+// Exclude ends the loans of holders that are not members at freeAt at the latest.
+func (o *Owner) Exclude(freeAt time.Time, isMember func(fleet.Identity) bool) {
+	end := freeAt.UnixNano()
+	for i := range o.loans {
+		l := &o.loans[i]
+		if isMember(l.holder) {
+			continue
+		}
+		l.expiry = min(l.expiry, end)
+		l.borrowExpiry = min(l.borrowExpiry, end)
+		l.demand = 0
+	}
+}
+
+// SetLimits applies new limits. Slices and reserve are shares, so they scale by themselves.
+func (o *Owner) SetLimits(now time.Time, limits Limits) {
+	o.settle(now)
+	o.limits = limits
+	o.sizeReserve(now)
+}
+
+// Idle reports whether the owner can be dropped: it counts no loans and its reserve is full.
+func (o *Owner) Idle(now time.Time) bool {
+	o.settle(now)
+	return o.granting && len(o.loans) == 0 && o.reserve.Tokens(now) >= 1
+}
--- /dev/null
+++ b/fleet/ratelimit/protocol_test.go
@@ -0,0 +1,348 @@
+package ratelimit
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+)
+
+// Durations of the membership.
+const (
+	leaseLife = 1500 * time.Millisecond
+	freeAfter = 2 * time.Second
+)
+
+// protocolHost is one process: a holder and, by turns, the owner of the only customer.
+type protocolHost struct {
+	id     fleet.Identity
+	holder Holder
+	owner  *Owner
+	// drift is the offset of the host's clock, which changes by less than the margin.
+	drift time.Duration
+	// epoch is the newest epoch that the host knows, reportedIn the newest in which an owner has its report.
+	epoch, reportedIn uint64
+	// lease is the end of the host's activity, in true time.
+	lease time.Time
+}
+
+type request struct {
+	from   fleet.Identity
+	to     int
+	epoch  uint64
+	report Report
+}
+
+type answer struct {
+	to    fleet.Identity
+	grant Grant
+}
+
+// protocol is a fleet whose messages can be lost, doubled and delayed, and whose membership follows design section 3.
+type protocol struct {
+	now      time.Time
+	limits   Limits
+	hosts    []*protocolHost
+	epoch    uint64
+	ownerAt  int
+	freeAt   time.Time
+	members  []fleet.Identity
+	seq      uint64
+	requests []request
+	answers  []answer
+	checker  *Checker
+	admitted int
+	// gained is the sum of what the hosts' clocks have gained. A clock that gains d refills up to rate*d tokens more.
+	gained time.Duration
+}
+
+func newProtocol(hosts int, limits Limits) *protocol {
+	p := &protocol{now: time.Unix(1000, 0), limits: limits, epoch: 1}
+	p.checker = NewChecker(p.now, limits)
+	for i := range hosts {
+		h := &protocolHost{epoch: 1, reportedIn: 1, lease: p.now.Add(leaseLife)}
+		h.id = fleet.Identity{ID: fleet.HostID(rune('a' + i)), Incarnation: 1}
+		h.holder = NewHolder(p.now, limits)
+		p.hosts = append(p.hosts, h)
+		p.members = append(p.members, h.id)
+	}
+	p.hosts[0].owner = NewOwner(p.now, limits, 1)
+	return p
+}
+
+func (p *protocol) time(h *protocolHost) time.Time { return p.now.Add(h.drift) }
+func (p *protocol) active(h *protocolHost) bool    { return p.now.Before(h.lease) }
+func (p *protocol) isMember(identity fleet.Identity) bool {
+	return slices.Contains(p.members, identity)
+}
+
+// renewLease extends the lease of a member that knows the newest epoch.
+func (p *protocol) renewLease(h *protocolHost) {
+	if p.isMember(h.id) && h.epoch == p.epoch {
+		h.lease = p.now.Add(leaseLife)
+	}
+}
+
+// learn makes a host follow the newest epoch.
+func (p *protocol) learn(i int) {
+	h := p.hosts[i]
+	if h.epoch == p.epoch || !p.isMember(h.id) {
+		return
+	}
+	keeps := h.owner != nil && h.epoch+1 == p.epoch && p.ownerAt == i && h.owner.Granting()
+	h.epoch = p.epoch
+	h.holder.Abandon(p.time(h))
+	switch {
+	case keeps:
+		h.owner.Exclude(p.freeAt.Add(h.drift), p.isMember)
+	case p.ownerAt == i:
+		h.owner = NewCarryingOwner(p.time(h), p.limits)
+	default:
+		h.owner = nil
+	}
+	p.renewLease(h)
+}
+
+// changeEpoch names a new owner and may exclude a host. The excluded host, the former owner and the hosts that have not
+// learned the epoch can act until their lease ends, which is before the free time.
+func (p *protocol) changeEpoch(owner, excluded int) {
+	p.epoch++
+	p.ownerAt = owner
+	if excluded >= 0 && excluded != owner {
+		p.members = slices.DeleteFunc(p.members, func(id fleet.Identity) bool { return id == p.hosts[excluded].id })
+	}
+	p.freeAt = p.now.Add(freeAfter)
+	p.learn(owner)
+}
+
+// send queues a report to the host that the sender believes to be the owner.
+func (p *protocol) send(i int, want, demand float64) {
+	h := p.hosts[i]
+	owner := p.ownerAt
+	if h.epoch != p.epoch {
+		owner = slices.IndexFunc(p.hosts, func(o *protocolHost) bool { return o.owner != nil && o.epoch == h.epoch })
+	}
+	if owner < 0 {
+		return
+	}
+	p.seq++
+	report := h.holder.Report(p.time(h), p.seq, demand, want)
+	p.requests = append(p.requests, request{from: h.id, to: owner, epoch: h.epoch, report: report})
+}
+
+// deliver handles request i at its owner. The request stays queued if it is to be delivered twice.
+func (p *protocol) deliver(i int, double bool) {
+	r := p.requests[i]
+	if !double {
+		p.requests = slices.Delete(p.requests, i, i+1)
+	}
+	owner := p.hosts[r.to]
+	if owner.owner == nil || owner.epoch != r.epoch || !p.active(owner) {
+		return
+	}
+	grant := owner.owner.Handle(p.time(owner), r.from, r.report, SliceLife)
+	p.answers = append(p.answers, answer{to: r.from, grant: grant})
+	if h := p.hostOf(r.from); h != nil {
+		h.reportedIn = max(h.reportedIn, r.epoch)
+	}
+	p.startOwner(owner)
+}
+
+func (p *protocol) hostOf(id fleet.Identity) *protocolHost {
+	i := slices.IndexFunc(p.hosts, func(h *protocolHost) bool { return h.id == id })
+	if i < 0 {
+		return nil
+	}
+	return p.hosts[i]
+}
+
+// startOwner applies the start rule: after the free time, and after all members reported or the last slice has expired.
+func (p *protocol) startOwner(h *protocolHost) {
+	if h.owner.Granting() || h.epoch != p.epoch || p.now.Before(p.freeAt) {
+		return
+	}
+	reported := func(id fleet.Identity) bool { return p.hostOf(id).reportedIn == p.epoch }
+	missing := slices.ContainsFunc(p.members, func(id fleet.Identity) bool { return !reported(id) })
+	if !missing || !p.now.Before(p.freeAt.Add(SliceLife+Margin)) {
+		h.owner.Start(p.time(h))
+	}
+}
+
+func (p *protocol) receive(i int, double bool) {
+	a := p.answers[i]
+	if !double {
+		p.answers = slices.Delete(p.answers, i, i+1)
+	}
+	if h := p.hostOf(a.to); h != nil {
+		h.holder.Apply(p.time(h), a.grant)
+	}
+}
+
+func (p *protocol) take(i, n int) {
+	h := p.hosts[i]
+	for range n {
+		if p.active(h) && h.holder.Take(p.time(h)) {
+			p.checker.Admitted(p.now.Add(p.gained))
+			p.admitted++
+		}
+	}
+}
+
+// restart replaces a host's process. The former incarnation is no longer a member and the new one holds nothing.
+func (p *protocol) restart(i int) {
+	h := p.hosts[i]
+	p.members = slices.DeleteFunc(p.members, func(id fleet.Identity) bool { return id == h.id })
+	h.id.Incarnation++
+	h.holder = NewHolder(p.time(h), p.limits)
+	h.owner = nil
+	h.lease = p.now
+	p.members = append(p.members, h.id)
+	next := p.ownerAt
+	if next == i {
+		next = (i + 1) % len(p.hosts)
+	}
+	if !p.isMember(p.hosts[next].id) {
+		next = i
+	}
+	p.changeEpoch(next, -1)
+	p.learn(i)
+}
+
+// setLimits applies new limits to all hosts at once and to the checker.
+func (p *protocol) setLimits(limits Limits) {
+	p.limits = limits
+	p.checker.SetLimits(p.now.Add(p.gained), limits)
+	for _, h := range p.hosts {
+		h.holder.SetLimits(p.time(h), limits)
+		if h.owner != nil {
+			h.owner.SetLimits(p.time(h), limits)
+		}
+	}
+}
+
+// tokens is the sum of all tokens that can still be used, in bursts.
+func (p *protocol) tokens() float64 {
+	var sum float64
+	for _, h := range p.hosts {
+		now := p.time(h)
+		if p.active(h) {
+			h.holder.expire(now)
+			sum += h.holder.bucket.Tokens(now) + h.holder.borrowed + h.holder.returning
+		}
+		if h.owner != nil && h.owner.Granting() && h.epoch == p.epoch {
+			sum += max(0, h.owner.reserve.Tokens(now))
+		}
+	}
+	return sum
+}
+
+func (p *protocol) check(t *rapid.T) {
+	if p.checker.Violations() > 0 {
+		t.Fatalf("admitted %v tokens over rate and burst", p.checker.LargestExcess())
+	}
+	if sum := p.tokens(); sum > 1+1e-9 {
+		t.Fatalf("tokens sum to %v bursts", sum)
+	}
+}
+
+// TestProtocolBound guards the bound of rate and burst (I5) under lost, doubled and late messages, replaced owners,
+// paused and restarted holders, changed limits and clock drift.
+func TestProtocolBound(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{
+			Rate:  rapid.SampledFrom([]float64{2, 20, 300}).Draw(t, "rate"),
+			Burst: rapid.SampledFrom([]float64{1, 7, 40, 600}).Draw(t, "burst"),
+		}
+		p := newProtocol(4, limits)
+		t.Repeat(p.actions())
+		total += p.admitted
+	})
+	if total < 100_000 {
+		t.Fatalf("only %d admissions: the test does not exercise the protocol", total)
+	}
+}
+
+func (p *protocol) actions() map[string]func(*rapid.T) {
+	host := rapid.IntRange(0, len(p.hosts)-1)
+	return map[string]func(*rapid.T){
+		"":         p.check,
+		"take":     func(t *rapid.T) { p.take(host.Draw(t, "host"), rapid.IntRange(1, 60).Draw(t, "n")) },
+		"take all": func(*rapid.T) { p.takeAll() },
+		"send":     func(t *rapid.T) { p.sendDrawn(t, host.Draw(t, "host")) },
+		"exchange": func(t *rapid.T) {
+			p.sendDrawn(t, host.Draw(t, "host"))
+			p.deliverAny(t, len(p.requests)-1)
+			p.receiveAny(t, len(p.answers)-1)
+		},
+		"deliver": func(t *rapid.T) { p.deliverAny(t, rapid.IntRange(0, 20).Draw(t, "request")) },
+		"receive": func(t *rapid.T) { p.receiveAny(t, rapid.IntRange(0, 20).Draw(t, "answer")) },
+		"lose": func(*rapid.T) {
+			p.requests = p.requests[min(1, len(p.requests)):]
+			p.answers = p.answers[min(1, len(p.answers)):]
+		},
+		"learn": func(t *rapid.T) { p.learn(host.Draw(t, "host")) },
+		"replace owner": func(t *rapid.T) {
+			owner := host.Draw(t, "owner")
+			if rapid.IntRange(0, 3).Draw(t, "rarely") == 0 && p.isMember(p.hosts[owner].id) {
+				p.changeEpoch(owner, rapid.IntRange(-4, 3).Draw(t, "excluded"))
+			}
+		},
+		"restart": func(t *rapid.T) {
+			if i := host.Draw(t, "host"); rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+				p.restart(i)
+			}
+		},
+		"limits": func(t *rapid.T) {
+			factor := rapid.SampledFrom([]float64{0.3, 0.9, 1.5, 3}).Draw(t, "factor")
+			p.setLimits(Limits{Rate: p.limits.Rate * factor, Burst: max(1, p.limits.Burst*factor)})
+		},
+		"drift":      func(t *rapid.T) { p.changeDrift(t, host.Draw(t, "host")) },
+		"short time": func(t *rapid.T) { p.pass(t, 200) },
+		"time":       func(t *rapid.T) { p.pass(t, 1400) },
+		"long time":  func(t *rapid.T) { p.pass(t, 14_000) },
+	}
+}
+
+// changeDrift moves a host's clock. Two hosts differ by at most 400 ms, which is within the margin.
+func (p *protocol) changeDrift(t *rapid.T, i int) {
+	drift := time.Duration(rapid.IntRange(-100, 100).Draw(t, "ms")) * time.Millisecond
+	p.gained += max(0, drift-p.hosts[i].drift)
+	p.hosts[i].drift = drift
+}
+
+func (p *protocol) takeAll() {
+	for i := range p.hosts {
+		p.take(i, 1000)
+	}
+}
+
+func (p *protocol) sendDrawn(t *rapid.T, i int) {
+	p.send(i, float64(rapid.IntRange(0, 10).Draw(t, "want")), p.limits.Rate*rapid.Float64Range(0, 1).Draw(t, "demand"))
+}
+
+func (p *protocol) deliverAny(t *rapid.T, i int) {
+	if i >= 0 && len(p.requests) > 0 {
+		p.deliver(i%len(p.requests), rapid.IntRange(0, 4).Draw(t, "double") == 0)
+	}
+}
+
+func (p *protocol) receiveAny(t *rapid.T, i int) {
+	if i >= 0 && len(p.answers) > 0 {
+		p.receive(i%len(p.answers), rapid.IntRange(0, 4).Draw(t, "double") == 0)
+	}
+}
+
+// pass lets time pass, after which some hosts still have their lease: the others were paused or cut off.
+func (p *protocol) pass(t *rapid.T, longest int) {
+	p.now = p.now.Add(time.Duration(rapid.IntRange(0, longest).Draw(t, "ms")) * time.Millisecond)
+	renewing := rapid.IntRange(0, 1<<len(p.hosts)-1).Draw(t, "renewing")
+	for i, h := range p.hosts {
+		if renewing&(1<<i) != 0 {
+			p.renewLease(h)
+		}
+	}
+}
