--- /dev/null
+++ b/bench/fleetbench/cluster.go
@@ -0,0 +1,185 @@
+package fleetbench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/clock"
+	"github.com/bronzeyard/bronzeyard/fleet/peer"
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
+)
+
+const (
+	// excludeAfter is the time from the loss of a host to the epoch without it.
+	excludeAfter = 4 * time.Second
+	// freeAfter is F plus the drift margin of the membership.
+	freeAfter = 2 * time.Second
+	// learnSpread is the time over which the hosts learn a new epoch.
+	learnSpread = 10 * time.Millisecond
+	// framing is the size of the headers of a message on a peer connection in bytes, an estimate.
+	framing = 24
+	// insideDataCentre is the one-way latency between hosts of one data centre.
+	insideDataCentre = 100 * time.Microsecond
+)
+
+// cluster is the hosts of one run.
+type cluster struct {
+	hosts     []*host
+	byAddress map[string]*host
+	latency   time.Duration
+	customers map[string]ratelimit.Limits
+	// messages and bytes count requests and answers between hosts.
+	messages, bytes atomic.Int64
+	mu              sync.Mutex
+	admissions      []ratelimit.Admission
+}
+
+// host implements fleet.ViewSource, peer.Caller and peer.Registrar.
+type host struct {
+	cluster *cluster
+	member  fleet.Member
+	view    atomic.Pointer[fleet.View]
+	lost    atomic.Bool
+	handler peer.HandlerFunc
+	limiter *ratelimit.Limiter
+}
+
+func newCluster(deployment *deployment, hosts int, customers []customer) *cluster {
+	c := &cluster{byAddress: make(map[string]*host), latency: deployment.betweenDataCentres, customers: make(map[string]ratelimit.Limits)}
+	for _, customer := range customers {
+		c.customers[customer.name] = customer.limits
+	}
+	epoch := fleet.Epoch{Number: 1}
+	for i := range hosts {
+		epoch.Members = append(epoch.Members, fleet.Member{
+			ID: fleet.HostID(fmt.Sprintf("host-%02d", i)), Incarnation: 1, PeerAddress: fmt.Sprintf("peer-%02d", i),
+			CallerAddress: fmt.Sprintf("caller-%02d", i), DataCentre: deployment.dataCentres[i%len(deployment.dataCentres)],
+			Capacity: 1, State: fleet.Active,
+		})
+	}
+	for _, member := range epoch.Members {
+		h := &host{cluster: c, member: member}
+		h.issue(epoch, time.Now(), time.Now())
+		h.limiter = ratelimit.New(ratelimit.Options{
+			Views: h, Caller: h, Registrar: h, Clock: clock.Standard{}, Limits: c.limits, Record: c.record,
+		})
+		c.hosts = append(c.hosts, h)
+		c.byAddress[member.PeerAddress] = h
+	}
+	return c
+}
+
+// issue gives the host a view of an epoch. Its lease does not end by itself.
+func (h *host) issue(epoch fleet.Epoch, learned, free time.Time) {
+	const leaseForRun = 24 * time.Hour
+	old := h.view.Load()
+	view := &fleet.View{
+		Self: h.member.Identity(), Epoch: epoch, ActiveUntil: learned.Add(leaseForRun), FreeAt: free, LearnedAt: learned,
+	}
+	h.view.Store(view)
+	if h.limiter != nil {
+		h.limiter.OnView(old, view)
+	}
+}
+
+// View implements fleet.ViewSource.
+func (h *host) View() *fleet.View { return h.view.Load() }
+
+// Handle implements peer.Registrar. The limiter registers one method.
+func (h *host) Handle(_ peer.Method, _ func() proto.Message, handler peer.HandlerFunc) {
+	h.handler = handler
+}
+
+// Call implements peer.Caller. A lost host neither answers nor receives answers.
+func (h *host) Call(ctx context.Context, address string, _ peer.Method, req, resp proto.Message) error {
+	to := h.cluster.byAddress[address]
+	latency := insideDataCentre
+	if to.member.DataCentre != h.member.DataCentre {
+		latency = h.cluster.latency
+	}
+	h.cluster.count(req)
+	time.Sleep(latency)
+	if to.lost.Load() || h.lost.Load() {
+		<-ctx.Done()
+		return peer.ErrNoAnswer
+	}
+	answer, err := to.handler(ctx, h.member.Identity(), req)
+	if err != nil {
+		return err
+	}
+	h.cluster.count(answer)
+	time.Sleep(latency)
+	if to.lost.Load() || h.lost.Load() {
+		<-ctx.Done()
+		return peer.ErrNoAnswer
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func (c *cluster) count(message proto.Message) {
+	c.messages.Add(1)
+	c.bytes.Add(int64(proto.Size(message) + framing))
+}
+
+func (c *cluster) limits(customer string) (rate, burst float64, ok bool) {
+	limits, ok := c.customers[customer]
+	return limits.Rate, limits.Burst, ok
+}
+
+func (c *cluster) record(at time.Time, customer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.admissions = append(c.admissions, ratelimit.Admission{At: at, Customer: customer})
+}
+
+// lose stops hosts at once and issues the epoch without them after excludeAfter.
+func (c *cluster) lose(ctx context.Context, lost []int, random *rand.Rand) {
+	gone := make(map[fleet.HostID]bool)
+	for _, i := range lost {
+		h := c.hosts[i]
+		gone[h.member.ID] = true
+		h.lost.Store(true)
+		view := *h.view.Load()
+		view.ActiveUntil = time.Now()
+		h.view.Store(&view)
+	}
+	if !sleep(ctx, excludeAfter) {
+		return
+	}
+	former := c.hosts[0].view.Load().Epoch
+	next := fleet.Epoch{Number: former.Number + 1}
+	for _, m := range former.Members {
+		if !gone[m.ID] {
+			next.Members = append(next.Members, m)
+		}
+	}
+	for _, i := range random.Perm(len(c.hosts)) {
+		if h := c.hosts[i]; !h.lost.Load() {
+			now := time.Now()
+			h.issue(next, now, now.Add(freeAfter))
+			if !sleep(ctx, learnSpread/time.Duration(len(c.hosts))) {
+				return
+			}
+		}
+	}
+}
+
+// sleep returns false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/bench/fleetbench/fleetbench_test.go
@@ -0,0 +1,52 @@
+package fleetbench
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var full = flag.Bool("fleetbench.full", false, "run all scenarios of both deployments for 30 s of fake time and print the report")
+
+// TestTargets guards the targets of the design: no over-admission, and few wrongful refusals in the steady state and
+// through the loss of a host. It runs the real limiters in fake time.
+func TestTargets(t *testing.T) {
+	for deployment, only := range map[Deployment]string{Merrimack: "loss of one host, home set", Daan: "on the home set"} {
+		synctest.Test(t, func(t *testing.T) {
+			options := Options{Deployment: deployment, Seed: 1, Duration: 12 * time.Second, Only: only}
+			if *full {
+				options.Duration, options.Only = 30*time.Second, ""
+			}
+			report, err := Run(t.Context(), options)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range report.Scenarios {
+				report.Scenarios[i].check(t)
+			}
+			if *full {
+				if err := report.WriteText(os.Stdout); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+}
+
+func (s *ScenarioReport) check(t *testing.T) {
+	t.Helper()
+	if s.Limiter.OverAdmissions > 0 {
+		t.Errorf("%s: %d admissions over the limit, at most %v tokens", s.Scenario, s.Limiter.OverAdmissions, s.Limiter.LargestExcess)
+	}
+	if !*full {
+		return
+	}
+	if s.WrongfulTarget > 0 && s.Limiter.WrongfulPercent >= s.WrongfulTarget {
+		t.Errorf("%s: %.3f%% wrongful refusals, target %v%%", s.Scenario, s.Limiter.WrongfulPercent, s.WrongfulTarget)
+	}
+	if s.Limiter.WorstSharePercent < s.WorstTarget {
+		t.Errorf("%s: worst share %.2f%%, target %v%%", s.Scenario, s.Limiter.WorstSharePercent, s.WorstTarget)
+	}
+}
--- /dev/null
+++ b/bench/fleetbench/measure.go
@@ -0,0 +1,132 @@
+package fleetbench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
+)
+
+// outcome is the decision on one request.
+type outcome struct {
+	customer int
+	// arrived and decided are the times since the start.
+	arrived, decided time.Duration
+	allowed          bool
+}
+
+// measures are the figures of one policy under one load.
+type measures struct {
+	Requests int `json:"requests"`
+	// OverAdmissions counts admissions over rate and burst; LargestExcess is in tokens.
+	OverAdmissions int     `json:"over_admissions"`
+	LargestExcess  float64 `json:"largest_excess"`
+	// WrongfulPercent counts the refusals at whose moment an ideal bucket fed with the actual admissions had a token, in per
+	// cent of the requests of customers within their rate. WrongfulOverloadPercent is the same for the others.
+	WrongfulPercent         float64 `json:"wrongful_percent"`
+	WrongfulOverloadPercent float64 `json:"wrongful_overload_percent"`
+	// WorstSharePercent is the least over the customers of admitted requests in per cent of what one ideal bucket would
+	// have admitted of the same arrivals.
+	WorstSharePercent float64 `json:"worst_share_percent"`
+	// Customers are the same figures for each customer.
+	Customers []customerMeasures `json:"customers"`
+}
+
+type customerMeasures struct {
+	Customer        string  `json:"customer"`
+	Requests        int     `json:"requests"`
+	WrongfulPercent float64 `json:"wrongful_percent"`
+	SharePercent    float64 `json:"share_percent"`
+}
+
+func (m *measures) writeCustomers(w io.Writer) error {
+	line := "  limiter, wrongful and share by customer:"
+	for _, c := range m.Customers {
+		line += fmt.Sprintf(" %s %.2f%%/%.1f%%", c.Customer, c.WrongfulPercent, c.SharePercent)
+	}
+	_, err := fmt.Fprintln(w, line)
+	return err
+}
+
+// measure computes the figures from outcomes in any order. Over-admission is left to the caller.
+func measure(outcomes []outcome, overloaded func(customer int) bool) measures {
+	m := measures{Requests: len(outcomes), WorstSharePercent: 100}
+	var within, over, wrongWithin, wrongOver int
+	for i := range customers {
+		own := slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return o.customer != i })
+		wrong := wrongful(own, customers[i].limits)
+		if overloaded(i) {
+			over += len(own)
+			wrongOver += wrong
+		} else {
+			within += len(own)
+			wrongWithin += wrong
+		}
+		sharePercent := share(own, customers[i].limits)
+		m.WorstSharePercent = min(m.WorstSharePercent, sharePercent)
+		m.Customers = append(m.Customers, customerMeasures{
+			Customer: customers[i].name, Requests: len(own), WrongfulPercent: percent(wrong, len(own)), SharePercent: sharePercent,
+		})
+	}
+	m.WrongfulPercent = percent(wrongWithin, within)
+	m.WrongfulOverloadPercent = percent(wrongOver, over)
+	return m
+}
+
+func percent(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
+
+var origin = time.Unix(0, 0)
+
+// wrongful counts the refusals at whose moment the ideal bucket had a token.
+func wrongful(outcomes []outcome, limits ratelimit.Limits) int {
+	slices.SortStableFunc(outcomes, func(a, b outcome) int { return int(a.decided - b.decided) })
+	ideal := ratelimit.NewChecker(origin, limits)
+	count := 0
+	for _, o := range outcomes {
+		at := origin.Add(o.decided)
+		if o.allowed {
+			ideal.Admitted(at)
+		} else if ideal.HasToken(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// share is what was admitted in per cent of what one ideal bucket would have admitted.
+func share(outcomes []outcome, limits ratelimit.Limits) float64 {
+	slices.SortStableFunc(outcomes, func(a, b outcome) int { return int(a.arrived - b.arrived) })
+	ideal := ratelimit.NewChecker(origin, limits)
+	entitled, admitted := 0, 0
+	for _, o := range outcomes {
+		if o.allowed {
+			admitted++
+		}
+		if at := origin.Add(o.arrived); ideal.HasToken(at) {
+			ideal.Admitted(at)
+			entitled++
+		}
+	}
+	return percent(admitted, max(1, entitled))
+}
+
+// checkBound replays the admissions.
+func (m *measures) checkBound(admissions []ratelimit.Admission) {
+	limits := make(map[string]ratelimit.Limits)
+	for _, c := range customers {
+		limits[c.name] = c.limits
+	}
+	result := ratelimit.Check(admissions, func(customer string) (ratelimit.Limits, bool) {
+		l, ok := limits[customer]
+		return l, ok
+	})
+	m.OverAdmissions = len(result.Violations)
+	m.LargestExcess = result.LargestExcess
+}
--- /dev/null
+++ b/bench/fleetbench/scenario.go
@@ -0,0 +1,167 @@
+package fleetbench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
+	"github.com/bronzeyard/bronzeyard/fleet/addresses"
+	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
+)
+
+// deployment is what the measurement needs of design section 1.2.
+type deployment struct {
+	hosts              int
+	dataCentres        []string
+	betweenDataCentres time.Duration
+}
+
+var deployments = map[Deployment]*deployment{
+	Merrimack: {hosts: 14, dataCentres: []string{"mv-north", "mv-mill", "mv-hall"}, betweenDataCentres: 500 * time.Microsecond},
+	Daan:      {hosts: 16, dataCentres: []string{"luzon-a", "luzon-b", "luzon-c"}, betweenDataCentres: 1500 * time.Microsecond},
+}
+
+type customer struct {
+	name   string
+	limits ratelimit.Limits
+}
+
+// customers are 8, a few of them large. The burst is one second of the rate, at least 10 requests.
+var customers = []customer{
+	{"parks", ratelimit.Limits{Rate: 900, Burst: 900}},
+	{"nursery", ratelimit.Limits{Rate: 600, Burst: 600}},
+	{"council", ratelimit.Limits{Rate: 400, Burst: 400}},
+	{"school", ratelimit.Limits{Rate: 120, Burst: 120}},
+	{"museum", ratelimit.Limits{Rate: 60, Burst: 60}},
+	{"library", ratelimit.Limits{Rate: 30, Burst: 30}},
+	{"market", ratelimit.Limits{Rate: 15, Burst: 15}},
+	{"station", ratelimit.Limits{Rate: 6, Burst: 10}},
+}
+
+// offeredLoad is the demand of a customer within its limit as a part of its rate.
+const offeredLoad = 0.8
+
+// moveInterval is how often the callers of a customer move to other hosts in the scenario "moving".
+const moveInterval = 3 * time.Second
+
+// scenario is one kind of load and loss.
+type scenario struct {
+	name string
+	// home sends a customer's requests to its home set, otherwise to all hosts. moving changes the set of hosts.
+	home, moving bool
+	// overload is the number of customers at five times their rate.
+	overload int
+	// lost returns the hosts that are lost after a third of the duration.
+	lost func(r *run) []int
+	// Targets; 0 where there is none.
+	wrongfulTarget, worstTarget float64
+}
+
+var scenarios = []scenario{
+	{name: "spread over all hosts", wrongfulTarget: 0.1, worstTarget: 99},
+	{name: "on the home set", home: true, wrongfulTarget: 0.1, worstTarget: 99},
+	{name: "moving", moving: true},
+	{name: "loss of one host, spread", lost: loseBusiestOwner, wrongfulTarget: 1},
+	{name: "loss of one host, home set", home: true, lost: loseBusiestOwner, wrongfulTarget: 1},
+	{name: "loss of a data centre", home: true, lost: loseDataCentre},
+	{name: "two customers at five times their rate", overload: 2, worstTarget: 95},
+	{name: "two customers at five times their rate, home set", home: true, overload: 2, worstTarget: 95},
+}
+
+// loseBusiestOwner loses the host that owns the largest customer.
+func loseBusiestOwner(r *run) []int {
+	owner, _ := r.epoch.Owner(customers[0].name)
+	return []int{slices.IndexFunc(r.epoch.Members, func(m fleet.Member) bool { return m.ID == owner.ID })}
+}
+
+func loseDataCentre(r *run) []int {
+	var lost []int
+	for i, m := range r.epoch.Members {
+		if m.DataCentre == r.deployment.dataCentres[0] {
+			lost = append(lost, i)
+		}
+	}
+	return lost
+}
+
+// arrival is one request of the open-loop load.
+type arrival struct {
+	// at is the time since the start.
+	at       time.Duration
+	customer int
+	host     int
+}
+
+// run is one scenario being run.
+type run struct {
+	scenario   *scenario
+	deployment *deployment
+	epoch      fleet.Epoch
+	duration   time.Duration
+	lostHosts  []int
+	lostAt     time.Duration
+	random     *rand.Rand
+}
+
+// arrivals generates the whole load, in order of time.
+func (r *run) arrivals() []arrival {
+	var all []arrival
+	for i := range customers {
+		rate := customers[i].limits.Rate * offeredLoad
+		if i >= 1 && i <= r.scenario.overload {
+			rate = customers[i].limits.Rate * 5
+		}
+		at := time.Duration(0)
+		for {
+			at += time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
+			if at >= r.duration {
+				break
+			}
+			all = append(all, arrival{at: at, customer: i, host: r.hostFor(i, at)})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	return all
+}
+
+// hostFor chooses the host of a request. Callers whose host is lost go on with the rest of their addresses, or with any
+// host if none is left.
+func (r *run) hostFor(customer int, at time.Duration) int {
+	candidates := r.addressesOf(customer, at)
+	if r.lostHosts != nil && at >= r.lostAt {
+		isLost := func(host int) bool { return slices.Contains(r.lostHosts, host) }
+		candidates = slices.DeleteFunc(candidates, isLost)
+		if len(candidates) == 0 {
+			candidates = slices.DeleteFunc(r.allHosts(), isLost)
+		}
+	}
+	return candidates[r.random.IntN(len(candidates))]
+}
+
+func (r *run) allHosts() []int {
+	hosts := make([]int, len(r.epoch.Members))
+	for i := range hosts {
+		hosts[i] = i
+	}
+	return hosts
+}
+
+func (r *run) addressesOf(customer int, at time.Duration) []int {
+	if r.scenario.moving {
+		// Each customer uses three neighbouring hosts and moves on by five.
+		first := customer + 5*int(at/moveInterval)
+		n := len(r.epoch.Members)
+		return []int{first % n, (first + 1) % n, (first + 2) % n}
+	}
+	if !r.scenario.home {
+		return r.allHosts()
+	}
+	dataCentre := r.deployment.dataCentres[customer%len(r.deployment.dataCentres)]
+	answer := addresses.Compute(&r.epoch, nil, customers[customer].name, dataCentre, addresses.Options{})
+	var hosts []int
+	for _, address := range answer.Addresses {
+		hosts = append(hosts, slices.IndexFunc(r.epoch.Members, func(m fleet.Member) bool { return m.CallerAddress == address.Address }))
+	}
+	return hosts
+}
