--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -9,10 +9,6 @@
 	// reserveBurst is the least share of the burst that slices leave in the reserve, in shares. Without it a small burst
 	// would be lent out whole and nothing could be borrowed.
 	reserveBurst = WholeShare / 4
-	// topUpPart, plus the slice's share of the rate, is the part of the reserve's tokens that a renewal may move.
-	topUpPart = 0.25
-	// spareToSlices is the part of the rate beyond demand that goes into slices by demand; the rest stays in the reserve.
-	spareToSlices = 0.5
 	// burstPerRate is a slice's share of the burst for each share of the rate.
 	burstPerRate = 0.5
 	// leastSliceDemand is the smallest demand in requests per second for which a holder gets a slice. Below it, requests
@@ -22,6 +18,9 @@
 	// is often full, and the refill that it loses is missed elsewhere. The rest is borrowed.
 	smallBurst    = 8
 	smallHeadroom = 0.5
+	// confirmBorrowed is the borrowed part of the burst above which a borrow has to be confirmed. Borrowed tokens that are
+	// used still count against the burst until the holder reports, and with many hosts that is most of a small burst.
+	confirmBorrowed = 0.125
 	// leastSliceBurst is the smallest burst of a slice in requests. A slice that cannot hold one token strands its tokens.
 	leastSliceBurst = 2
 )
@@ -78,10 +77,5 @@
 	}
 	shares = shares[:len(demands)]
 	divideMaxMin(1-reserveShare, demands, shares)
-	var given float64
-	for _, share := range shares {
-		given += share
-	}
-	spare := max(0, 1-reserveShare-given) * spareToSlices
-	return shares[i] + spare*shares[i]/given
+	return shares[i]
 }
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -58,6 +58,8 @@
 	Life time.Duration
 	// NotGranting is true while the owner follows another and grants nothing new.
 	NotGranting bool
+	// Confirm is true if the owner is short of burst and wants a report as soon as the borrowed tokens are used.
+	Confirm bool
 	// RetryAfter is set if nothing could be borrowed: the time until a token is due in the reserve.
 	RetryAfter time.Duration
 }
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -164,7 +164,8 @@
 		grant.Rate, grant.Burst = 0, 0
 	}
 	if room := shareInTokens(grant.Burst); room > report.Cap {
-		part := max(0, o.reserve.Tokens(now)) * min(1, shareOf(grant.Rate)+topUpPart)
+		// A larger part would leave nothing to the holders that renew last.
+		part := max(0, o.reserve.Tokens(now)) * shareOf(grant.Rate)
 		grant.Tokens = min(room-report.Cap, tokensDown(part))
 		o.reserve.tokens -= tokensOf(grant.Tokens)
 	}
@@ -217,6 +218,16 @@
 	l.borrowed += grant.Borrowed
 	l.borrowExpiry = now.Add(BorrowLife + Margin).UnixNano()
 	o.sizeReserve(now)
+	grant.Confirm = o.borrowed() > confirmBorrowed
+}
+
+// borrowed is the part of the burst that counts as borrowed.
+func (o *Owner) borrowed() float64 {
+	var sum float64
+	for i := range o.loans {
+		sum += tokensOf(o.loans[i].borrowed)
+	}
+	return sum
 }
 
 // Exclude ends the loans of holders that are not members at freeAt at the latest.
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -19,6 +19,8 @@
 	failureBackoff = 100 * time.Millisecond
 	// notOwnerBackoff applies while the epoch spreads, which takes a few milliseconds.
 	notOwnerBackoff = 20 * time.Millisecond
+	// confirmDelay is the time for which the requests that waited for a borrow take their tokens.
+	confirmDelay = time.Millisecond
 	// borrowAhead is the time for which a borrow covers the expected demand beyond the waiting requests.
 	borrowAhead = 20 * time.Millisecond
 	// demandFall is the part of the old demand that a renewal keeps when demand falls, and demandRise when it rises.
@@ -79,7 +81,8 @@
 	due := make(map[fleet.Identity]*batch)
 	for i := range view.Epoch.Members {
 		member := &view.Epoch.Members[i]
-		if complete := l.needsComplete(view, member.Identity()); complete || renew {
+		complete := l.needsComplete(view, member.Identity())
+		if (complete || renew) && l.beginRenewal(member.Identity()) {
 			due[member.Identity()] = &batch{view: view, owner: member, complete: complete}
 		}
 	}
@@ -91,8 +94,8 @@
 		l.owned.dropIdle(l.options.Clock)
 	}
 	for identity, b := range due {
-		if (len(b.entries) == 0 && !b.complete) || !l.beginRenewal(identity) {
-			l.abandon(b, nil)
+		if len(b.entries) == 0 && !b.complete {
+			l.endRenewal(identity)
 			continue
 		}
 		l.renewals.Add(1)
@@ -203,33 +206,38 @@
 	return c.demand == 0 && c.requests == 0 && c.waiters == 0 && c.done == nil && c.holder.Empty(now)
 }
 
+// single returns a batch with one customer. The shard is locked.
+func (l *Limiter) single(customer string, c *held, now time.Time, want float64) *batch {
+	view := l.current.Load()
+	b := &batch{view: view}
+	if owner, ok := view.Epoch.Owner(ownerKey(customer)); ok {
+		b.owner = &owner
+	}
+	b.add(l.seq.Add(1), now, customer, c, want)
+	return b
+}
+
 // borrow starts a call for the tokens of one customer and returns the channel that its end closes. The shard is locked;
 // it is unlocked for the time of the call if the owner is this host.
 func (l *Limiter) borrow(s *shard, customer string, c *held, now time.Time) chan struct{} {
-	view := l.current.Load()
-	owner, ok := view.Epoch.Owner(ownerKey(customer))
-	b := &batch{view: view, owner: &owner}
-	ahead := float64(c.demand) * borrowAhead.Seconds()
 	if elapsed := time.Duration(now.UnixNano() - c.measuredAt); elapsed >= RenewInterval/2 {
 		c.measure(now)
 	}
-	b.add(l.seq.Add(1), now, customer, c, float64(c.waiters)+ahead)
+	ahead := float64(c.demand) * borrowAhead.Seconds()
+	b := l.single(customer, c, now, float64(c.waiters)+ahead)
 	done := b.done
 	l.borrows.Add(1)
 	s.mu.Unlock()
 	defer s.mu.Lock()
-	switch {
-	case !ok:
-		l.abandon(b, peer.ErrNotOwner)
-	case owner.Identity() == view.Self:
-		l.exchange(b)
-	default:
+	if b.owner != nil && b.owner.Identity() != b.view.Self {
 		l.calls.Add(1)
 		go func() {
 			defer l.calls.Done()
 			l.exchange(b)
 		}()
+		return done
 	}
+	l.exchange(b)
 	return done
 }
 
@@ -255,7 +263,27 @@
 	b.close()
 }
 
+// confirm reports on a customer shortly after a borrow, when the waiting requests have taken their tokens.
+func (l *Limiter) confirm(customer string, c *held) {
+	l.calls.Add(1)
+	time.AfterFunc(confirmDelay, func() {
+		defer l.calls.Done()
+		s := &l.shards[shardIndex(customer)]
+		s.mu.Lock()
+		if c.done != nil || s.customers[customer] != c || l.closing.Load() {
+			s.mu.Unlock()
+			return
+		}
+		b := l.single(customer, c, l.options.Clock.Now(), 0)
+		s.mu.Unlock()
+		l.exchange(b)
+	})
+}
+
 func (l *Limiter) call(b *batch, request *ratelimitpb.RenewSharesRequest) (*ratelimitpb.RenewSharesResponse, error) {
+	if b.owner == nil {
+		return nil, peer.ErrNotOwner
+	}
 	if b.owner.Identity() == b.view.Self {
 		return l.handle(b.view.Self, request)
 	}
@@ -281,6 +309,9 @@
 		e.c.blockedUntil = now.Add(grant.RetryAfter).UnixNano()
 		e.c.unreachable = grant.NotGranting
 	}
+	if grant.Confirm {
+		l.confirm(e.customer, e.c)
+	}
 }
 
 // release ends the customer's wait for the batch. The shard is locked.
@@ -296,7 +327,7 @@
 	}
 }
 
-// abandon gives up the reports of a batch. With a nil error the owner is not treated as unreachable.
+// abandon gives up the reports of a batch whose call failed.
 func (l *Limiter) abandon(b *batch, err error) {
 	backoff := failureBackoff
 	if errors.Is(err, peer.ErrNotOwner) {
@@ -310,10 +341,8 @@
 		now := l.options.Clock.Now()
 		if e.c.holder.Outstanding() == e.seq {
 			e.c.holder.Abandon(now)
-			if err != nil {
-				e.c.unreachable = true
-				e.c.blockedUntil = now.Add(backoff).UnixNano()
-			}
+			e.c.unreachable = true
+			e.c.blockedUntil = now.Add(backoff).UnixNano()
 		}
 		s.mu.Unlock()
 	}
--- a/fleet/ratelimit/wire.go
+++ b/fleet/ratelimit/wire.go
@@ -29,6 +29,7 @@
 		LifeMs:       uint32(g.Life / time.Millisecond),
 		RetryAfterUs: uint32(g.RetryAfter / time.Microsecond),
 		NotGranting:  g.NotGranting,
+		Confirm:      g.Confirm,
 	}
 }
 
@@ -39,5 +40,6 @@
 		Life:        min(time.Duration(m.GetLifeMs())*time.Millisecond, SliceLife),
 		RetryAfter:  time.Duration(m.GetRetryAfterUs()) * time.Microsecond,
 		NotGranting: m.GetNotGranting(),
+		Confirm:     m.GetConfirm(),
 	}
 }
