--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -6,9 +6,11 @@
 	reserveShare = 0.04
 	// headroom multiplies measured demand, for its noise.
 	headroom = 1.3
-	// reserveBurst is the least share of the burst that slices leave in the reserve, in shares. Without it a small burst
-	// would be lent out whole and nothing could be borrowed.
-	reserveBurst = WholeShare / 4
+	// reserveBurst is the least share of the burst that slices leave in the reserve, and reserveRequests the least in
+	// requests. Without them a small burst would be lent out whole, and the reserve would lose refill for each request that
+	// borrows.
+	reserveBurst    = 0.25
+	reserveRequests = 6
 	// burstPerRate is a slice's share of the burst for each share of the rate.
 	burstPerRate = 0.5
 	// leastSliceDemand is the smallest demand in requests per second for which a holder gets a slice. Below it, requests
@@ -20,7 +22,7 @@
 	smallHeadroom = 0.5
 	// confirmBorrowed is the borrowed part of the burst above which a borrow has to be confirmed. Borrowed tokens that are
 	// used still count against the burst until the holder reports, and with many hosts that is most of a small burst.
-	confirmBorrowed = 0.125
+	confirmBorrowed = 0.0625
 	// leastSliceBurst is the smallest burst of a slice in requests. A slice that cannot hold one token strands its tokens.
 	leastSliceBurst = 2
 )
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -157,7 +157,7 @@
 	rate, burst := o.target(l)
 	spareRate, unlentBurst := o.unlent()
 	spareBurst := unlentBurst / (WholeTokens / WholeShare)
-	spareBurst -= min(spareBurst, reserveBurst)
+	spareBurst -= min(spareBurst, uint32(min(1, max(reserveBurst, reserveRequests/o.limits.Burst))*WholeShare))
 	grant.Rate = min(rate, l.rate+spareRate)
 	grant.Burst = min(burst, l.burst+spareBurst)
 	if shareOf(grant.Burst)*o.limits.Burst < 1 {
