--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -193,9 +193,12 @@
 	b.reports = append(b.reports, reportMessage(customer, &report))
 }
 
-// measure updates the demand from the requests since the last time.
+// measure updates the demand from the requests since the last time, unless that was so recent that the count says little.
 func (c *held) measure(now time.Time) {
-	elapsed := max(time.Duration(now.UnixNano()-c.measuredAt), RenewInterval/2)
+	elapsed := time.Duration(now.UnixNano() - c.measuredAt)
+	if elapsed < RenewInterval/2 {
+		return
+	}
 	rate := float32(float64(c.requests) / elapsed.Seconds())
 	keep := float32(demandFall)
 	switch expected := c.demand * float32(elapsed.Seconds()); {
@@ -228,9 +231,7 @@
 // borrow starts a call for the tokens of one customer and returns the channel that its end closes. The shard is locked;
 // it is unlocked for the time of the call if the owner is this host.
 func (l *Limiter) borrow(s *shard, customer string, c *held, now time.Time) chan struct{} {
-	if elapsed := time.Duration(now.UnixNano() - c.measuredAt); elapsed >= RenewInterval/2 {
-		c.measure(now)
-	}
+	c.measure(now)
 	ahead := float64(c.demand) * borrowAhead.Seconds()
 	b := l.single(customer, c, now, float64(c.waiters)+ahead)
 	done := b.done
