--- a/bench/fleetbench/fleetbench.go
+++ b/bench/fleetbench/fleetbench.go
@@ -33,6 +33,8 @@
 	Duration time.Duration
 	// Only, if set, names the one scenario to run.
 	Only string
+	// Output, if set, receives the report as JSON when all scenarios have run.
+	Output io.Writer
 }
 
 // ScenarioReport is the result of one scenario.
@@ -95,7 +97,7 @@
 }
 
 // Run measures all scenarios one after the other. It returns an error if the options name an unknown deployment or
-// scenario, or if the context ends.
+// scenario, if the context ends, or if the output cannot be written.
 func Run(ctx context.Context, options Options) (Report, error) {
 	d, ok := deployments[options.Deployment]
 	if !ok {
@@ -121,6 +123,9 @@
 	if len(report.Scenarios) == 0 {
 		return report, fmt.Errorf("scenario %q does not exist", options.Only)
 	}
+	if options.Output != nil {
+		return report, report.WriteJSON(options.Output)
+	}
 	return report, nil
 }
 
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
@@ -362,13 +363,18 @@
 	if view == nil {
 		return nil
 	}
-	batches := l.releaseAll(view)
+	var exchanges sync.WaitGroup
+	for _, b := range l.releaseAll(view) {
+		exchanges.Add(1)
+		l.calls.start(func() {
+			defer exchanges.Done()
+			l.exchange(b)
+		})
+	}
 	finished := make(chan struct{})
 	l.calls.start(func() {
-		defer close(finished)
-		for _, b := range batches {
-			l.exchange(b)
-		}
+		exchanges.Wait()
+		close(finished)
 	})
 	select {
 	case <-finished:
--- a/fleet/ratelimit/serve.go
+++ b/fleet/ratelimit/serve.go
@@ -249,6 +249,9 @@
 	}
 	l.current.Store(view)
 	l.abandonAll()
+	l.peersMu.Lock()
+	clear(l.reported)
+	l.peersMu.Unlock()
 	l.viewMu.Unlock()
 	l.options.Logger.Info().Uint64("epoch", view.Epoch.Number).Msg("rate limits follow a new epoch")
 	select {
@@ -282,11 +285,14 @@
 	}
 }
 
+// longAgo is in seconds, far beyond the time in which any customer's burst refills.
+const longAgo = 1 << 33
+
 func newTenure(view *fleet.View) *tenure {
 	t := &tenure{view: view, complete: make(map[fleet.Identity]bool)}
 	if view.Epoch.Number == 1 {
 		// Nothing can have been lent before the first epoch, so its owners start with a full reserve.
-		t.startedAt = time.Unix(0, 1)
+		t.startedAt = time.Unix(-longAgo, 0)
 	}
 	return t
 }
--- a/fleet/ratelimit/wire.go
+++ b/fleet/ratelimit/wire.go
@@ -18,10 +18,19 @@
 		Seq: m.GetSeq(), Rate: min(m.GetRate(), WholeShare), Burst: min(m.GetBurst(), WholeShare),
 		Cap: min(m.GetCap(), WholeTokens), Borrowed: min(m.GetBorrowed(), WholeTokens),
 		Returned: min(m.GetReturned(), WholeTokens), Need: min(m.GetNeed(), WholeTokens),
-		Want: min(m.GetWant(), WholeTokens), Demand: m.GetDemand(),
+		Want: min(m.GetWant(), WholeTokens), Demand: demandOf(m.GetDemand()),
 	}
 }
 
+// demandOf replaces what is no demand, NaN included, by 0.
+func demandOf(demand float32) float32 {
+	const largestDemand = 1e9
+	if demand > 0 {
+		return min(demand, largestDemand)
+	}
+	return 0
+}
+
 func grantMessage(g *Grant) *ratelimitpb.Grant {
 	return &ratelimitpb.Grant{
 		Seq: g.Seq, Stale: g.Stale, Rate: g.Rate, Burst: g.Burst, Tokens: g.Tokens, Borrowed: g.Borrowed,
