--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,11 @@
 
 tidy:
 	for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+# bench runs every experiment on both deployments with fixed seeds and writes the reports to bench-results/.
+bench:
+	mkdir -p bench-results $(BIN)/product
+	go build -o $(BIN)/product ./cmd/bronzeyard ./cmd/bronzeyardctl
+	for d in merrimack daan; do for e in upstreams fleet capacity processes; do \
+		$(BIN)/product/bronzeyardctl bench $$e --deployment $$d --seed 1 --output bench-results/$$e-$$d.json || failed=1; \
+	done; done; exit $${failed:-0}
--- /dev/null
+++ b/bench/bounds/bounds.go
@@ -0,0 +1,130 @@
+// Package bounds compares the figures of experiments with the stated targets. The targets are in bounds.json; they come from
+// the requirements and never from measured figures.
+package bounds
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
+//go:embed bounds.json
+var document []byte
+
+// Bound is the target of one figure.
+type Bound struct {
+	Experiment string `json:"experiment"`
+	Figure     string `json:"figure"`
+	Unit       string `json:"unit"`
+	// Max and Min are inclusive; a missing one does not bound.
+	Max *float64 `json:"max,omitempty"`
+	Min *float64 `json:"min,omitempty"`
+	// Counting bounds count broken promises and fail a run; others depend on the machine and are only reported.
+	Counting bool `json:"counting,omitempty"`
+}
+
+// Figure is one measured value.
+type Figure struct {
+	Experiment string  `json:"experiment"`
+	Deployment string  `json:"deployment"`
+	Name       string  `json:"figure"`
+	Value      float64 `json:"value"`
+	// Baselines are the values of simpler ways in the same run, by name.
+	Baselines map[string]float64 `json:"baselines,omitempty"`
+}
+
+// Row is a figure beside its target.
+type Row struct {
+	Figure
+	Bound  *Bound `json:"target,omitempty"`
+	Within bool   `json:"within"`
+}
+
+// Load returns the targets.
+func Load() ([]Bound, error) {
+	var content struct {
+		Bounds []Bound `json:"bounds"`
+	}
+	if err := json.Unmarshal(document, &content); err != nil {
+		return nil, fmt.Errorf("bounds.json: %w", err)
+	}
+	return content.Bounds, nil
+}
+
+// Compare sets each figure beside its target. Figures without a target are within.
+func Compare(bounds []Bound, figures []Figure) []Row {
+	rows := make([]Row, len(figures))
+	for i, figure := range figures {
+		rows[i] = Row{Figure: figure, Within: true}
+		for b := range bounds {
+			bound := &bounds[b]
+			if bound.Experiment == figure.Experiment && bound.Figure == figure.Name {
+				rows[i].Bound = bound
+				rows[i].Within = bound.holds(figure.Value)
+			}
+		}
+	}
+	return rows
+}
+
+func (b *Bound) holds(value float64) bool {
+	return (b.Max == nil || value <= *b.Max) && (b.Min == nil || value >= *b.Min)
+}
+
+// Broken counts the counting bounds that do not hold.
+func Broken(rows []Row) int {
+	broken := 0
+	for i := range rows {
+		if !rows[i].Within && rows[i].Bound.Counting {
+			broken++
+		}
+	}
+	return broken
+}
+
+const columnGap = 2
+
+// Print writes the rows as a table.
+func Print(w io.Writer, rows []Row) error {
+	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	if _, err := fmt.Fprintln(table, "EXPERIMENT\tDEPLOYMENT\tFIGURE\tVALUE\tTARGET\tVERDICT\tBASELINES"); err != nil {
+		return err
+	}
+	for i := range rows {
+		row := &rows[i]
+		if _, err := fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Experiment, row.Deployment, row.Name,
+			number(row.Value), row.Bound.text(), row.verdict(), baselines(row.Baselines)); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
+
+func (r *Row) verdict() string {
+	switch {
+	case r.Bound == nil:
+		return "-"
+	case r.Within:
+		return "ok"
+	case r.Bound.Counting:
+		return "BROKEN"
+	default:
+		return "missed"
+	}
+}
+
+func (b *Bound) text() string {
+	switch {
+	case b == nil:
+		return "-"
+	case b.Max != nil:
+		return "<= " + number(*b.Max) + " " + b.Unit
+	default:
+		return ">= " + number(*b.Min) + " " + b.Unit
+	}
+}
+
+func number(value float64) string { return strconv.FormatFloat(value, 'g', 4, 64) }
--- a/bench/fleetbench/baseline.go
+++ b/bench/fleetbench/baseline.go
@@ -64,7 +64,7 @@
 }
 
 // replay runs a baseline over the load.
-func (r *run) replay(arrivals []arrival, decide baseline) measures {
+func (r *run) replay(arrivals []arrival, decide baseline) Measures {
 	outcomes := make([]outcome, 0, len(arrivals))
 	var admissions []ratelimit.Admission
 	for _, a := range arrivals {
--- /dev/null
+++ b/bench/processbench/figures.go
@@ -0,0 +1,78 @@
+package processbench
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/bronzeyard/bronzeyard/bench/bounds"
+)
+
+// Names of phases that figures refer to.
+const (
+	phaseIdle     = "idle"
+	phaseRestart  = "rolling restart of every host"
+	phaseSettings = "settings changes"
+	phaseKey      = "key withdrawal"
+	phaseOutage   = "table outage"
+	phaseLoss     = "loss of a third of the hosts"
+)
+
+// Figures returns the figures that have targets. Connections that a killed host held are cut by its death; they are not
+// counted as cut by the fleet.
+func (r *Report) Figures() []bounds.Figure {
+	figures := []bounds.Figure{
+		{Name: "duplicate runs", Value: float64(r.Whole.DuplicateRuns)},
+		{Name: "false not-run", Value: float64(r.Whole.FalseNotRun)},
+		{Name: "leaked keys", Value: float64(r.Whole.LeakedKeys)},
+		{Name: "wrong answers", Value: float64(r.Whole.WrongAnswers)},
+		{Name: "cut requests without a crash", Value: float64(r.cutWithoutCrash())},
+	}
+	for i := range r.Phases {
+		figures = append(figures, r.Phases[i].bounded()...)
+	}
+	return figures
+}
+
+func (r *Report) cutWithoutCrash() int {
+	cut := 0
+	for i := range r.Phases {
+		if r.Phases[i].Name != phaseLoss {
+			cut += r.Phases[i].Load.CutRequests
+		}
+	}
+	return cut
+}
+
+func (p *Phase) bounded() []bounds.Figure {
+	switch p.Name {
+	case phaseIdle:
+		return []bounds.Figure{{Name: "processor, idle host", Value: p.Figures[figureProcessor]}}
+	case phaseRestart:
+		return []bounds.Figure{{Name: "refused below the rate, rolling restart", Value: p.refusedPercent()}}
+	case phaseSettings:
+		return []bounds.Figure{{Name: "settings in force, longest", Value: p.Figures[figureInForce]}}
+	case phaseKey:
+		return []bounds.Figure{{Name: "key accepted after withdrawal", Value: p.Figures[figureAccepted]}}
+	case phaseOutage:
+		return []bounds.Figure{{Name: "refused below the rate, table outage", Value: p.refusedPercent()}}
+	case phaseLoss:
+		return []bounds.Figure{{Name: "excluded after a loss", Value: p.Figures[figureExcluded]}}
+	default:
+		return nil
+	}
+}
+
+// refusedPercent is the share of requests that were refused for the rate, or for lack of a share of it. The offered load
+// stays below every customer's rate.
+func (p *Phase) refusedPercent() float64 {
+	if p.Load.Requests == 0 {
+		return 0
+	}
+	refused := p.Load.ByStatus[strconv.Itoa(http.StatusTooManyRequests)] + p.Load.ByError["limit_unavailable"]
+	return 100 * float64(refused) / float64(p.Load.Requests)
+}
+
+// kept reports whether no promise was broken.
+func (r *Report) kept() bool {
+	return r.Whole.Broken()-r.Whole.CutRequests+r.cutWithoutCrash() == 0
+}
--- /dev/null
+++ b/cmd/internal/bench/experiments.go
@@ -0,0 +1,159 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/bench/bounds"
+	"github.com/bronzeyard/bronzeyard/bench/capacitybench"
+	"github.com/bronzeyard/bronzeyard/bench/fleetbench"
+	"github.com/bronzeyard/bronzeyard/bench/processbench"
+	"github.com/bronzeyard/bronzeyard/bench/upstreambench"
+	"github.com/bronzeyard/bronzeyard/emulator/deployment"
+)
+
+func (c *Command) upstreams(ctx context.Context) ([]bounds.Figure, any, error) {
+	report, err := upstreambench.Run(ctx, upstreambench.Options{
+		Deployment: c.deployment, Hosts: c.hosts, Seed: c.seed, Out: c.out,
+	})
+	return upstreamFigures(&report), report, err
+}
+
+// upstreamFigures takes the worst kind of fault; shed load and cold starts are no sickness.
+func upstreamFigures(report *upstreambench.Report) []bounds.Figure {
+	detection := bounds.Figure{Name: "detection p99", Baselines: make(map[string]float64)}
+	undetected := bounds.Figure{Name: "undetected faults"}
+	for _, d := range report.Detections {
+		if d.Fault == upstreambench.Shedding || d.Fault == upstreambench.ColdStart {
+			continue
+		}
+		if d.Mode == upstreambench.FleetWide {
+			detection.Value = max(detection.Value, d.P99)
+			undetected.Value += float64(d.Trials - d.Detected)
+		}
+	}
+	falseOnes := bounds.Figure{Name: "false ejections in an hour", Baselines: make(map[string]float64)}
+	for _, n := range report.Noise {
+		if n.Mode == upstreambench.FleetWide {
+			falseOnes.Value = float64(n.Ejections)
+		} else {
+			falseOnes.Baselines[string(n.Mode)] = float64(n.Ejections)
+		}
+	}
+	return []bounds.Figure{
+		detection, undetected, falseOnes,
+		{Name: "floor crossings", Value: float64(report.FloorCrossings)},
+		{Name: "amplification with a sick service", Value: report.Amplification},
+	}
+}
+
+func (c *Command) fleet(ctx context.Context) ([]bounds.Figure, any, error) {
+	const defaultDuration = 30 * time.Second
+	duration := c.duration
+	if duration == 0 {
+		duration = defaultDuration
+	}
+	report, err := fleetbench.Run(ctx, fleetbench.Options{
+		Deployment: fleetbench.Deployment(c.deployment), Hosts: c.hosts, Seed: c.seed, Duration: duration,
+	})
+	return fleetFigures(&report), report, err
+}
+
+// fleetFigures takes the worst scenario of each kind.
+func fleetFigures(report *fleetbench.Report) []bounds.Figure {
+	over := bounds.Figure{Name: "over-admissions", Baselines: make(map[string]float64)}
+	steady := bounds.Figure{Name: "wrongful refusals, steady", Baselines: make(map[string]float64)}
+	loss := bounds.Figure{Name: "wrongful refusals, loss of a host", Baselines: make(map[string]float64)}
+	share := bounds.Figure{Name: "worst share, steady", Value: 100, Baselines: make(map[string]float64)}
+	overload := bounds.Figure{
+		Name: "worst share, two customers at five times their rate", Value: 100, Baselines: make(map[string]float64),
+	}
+	for i := range report.Scenarios {
+		s := &report.Scenarios[i]
+		over.Value += float64(s.Limiter.OverAdmissions)
+		switch {
+		case strings.HasPrefix(s.Scenario, "two customers"):
+			worst(&overload, s, math.Min, fleetbench.WorstShare)
+		case strings.HasPrefix(s.Scenario, "loss of a data centre"), s.Scenario == "moving":
+		case strings.HasPrefix(s.Scenario, "loss"):
+			worst(&loss, s, math.Max, fleetbench.Wrongful)
+		default:
+			worst(&steady, s, math.Max, fleetbench.Wrongful)
+			worst(&share, s, math.Min, fleetbench.WorstShare)
+		}
+	}
+	return []bounds.Figure{over, steady, loss, share, overload}
+}
+
+const (
+	fixedSplit   = "fixed 1/N split"
+	tableCounter = "table counter"
+)
+
+// worst folds a scenario's values into a figure and its baselines.
+func worst(
+	figure *bounds.Figure, s *fleetbench.ScenarioReport, fold func(a, b float64) float64,
+	value func(*fleetbench.Measures) float64,
+) {
+	figure.Value = fold(figure.Value, value(&s.Limiter))
+	for name, measures := range map[string]*fleetbench.Measures{fixedSplit: &s.FixedSplit, tableCounter: &s.TableCounter} {
+		if former, ok := figure.Baselines[name]; ok {
+			figure.Baselines[name] = fold(former, value(measures))
+		} else {
+			figure.Baselines[name] = value(measures)
+		}
+	}
+}
+
+func (c *Command) capacity(ctx context.Context) ([]bounds.Figure, any, error) {
+	d, err := deployment.ByName(c.deployment)
+	if err != nil {
+		return nil, nil, err
+	}
+	report, err := capacitybench.Run(ctx, capacitybench.Options{Deployment: d, Duration: c.duration})
+	var figures []bounds.Figure
+	for _, point := range report.Points {
+		at := fmt.Sprintf(" at %d hosts", point.Hosts)
+		figures = append(figures,
+			bounds.Figure{Name: "processor" + at, Value: point.ProcessorPercent},
+			bounds.Figure{Name: "peer traffic" + at, Value: point.PeerBytes},
+			bounds.Figure{Name: "heap" + at, Value: point.HeapKiB})
+	}
+	return figures, report, err
+}
+
+func (c *Command) processes(ctx context.Context) ([]bounds.Figure, any, error) {
+	d, err := deployment.ByName(c.deployment)
+	if err != nil {
+		return nil, nil, err
+	}
+	binary, err := c.findBinary()
+	if err != nil {
+		return nil, nil, err
+	}
+	report, err := processbench.Run(ctx, processbench.Options{
+		Binary: binary, Deployment: d, Hosts: c.hosts, Seed: c.seed, PhaseLength: c.duration,
+		Progress: func(phase string) { _, _ = fmt.Fprintln(c.log, "phase:", phase) },
+	})
+	return report.Figures(), report, err
+}
+
+func (c *Command) findBinary() (string, error) {
+	binary := c.binary
+	if binary == "" {
+		executable, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		binary = filepath.Join(filepath.Dir(executable), "bronzeyard")
+	}
+	if _, err := os.Stat(binary); err != nil {
+		return "", fmt.Errorf("the program bronzeyard is not found; build it and name it with --binary: %w", err)
+	}
+	return binary, nil
+}
--- a/host/provision.go
+++ b/host/provision.go
@@ -83,7 +83,7 @@
 	})
 	h.operations = idempotency.New(idempotency.Options{
 		Views: h.membership, Caller: h.transport, Registrar: h.transport, Clock: h.options.Clock,
-		ClockOffset: h.membership.ClockOffset, Logger: h.options.Logger,
+		ClockOffset: h.membership.ClockOffset, Table: h.options.Table, Logger: h.options.Logger,
 	})
 	h.services = newServices(h.config.DataCentre)
 	h.services.ejections = ejection.NewService(ejection.Options{
