--- a/fleet/ratelimit/divide.go
+++ b/fleet/ratelimit/divide.go
@@ -13,12 +13,17 @@
 	reserveRequests = 6
 	// burstPerRate is a slice's share of the burst for each share of the rate.
 	burstPerRate = 0.5
-	// leastSliceDemand is the smallest demand in requests per second for which a holder gets a slice. Below it, requests
-	// borrow one token each.
+	// leastSliceDemand is the demand in requests per second from which a holder gets a slice, and keepSliceDemand the one
+	// down to which it keeps it. Below, requests borrow one token each.
 	leastSliceDemand = 3
-	// smallBurst is the burst of a slice, in requests, up to which it gets only smallHeadroom of the demand: a small bucket
-	// is often full, and the refill that it loses is missed elsewhere. The rest is borrowed.
-	smallBurst    = 8
+	keepSliceDemand  = 2
+	// leastEvenBurst is the burst in requests that each holder must get of an even division of what may be lent. With less,
+	// nobody gets a slice: the first to ask would strand the tokens that the others need.
+	leastEvenBurst = 1.5
+	// fullBurst is the burst of a slice, in requests, per unit of headroom. A small bucket is often full, and the refill that
+	// it loses is missed elsewhere, so a small slice gets less than the demand, but at least smallHeadroom of it; the rest is
+	// borrowed.
+	fullBurst     = 6
 	smallHeadroom = 0.5
 	// confirmBorrowed is the borrowed part of the burst above which a borrow has to be confirmed. Borrowed tokens that are
 	// used still count against the burst until the holder reports, and with many hosts that is most of a small burst.
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -186,21 +186,27 @@
 	var buffer [inline]float64
 	demands := buffer[:0]
 	index := 0
+	var total float64
 	for i := range o.loans {
 		if &o.loans[i] == l {
 			index = i
 		}
-		demands = append(demands, float64(o.loans[i].demand)*headroom/o.limits.Rate)
+		demand := float64(o.loans[i].demand) * headroom / o.limits.Rate
+		demands = append(demands, demand)
+		total += demand
 	}
 	share := targetRate(demands, index)
-	if share <= 0 || l.demand < leastSliceDemand {
+	if share <= 0 || l.demand < keepSliceDemand || (l.rate == 0 && l.demand < leastSliceDemand) {
 		return 0, 0
 	}
-	least := leastSliceBurst / o.limits.Burst
-	burstShare := min(1, max(share*burstPerRate, least))
-	if burstShare*o.limits.Burst < smallBurst {
-		share *= smallHeadroom / headroom
+	if burstPerRate*o.limits.Burst < leastEvenBurst*float64(len(o.loans)) {
+		return 0, 0
 	}
+	// A customer whose burst is small lends the same part of it at any load.
+	small := min(burstPerRate*demands[index]/total, fullBurst*headroom/o.limits.Burst)
+	least := leastSliceBurst / o.limits.Burst
+	burstShare := min(1, max(share*burstPerRate, small, least))
+	share *= min(1, max(smallHeadroom, burstShare*o.limits.Burst/fullBurst)/headroom)
 	return uint32(share * WholeShare), uint32(burstShare * WholeShare)
 }
 
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -27,6 +27,9 @@
 	// demandFall is the part of the old demand that a renewal keeps when demand falls, and demandRise when it rises.
 	demandFall = 0.75
 	demandRise = 0.5
+	// demandSmooth is that part where a renewal expects and counts fewer than fewExpected requests, which is mostly noise.
+	demandSmooth = 0.9
+	fewExpected  = 4
 	// clearExpected is the number of expected requests from which a fall to less than clearFall of them is no noise: the
 	// callers have moved, and the measured demand is taken as it is.
 	clearExpected = 8
@@ -203,6 +206,8 @@
 	rate := float32(float64(c.requests) / elapsed.Seconds())
 	keep := float32(demandFall)
 	switch expected := c.demand * float32(elapsed.Seconds()); {
+	case max(expected, float32(c.requests)) < fewExpected:
+		keep = demandSmooth
 	case rate > c.demand:
 		keep = demandRise
 	case expected >= clearExpected && float32(c.requests) < expected*clearFall:
