--- a/fleet/membership/exchange.go
+++ b/fleet/membership/exchange.go
@@ -74,13 +74,17 @@
 }
 
 func (r *Runtime) heartbeat(ctx context.Context, target Target) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.Lease)
+	// The transport replaces a silent connection when a call on it times out; that must happen well within a lease.
+	const intervals = 3
+	ctx, cancel := context.WithTimeout(ctx, intervals*r.options.Heartbeat)
 	defer cancel()
 	r.mu.Lock()
 	hb, sent := r.machine.Heartbeat(target, r.moment())
 	r.mu.Unlock()
 	ack := &pb.Ack{}
+	r.counters.heartbeats.Add(1)
 	if err := r.options.Caller.Call(ctx, target.Address, MethodHeartbeat, hb, ack); err != nil {
+		r.counters.lostHeartbeats.Add(1)
 		return
 	}
 	r.update(target.Address, func(m *Machine, at Moment) { m.HandleAck(sent, ack, at) })
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet"
@@ -26,6 +27,9 @@
 	// demandFall is the part of the old demand that a renewal keeps when demand falls, and demandRise when it rises.
 	demandFall = 0.75
 	demandRise = 0.5
+	// demandSmooth is that part where a renewal expects and counts fewer than fewExpected requests, which is mostly noise.
+	demandSmooth = 0.9
+	fewExpected  = 4
 	// clearExpected is the number of expected requests from which a fall to less than clearFall of them is no noise: the
 	// callers have moved, and the measured demand is taken as it is.
 	clearExpected = 8
@@ -45,7 +49,7 @@
 func (l *Limiter) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	defer l.calls.Wait()
+	defer l.calls.wait()
 	renewAt := l.options.Clock.Now()
 	for {
 		l.followView()
@@ -71,7 +75,7 @@
 		l.OnView(current, view)
 	}
 	l.viewMu.RLock()
-	l.owned.startIfDue(l.options.Clock)
+	l.owned.startIfDue(l.options.Clock, view)
 	l.viewMu.RUnlock()
 }
 
@@ -79,7 +83,7 @@
 // host's complete report in the current epoch.
 func (l *Limiter) renewAll(renew bool) {
 	view := l.current.Load()
-	if view == nil || l.closing.Load() {
+	if view == nil {
 		return
 	}
 	due := make(map[fleet.Identity]*batch)
@@ -103,12 +107,10 @@
 			continue
 		}
 		l.renewals.Add(1)
-		l.calls.Add(1)
-		go func() {
-			defer l.calls.Done()
+		l.calls.start(func() {
 			l.exchange(b)
 			l.endRenewal(identity)
-		}()
+		})
 	}
 }
 
@@ -164,8 +166,8 @@
 				delete(s.customers, customer)
 				continue
 			}
-			owner, ok := view.Epoch.Owner(ownerKey(customer))
-			if !ok {
+			owner := c.ownerOf(view, customer)
+			if owner == nil {
 				continue
 			}
 			if b := due[owner.Identity()]; b != nil && (c.done == nil || b.complete) {
@@ -195,12 +197,17 @@
 	b.reports = append(b.reports, reportMessage(customer, &report))
 }
 
-// measure updates the demand from the requests since the last time.
+// measure updates the demand from the requests since the last time, unless that was so recent that the count says little.
 func (c *held) measure(now time.Time) {
-	elapsed := max(time.Duration(now.UnixNano()-c.measuredAt), RenewInterval/2)
+	elapsed := time.Duration(now.UnixNano() - c.measuredAt)
+	if elapsed < RenewInterval/2 {
+		return
+	}
 	rate := float32(float64(c.requests) / elapsed.Seconds())
 	keep := float32(demandFall)
 	switch expected := c.demand * float32(elapsed.Seconds()); {
+	case max(expected, float32(c.requests)) < fewExpected:
+		keep = demandSmooth
 	case rate > c.demand:
 		keep = demandRise
 	case expected >= clearExpected && float32(c.requests) < expected*clearFall:
@@ -222,10 +229,7 @@
 // single returns a batch with one customer. The shard is locked.
 func (l *Limiter) single(customer string, c *held, now time.Time, want float64) *batch {
 	view := l.current.Load()
-	b := &batch{view: view}
-	if owner, ok := view.Epoch.Owner(ownerKey(customer)); ok {
-		b.owner = &owner
-	}
+	b := &batch{view: view, owner: c.ownerOf(view, customer)}
 	b.add(l.seq.Add(1), now, customer, c, want)
 	return b
 }
@@ -233,9 +237,7 @@
 // borrow starts a call for the tokens of one customer and returns the channel that its end closes. The shard is locked;
 // it is unlocked for the time of the call if the owner is this host.
 func (l *Limiter) borrow(s *shard, customer string, c *held, now time.Time) chan struct{} {
-	if elapsed := time.Duration(now.UnixNano() - c.measuredAt); elapsed >= RenewInterval/2 {
-		c.measure(now)
-	}
+	c.measure(now)
 	ahead := float64(c.demand) * borrowAhead.Seconds()
 	b := l.single(customer, c, now, float64(c.waiters)+ahead)
 	done := b.done
@@ -243,11 +245,7 @@
 	s.mu.Unlock()
 	defer s.mu.Lock()
 	if b.owner != nil && b.owner.Identity() != b.view.Self {
-		l.calls.Add(1)
-		go func() {
-			defer l.calls.Done()
-			l.exchange(b)
-		}()
+		l.calls.start(func() { l.exchange(b) })
 		return done
 	}
 	l.exchange(b)
@@ -257,6 +255,9 @@
 // exchange makes the call of a batch and applies its answer.
 func (l *Limiter) exchange(b *batch) {
 	request := &ratelimitpb.RenewSharesRequest{Epoch: b.view.Epoch.Number, Complete: b.complete, Reports: b.reports}
+	if b.complete {
+		l.owned.freeTimes(l.options.Views.View(), l.options.Clock.Now(), request)
+	}
 	response, err := l.call(b, request)
 	if err == nil && len(response.GetGrants()) != len(b.entries) {
 		err = peer.ErrRefused
@@ -278,9 +279,8 @@
 
 // confirm reports on a customer shortly after a borrow, when the waiting requests have taken their tokens.
 func (l *Limiter) confirm(customer string, c *held) {
-	l.calls.Add(1)
-	time.AfterFunc(confirmDelay, func() {
-		defer l.calls.Done()
+	l.calls.start(func() {
+		time.Sleep(confirmDelay)
 		s := &l.shards[shardIndex(customer)]
 		s.mu.Lock()
 		if c.done != nil || s.customers[customer] != c || l.closing.Load() {
@@ -362,7 +362,8 @@
 	b.close()
 }
 
-// HandBack returns all slices to their owners and stops admitting, for a graceful leave. It returns the context's error
+// HandBack returns all slices to their owners and stops admitting, for a graceful leave after the last request. Run goes on
+// to report to the owners of new epochs that the host holds nothing, so that they need not wait for it. It returns the context's error
 // if that ends before the owners have answered; the slices then expire.
 func (l *Limiter) HandBack(ctx context.Context) error {
 	l.closing.Store(true)
@@ -370,16 +371,19 @@
 	if view == nil {
 		return nil
 	}
-	batches := l.releaseAll(view)
-	finished := make(chan struct{})
-	l.calls.Add(1)
-	go func() {
-		defer l.calls.Done()
-		defer close(finished)
-		for _, b := range batches {
+	var exchanges sync.WaitGroup
+	for _, b := range l.releaseAll(view) {
+		exchanges.Add(1)
+		l.calls.start(func() {
+			defer exchanges.Done()
 			l.exchange(b)
-		}
-	}()
+		})
+	}
+	finished := make(chan struct{})
+	l.calls.start(func() {
+		exchanges.Wait()
+		close(finished)
+	})
 	select {
 	case <-finished:
 		return nil
@@ -395,13 +399,14 @@
 		s.mu.Lock()
 		now := l.options.Clock.Now()
 		for customer, c := range s.customers {
-			owner, ok := view.Epoch.Owner(ownerKey(customer))
-			if !ok {
+			delete(s.customers, customer)
+			owner := c.ownerOf(view, customer)
+			if owner == nil {
 				continue
 			}
 			b := batches[owner.Identity()]
 			if b == nil {
-				b = &batch{view: view, owner: &owner, done: make(chan struct{})}
+				b = &batch{view: view, owner: owner, done: make(chan struct{})}
 				batches[owner.Identity()] = b
 			}
 			report := c.holder.Release(now, l.seq.Add(1))
