--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -105,6 +105,8 @@
 	renewing map[fleet.Identity]bool
 
 	borrows, renewals atomic.Uint64
+	// handoverWaiters counts the requests in waitForOwner.
+	handoverWaiters atomic.Int64
 }
 
 // New returns a limiter and registers its handler. It renews nothing until Run.
@@ -163,19 +165,58 @@
 func shardIndex(customer string) uint64 { return xxhash.Sum64String(customer) % shardCount }
 
 // Admit decides on one request of a customer. It waits at most BorrowWait, only if the host's tokens are used up and the
-// owner may lend some. The activity lease is checked at the moment at which the token is taken.
+// owner may lend some, and at most HandoverWait if the host holds nothing and the customer's ownership is changing hands.
+// The activity lease is checked at the moment at which the token is taken.
 func (l *Limiter) Admit(ctx context.Context, customer string) Decision {
 	s := &l.shards[shardIndex(customer)]
+	decision := l.admit(ctx, s, customer, true)
+	if decision.Reason == Unavailable && l.changingHands() {
+		decision = l.waitForOwner(ctx, s, customer, decision)
+	}
+	s.mu.Lock()
+	s.decisions[decision.Reason]++
+	s.mu.Unlock()
+	return decision
+}
+
+func (l *Limiter) admit(ctx context.Context, s *shard, customer string, first bool) Decision {
 	s.mu.Lock()
-	c, now, decision := l.try(s, customer, true)
+	defer s.mu.Unlock()
+	c, now, decision := l.try(s, customer, first)
 	if decision.Reason == 0 {
 		decision = l.wait(ctx, s, customer, c, now)
 	}
-	s.decisions[decision.Reason]++
-	s.mu.Unlock()
 	return decision
 }
 
+// changingHands reports whether a new epoch may have moved customers to owners that do not lend yet.
+func (l *Limiter) changingHands() bool {
+	view := l.options.Views.View()
+	return view != nil && l.options.Clock.Now().Sub(view.LearnedAt) < handoverWindow
+}
+
+// waitForOwner tries again until the customer's owner lends, for at most HandoverWait.
+func (l *Limiter) waitForOwner(ctx context.Context, s *shard, customer string, refusal Decision) Decision {
+	if l.handoverWaiters.Add(1) > maxHandoverWaiters {
+		l.handoverWaiters.Add(-1)
+		return refusal
+	}
+	defer l.handoverWaiters.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, HandoverWait)
+	defer cancel()
+	retry := time.NewTicker(handoverRetry)
+	defer retry.Stop()
+	for refusal.Reason == Unavailable {
+		select {
+		case <-ctx.Done():
+			return refusal
+		case <-retry.C:
+			refusal = l.admit(ctx, s, customer, false)
+		}
+	}
+	return refusal
+}
+
 // try decides on a request from what the host knows. A decision without a reason means that the owner may be asked. The
 // shard is locked.
 func (l *Limiter) try(s *shard, customer string, first bool) (*held, time.Time, Decision) {
--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -274,6 +274,8 @@
 		owner := f.ownerOf("zoo")
 		f.mu.Lock()
 		f.hosts[owner].cut = true
+		// Only a new epoch is a reason to wait for longer.
+		f.hosts[1-owner].view.LearnedAt = time.Now().Add(-handoverWindow)
 		f.mu.Unlock()
 		start := time.Now()
 		d := f.hosts[1-owner].limiter.Admit(context.Background(), "zoo")
@@ -460,3 +462,27 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/customers, "B/customer")
 	runtime.KeepAlive(l)
 }
+
+// Guards against requests that are refused while the ownership of their customer changes hands, although the new owner is
+// about to lend: here it is out of reach for the first 300 ms of an epoch.
+func TestLimiterWaitsForNewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(2, Limits{Rate: 10, Burst: 10})
+		owner := f.ownerOf("zoo")
+		setCut := func(cut bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.hosts[owner].cut = cut
+		}
+		setCut(true)
+		time.AfterFunc(300*time.Millisecond, func() { setCut(false) })
+		if d := f.hosts[1-owner].limiter.Admit(t.Context(), "zoo"); !d.Allowed {
+			t.Errorf("decision %+v, want allowed", d)
+		}
+		setCut(true)
+		if d := f.hosts[1-owner].limiter.waitForOwner(t.Context(), &f.hosts[1-owner].limiter.shards[shardIndex("zoo")], "zoo", Decision{Reason: Unavailable}); d.Allowed {
+			t.Errorf("decision %+v without a token", d)
+		}
+		f.stop()
+	})
+}
--- a/fleet/ratelimit/main_test.go
+++ b/fleet/ratelimit/main_test.go
@@ -3,10 +3,12 @@
 import (
 	"flag"
 	"os"
+	"runtime"
 	"testing"
 )
 
-// TestMain fixes the seed of the generated tests, so that every run gives the same verdict.
+// TestMain fixes the seed of the generated tests, so that every run gives the same verdict. It runs on one processor: the race
+// detector of Go 1.26.8 crashes when timer channels of a synctest bubble are used on several.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.steps": "200", "rapid.checks": "700"} {
@@ -14,5 +16,6 @@
 			panic(err)
 		}
 	}
+	runtime.GOMAXPROCS(1)
 	os.Exit(m.Run())
 }
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -23,6 +23,15 @@
 	RenewInterval = 500 * time.Millisecond
 	// BorrowWait is the longest wait of a request for borrowed tokens.
 	BorrowWait = 50 * time.Millisecond
+	// HandoverWait is the longest wait of a request whose customer has no slice on this host while the ownership changes
+	// hands. After a join all members have reported to the new owner within about half of it.
+	HandoverWait = 600 * time.Millisecond
+	// handoverWindow is the time after a new epoch in which a request waits for the owner of its customer.
+	handoverWindow = 5 * time.Second
+	// handoverRetry is the time between two tries meanwhile.
+	handoverRetry = 50 * time.Millisecond
+	// maxHandoverWaiters bounds the requests that wait on one host, so that a lost owner does not pile them up.
+	maxHandoverWaiters = 512
 )
 
 // Report is what a holder tells the owner of a customer: all that it holds at the moment of sending. From that moment
