--- a/bench/fleetbench/scenario.go
+++ b/bench/fleetbench/scenario.go
@@ -54,6 +54,8 @@
 	overload int
 	// lost returns the hosts that are lost after a third of the duration.
 	lost func(r *run) []int
+	// tableDown keeps the lost hosts in the epoch, which cannot be changed.
+	tableDown bool
 	// Targets; 0 where there is none.
 	wrongfulTarget, worstTarget float64
 }
@@ -66,6 +68,8 @@
 	{name: "loss of the owner, home set", home: true, lost: loseBusiestOwner, wrongfulTarget: 1},
 	{name: "loss of a small customer's owner, home set", home: true, lost: loseSmallestOwner, wrongfulTarget: 1},
 	{name: "loss of one host, home set", home: true, lost: loseHomeHost, wrongfulTarget: 1},
+	{name: "loss of the owner, table down", home: true, lost: loseBusiestOwner, tableDown: true, wrongfulTarget: 1},
+	{name: "loss of one host, table down", home: true, lost: loseHomeHost, tableDown: true},
 	{name: "loss of a data centre", home: true, lost: loseDataCentre},
 	{name: "two customers at five times their rate", overload: 2, worstTarget: 95},
 	{name: "two customers at five times their rate, home set", home: true, overload: 2, worstTarget: 95},
--- a/fleet/ratelimit/holder.go
+++ b/fleet/ratelimit/holder.go
@@ -13,12 +13,15 @@
 type Holder struct {
 	limits Limits
 	// bucket holds the tokens of the slice in bursts. Its burst is the cap while a report is outstanding.
-	bucket       Bucket
-	borrowed     float64
-	returning    float64
-	outstanding  uint64
-	sentAt       int64
+	bucket      Bucket
+	borrowed    float64
+	returning   float64
+	outstanding uint64
+	sentAt      int64
+	// expiry is the end of the slice, and keptUntil its end while kept is true.
 	expiry       int64
+	keptUntil    int64
+	kept         bool
 	borrowExpiry int64
 	rate, burst  uint32
 }
@@ -37,7 +40,11 @@
 // expire drops what has expired.
 func (h *Holder) expire(now time.Time) {
 	at := now.UnixNano()
-	if at >= h.expiry && (h.rate != 0 || h.burst != 0 || h.returning != 0) {
+	end := h.expiry
+	if h.kept {
+		end = h.keptUntil
+	}
+	if at >= end && (h.rate != 0 || h.burst != 0 || h.returning != 0) {
 		h.rate, h.burst, h.returning = 0, 0, 0
 		h.bucket = NewBucket(now, 0, 0, 0)
 	}
@@ -127,6 +134,10 @@
 	h.bucket.Resize(now, h.bucket.rate, shareOf(h.burst))
 }
 
+// EndEpoch notes that the epoch of the last grant has ended. Without a renewal in the new epoch the slice lasts no longer than
+// SliceLife after the last one, because its owner may have changed.
+func (h *Holder) EndEpoch() { h.kept = false }
+
 // Outstanding returns the sequence number of the report that waits for its answer, or 0.
 func (h *Holder) Outstanding() uint64 { return h.outstanding }
 
@@ -143,6 +154,8 @@
 	h.outstanding = 0
 	h.applySlice(now, grant)
 	h.expiry = h.sentAt + int64(grant.Life)
+	h.keptUntil = h.sentAt + int64(countedLife(grant.Life))
+	h.kept = true
 	if grant.Borrowed > 0 {
 		h.borrowed += tokensOf(grant.Borrowed)
 		h.borrowExpiry = h.sentAt + int64(BorrowLife)
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -12,8 +12,13 @@
 
 // Durations of the protocol.
 const (
-	// SliceLife is how long a slice lasts without renewal, so that the loss of an owner does not stop traffic.
+	// SliceLife is how long a member's slice lasts without renewal after the epoch in which it was granted has ended, and in
+	// which a new owner can count on the end of slices that were not reported to it.
 	SliceLife = 10 * time.Second
+	// KeptLife is how long it lasts without renewal while that epoch goes on. Nobody takes the place of a lost owner while the
+	// table is down, so slices outlast an outage of hours. The owner gets back what a lost holder had when the epoch
+	// leaves it out. Guests' slices are not kept.
+	KeptLife = 12 * time.Hour
 	// BorrowLife is how long borrowed tokens last. It is short because the owner cannot lend them again until then.
 	BorrowLife = 100 * time.Millisecond
 	// Margin is how much longer than the holder the owner counts what it lent, for drift between their clocks.
@@ -23,6 +28,8 @@
 	RenewInterval = 500 * time.Millisecond
 	// BorrowWait is the longest wait of a request for borrowed tokens.
 	BorrowWait = 50 * time.Millisecond
+	// emptyLoanLife is how long an owner remembers a holder without a slice after its last report.
+	emptyLoanLife = 10 * time.Second
 	// HandoverWait is the longest wait of a request whose customer has no slice on this host while the ownership changes
 	// hands. After a join all members have reported to the new owner within about half of it.
 	HandoverWait = 600 * time.Millisecond
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -121,14 +121,26 @@
 		grant.Rate, grant.Burst, grant.NotGranting = l.rate, l.burst, true
 		grant.RetryAfter = retryUnknown
 	}
-	l.expiry = now.Add(life + Margin).UnixNano()
-	// The loan of a holder that has nothing is kept only for its sequence number, until older reports have timed out.
-	if report.empty() && grant.empty() {
+	l.expiry = now.Add(countedLife(life) + Margin).UnixNano()
+	switch {
+	case report.empty() && grant.empty():
+		// The loan of a holder that has nothing is kept only for its sequence number, until older reports have timed out.
 		l.expiry = now.Add(Margin).UnixNano()
+	case l.rate == 0 && l.burst == 0:
+		// Without a slice only what was borrowed is lent, which has its own expiry.
+		l.expiry = now.Add(min(life, emptyLoanLife) + Margin).UnixNano()
 	}
 	return grant
 }
 
+// countedLife is how long a loan of the given life may be in use at the most.
+func countedLife(life time.Duration) time.Duration {
+	if life >= SliceLife {
+		return KeptLife
+	}
+	return life
+}
+
 // loanOf returns the loan of a holder, which it adds if there is none. The pointer is valid until the next settle.
 func (o *Owner) loanOf(holder fleet.Identity) *loan {
 	i := slices.IndexFunc(o.loans, func(l loan) bool { return l.holder == holder })
--- a/fleet/ratelimit/serve.go
+++ b/fleet/ratelimit/serve.go
@@ -331,6 +331,7 @@
 		now := l.options.Clock.Now()
 		for _, c := range s.customers {
 			c.holder.Abandon(now)
+			c.holder.EndEpoch()
 			c.blockedUntil = 0
 			c.done = nil
 		}
