--- /dev/null
+++ b/bench/latencybench/latencybench.go
@@ -0,0 +1,173 @@
+package latencybench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bronzeyard/bronzeyard/emulator/deployment"
+	"github.com/bronzeyard/bronzeyard/emulator/local"
+)
+
+// Options of a run.
+type Options struct {
+	// Deployment is run with three hosts and a first customer without a limit that matters. Required.
+	Deployment *deployment.Deployment
+	// Rate is the number of requests per second on each of the two ways. Default 200.
+	Rate int
+	// Duration of the load. Default 20 s.
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Report is the result of a run. Times are in milliseconds.
+type Report struct {
+	Requests int64  `json:"requests_each"`
+	Failed   int    `json:"failed"`
+	Direct   Points `json:"direct_ms"`
+	Proxied  Points `json:"proxied_ms"`
+	// Added is the difference of the quantiles.
+	Added Points `json:"added_ms"`
+}
+
+// Points are quantiles of a distribution.
+type Points struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p99_9"`
+}
+
+const (
+	defaultRate     = 200
+	defaultDuration = 20 * time.Second
+	serviceTime     = 500 * time.Microsecond
+	unlimited       = 1e5
+	readyTimeout    = 30 * time.Second
+	longest         = 10 * time.Second
+	figures         = 3
+	warmUp          = 200
+)
+
+// way is one way to the upstream.
+type way struct {
+	url, key string
+
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+	failed    int
+}
+
+func newWay(url, key string) *way {
+	return &way{url: url, key: key, histogram: hdrhistogram.New(1, longest.Microseconds(), figures)}
+}
+
+// Run starts the deployment and measures both ways.
+func Run(ctx context.Context, options Options) (Report, error) {
+	setDefaults(&options)
+	d := *options.Deployment
+	d.Customers = append([]deployment.Customer(nil), d.Customers...)
+	d.Customers[0].Rate, d.Customers[0].Burst = unlimited, unlimited
+	fleet, err := local.Start(ctx, local.Options{Deployment: &d, ServiceTime: serviceTime, Seed: options.Seed})
+	if err != nil {
+		return Report{}, err
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ready); err != nil {
+		return Report{}, errors.Join(err, fleet.Close())
+	}
+	service := d.Services[0].Name
+	direct := newWay("http://"+fleet.Upstreams[service][0].Address()+"/"+service+"/item", "")
+	proxied := newWay("http://"+fleet.CallerAddresses()[0]+"/"+service+"/item", local.Key(d.Customers[0].Name))
+	load(ctx, &options, direct, proxied)
+	return report(direct, proxied), fleet.Close()
+}
+
+func setDefaults(o *Options) {
+	if o.Rate == 0 {
+		o.Rate = defaultRate
+	}
+	if o.Duration == 0 {
+		o.Duration = defaultDuration
+	}
+}
+
+// load sends requests in turn on both ways, each at its time whether or not the last one has been answered.
+func load(ctx context.Context, options *Options, ways ...*way) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: longest}
+	var tasks sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(options.Rate*len(ways)))
+	defer ticker.Stop()
+	total := int(options.Duration.Seconds()) * options.Rate * len(ways)
+	for i := range total + warmUp {
+		select {
+		case <-ctx.Done():
+			tasks.Wait()
+			return
+		case <-ticker.C:
+		}
+		w := ways[i%len(ways)]
+		tasks.Go(func() { w.send(ctx, client, i >= warmUp) })
+	}
+	tasks.Wait()
+}
+
+func (w *way) send(ctx context.Context, client *http.Client, counted bool) {
+	begin := time.Now()
+	err := w.exchange(ctx, client)
+	took := time.Since(begin)
+	if !counted {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.failed++
+		return
+	}
+	_ = w.histogram.RecordValue(min(took, longest).Microseconds()) // in range by min
+}
+
+func (w *way) exchange(ctx context.Context, client *http.Client) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	if w.key != "" {
+		request.Header.Set("Authorization", "Bearer "+w.key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", response.Status)
+	}
+	return nil
+}
+
+func report(direct, proxied *way) Report {
+	r := Report{
+		Requests: min(direct.histogram.TotalCount(), proxied.histogram.TotalCount()), Failed: direct.failed + proxied.failed,
+		Direct: direct.points(), Proxied: proxied.points(),
+	}
+	r.Added = Points{
+		P50: r.Proxied.P50 - r.Direct.P50, P99: r.Proxied.P99 - r.Direct.P99, P999: r.Proxied.P999 - r.Direct.P999,
+	}
+	return r
+}
+
+func (w *way) points() Points {
+	at := func(percent float64) float64 { return float64(w.histogram.ValueAtQuantile(percent)) / 1000 }
+	return Points{P50: at(50), P99: at(99), P999: at(99.9)}
+}
--- a/cmd/internal/bench/bench.go
+++ b/cmd/internal/bench/bench.go
@@ -50,6 +50,7 @@
 	c.experiments = []experiment{
 		{name: "upstreams", description: "detection of grey upstreams, in simulated time", run: c.upstreams},
 		{name: "fleet", description: "rate limits over all hosts, in real time", run: c.fleet},
+		{name: "latency", description: "time that a host adds to a lookup", run: c.latency},
 		{name: "capacity", description: "what control costs a host at several sizes of the fleet", run: c.capacity},
 		{name: "processes", description: "the real programs on loopback under faults", run: c.processes},
 	}
@@ -109,7 +110,7 @@
 		}
 		return nil
 	}
-	return errors.New("name an experiment: bronzeyardctl bench upstreams|fleet|capacity|processes")
+	return errors.New("name an experiment: bronzeyardctl bench upstreams|fleet|latency|capacity|processes")
 }
 
 func (c *Command) write(d *document) error {
--- a/cmd/internal/bench/experiments.go
+++ b/cmd/internal/bench/experiments.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeyard/bronzeyard/bench/bounds"
 	"github.com/bronzeyard/bronzeyard/bench/capacitybench"
 	"github.com/bronzeyard/bronzeyard/bench/fleetbench"
+	"github.com/bronzeyard/bronzeyard/bench/latencybench"
 	"github.com/bronzeyard/bronzeyard/bench/processbench"
 	"github.com/bronzeyard/bronzeyard/bench/upstreambench"
 	"github.com/bronzeyard/bronzeyard/emulator/deployment"
@@ -110,6 +111,21 @@
 	}
 }
 
+func (c *Command) latency(ctx context.Context) ([]bounds.Figure, any, error) {
+	d, err := deployment.ByName(c.deployment)
+	if err != nil {
+		return nil, nil, err
+	}
+	report, err := latencybench.Run(ctx, latencybench.Options{Deployment: d, Duration: c.duration, Seed: c.seed})
+	figures := []bounds.Figure{
+		{Name: "added latency p50", Value: report.Added.P50},
+		{Name: "added latency p99", Value: report.Added.P99},
+		{Name: "added latency p99.9", Value: report.Added.P999},
+		{Name: "failed lookups", Value: float64(report.Failed)},
+	}
+	return figures, report, err
+}
+
 func (c *Command) capacity(ctx context.Context) ([]bounds.Figure, any, error) {
 	d, err := deployment.ByName(c.deployment)
 	if err != nil {
