--- a/emulator/deployment/deployment.go
+++ b/emulator/deployment/deployment.go
@@ -11,6 +11,8 @@
 type Deployment struct {
 	Name        string
 	DataCentres []string
+	// Hosts is the number of hosts.
+	Hosts int
 	// Between is the one-way time between two data centres, Caller between a caller and a host.
 	Between, Caller time.Duration
 	Services        []Service
@@ -60,6 +62,7 @@
 	return &Deployment{
 		Name:        "merrimack",
 		DataCentres: []string{"mv-north", "mv-mill", "mv-hall"},
+		Hosts:       14,
 		Between:     500 * time.Microsecond,
 		Caller:      time.Millisecond,
 		Services: []Service{
@@ -78,6 +81,7 @@
 	return &Deployment{
 		Name:        "daan",
 		DataCentres: []string{"luzon-a", "luzon-b", "luzon-c"},
+		Hosts:       16,
 		Between:     1500 * time.Microsecond,
 		Caller:      3 * time.Millisecond,
 		Services: []Service{
