--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: test (everything that CI checks), fmt, lint, race, generate, check-generated, tidy, bench.
-MODULES := platform settings fleet traffic host emulator bench cmd tools
+MODULES := storage settings fleet traffic host emulator bench cmd tools
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := $(CURDIR)/.bin
 GOLANGCI_LINT_VERSION := v2.15.0
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -16,10 +16,10 @@
 
 	"github.com/bronzeyard/bronzeyard/host"
 	"github.com/bronzeyard/bronzeyard/host/config"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/dynamo"
-	"github.com/bronzeyard/bronzeyard/platform/httpsd"
-	"github.com/bronzeyard/bronzeyard/platform/s3"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/dynamo"
+	"github.com/bronzeyard/bronzeyard/storage/httpsd"
+	"github.com/bronzeyard/bronzeyard/storage/s3"
 )
 
 // Run serves with the static settings at the path. When ctx ends, the host leaves the fleet gracefully.
@@ -79,7 +79,7 @@
 	return options, nil
 }
 
-func hostList(url string) platform.HostList {
+func hostList(url string) storage.HostList {
 	if url == "" {
 		return nil
 	}
--- a/emulator/platformserver/doc.go
+++ b/emulator/platformserver/doc.go
@@ -1,5 +1,5 @@
-// Package platformserver serves the services of platform/memory over the wire formats of the platform: the DynamoDB API,
-// the S3 API and HTTP service discovery, each only as far as the clients in platform use it. Requests that lie outside of
+// Package platformserver serves the services of storage/memory over the wire formats of the platform: the DynamoDB API,
+// the S3 API and HTTP service discovery, each only as far as the clients in storage use it. Requests that lie outside of
 // that subset are refused, so that a client which starts to use more is noticed.
 //
 // Paths: /dynamodb/, /s3/BUCKET/KEY, /hosts, and /admin/faults, /admin/hosts and /admin/counts for tests and
--- a/emulator/platformserver/dynamodb.go
+++ b/emulator/platformserver/dynamodb.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 const (
@@ -32,8 +32,8 @@
 	return ""
 }
 
-func (a attributes) key() platform.Key {
-	return platform.Key{Partition: a.text("pk"), Sort: a.text("sk")}
+func (a attributes) key() storage.Key {
+	return storage.Key{Partition: a.text("pk"), Sort: a.text("sk")}
 }
 
 type getItemRequest struct {
@@ -116,7 +116,7 @@
 		return nil, validation("only consistent reads are supported")
 	}
 	item, err := s.Table.Get(r.Context(), request.Key.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return map[string]any{}, nil
 	}
 	return map[string]any{"Item": encodeItem(item)}, err
@@ -153,7 +153,7 @@
 	return answer, nil
 }
 
-func encodeItem(item platform.Item) attributes {
+func encodeItem(item storage.Item) attributes {
 	version := strconv.FormatUint(item.Version, 10)
 	value := append([]byte{}, item.Value...)
 	return attributes{
@@ -175,7 +175,7 @@
 		return map[string]any{}, nil
 	}
 	err = s.Table.Transact(r.Context(), writes)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return nil, canceled(len(writes), conflict.Index)
 	}
@@ -194,9 +194,9 @@
 }
 
 // wasApplied finds out whether a transaction whose answer is to be lost took effect.
-func (s *Server) wasApplied(r *http.Request, writes []platform.Write) bool {
+func (s *Server) wasApplied(r *http.Request, writes []storage.Write) bool {
 	for i := range writes {
-		if writes[i].Kind != platform.Put {
+		if writes[i].Kind != storage.Put {
 			continue
 		}
 		item, err := s.Table.Get(r.Context(), writes[i].Key)
@@ -217,18 +217,18 @@
 	return refused
 }
 
-func decodeWrites(request *transactRequest) ([]platform.Write, error) {
-	writes := make([]platform.Write, 0, len(request.TransactItems))
+func decodeWrites(request *transactRequest) ([]storage.Write, error) {
+	writes := make([]storage.Write, 0, len(request.TransactItems))
 	for i, item := range request.TransactItems {
-		var write platform.Write
+		var write storage.Write
 		var err error
 		switch {
 		case item.Put != nil:
-			write, err = decodeWrite(platform.Put, item.Put, item.Put.Item)
+			write, err = decodeWrite(storage.Put, item.Put, item.Put.Item)
 		case item.Delete != nil:
-			write, err = decodeWrite(platform.Delete, item.Delete, item.Delete.Key)
+			write, err = decodeWrite(storage.Delete, item.Delete, item.Delete.Key)
 		case item.ConditionCheck != nil:
-			write, err = decodeWrite(platform.Check, item.ConditionCheck, item.ConditionCheck.Key)
+			write, err = decodeWrite(storage.Check, item.ConditionCheck, item.ConditionCheck.Key)
 		default:
 			err = validation("item %d has no supported operation", i)
 		}
@@ -240,16 +240,16 @@
 	return writes, nil
 }
 
-func decodeWrite(kind platform.WriteKind, request *writeRequest, item attributes) (platform.Write, error) {
+func decodeWrite(kind storage.WriteKind, request *writeRequest, item attributes) (storage.Write, error) {
 	condition, err := decodeCondition(request)
 	if err != nil {
-		return platform.Write{}, err
+		return storage.Write{}, err
 	}
-	write := platform.Write{Kind: kind, Key: item.key(), Condition: condition}
+	write := storage.Write{Kind: kind, Key: item.key(), Condition: condition}
 	if write.Key.Partition == "" || write.Key.Sort == "" {
-		return platform.Write{}, validation("one of the required keys was not given a value")
+		return storage.Write{}, validation("one of the required keys was not given a value")
 	}
-	if kind != platform.Put {
+	if kind != storage.Put {
 		return write, nil
 	}
 	write.WriteID = item.text("write_id")
@@ -271,19 +271,19 @@
 	return version, nil
 }
 
-func decodeCondition(request *writeRequest) (platform.Condition, error) {
+func decodeCondition(request *writeRequest) (storage.Condition, error) {
 	switch request.ConditionExpression {
 	case "":
-		return platform.Condition{}, nil
+		return storage.Condition{}, nil
 	case "attribute_not_exists(pk)":
-		return platform.Condition{Kind: platform.Absent}, nil
+		return storage.Condition{Kind: storage.Absent}, nil
 	case "#version = :version":
 		if request.ExpressionAttributeNames["#version"] != "version" {
-			return platform.Condition{}, validation("the name #version is not that of the version")
+			return storage.Condition{}, validation("the name #version is not that of the version")
 		}
 		version, err := decodeVersion(request.ExpressionAttributeValues[":version"])
-		return platform.Condition{Kind: platform.VersionIs, Version: version}, err
+		return storage.Condition{Kind: storage.VersionIs, Version: version}, err
 	default:
-		return platform.Condition{}, validation("condition %q is not supported", request.ConditionExpression)
+		return storage.Condition{}, validation("condition %q is not supported", request.ConditionExpression)
 	}
 }
--- a/emulator/platformserver/s3.go
+++ b/emulator/platformserver/s3.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 type s3Error struct {
@@ -37,7 +37,7 @@
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
 	data, err := s.Objects.Get(r.Context(), objectName(r))
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		refuseS3(w, http.StatusNotFound, "NoSuchKey", "The specified key does not exist.")
 	case err != nil:
 		refuseS3(w, http.StatusServiceUnavailable, "ServiceUnavailable", err.Error())
--- a/emulator/platformserver/server.go
+++ b/emulator/platformserver/server.go
@@ -11,9 +11,9 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/httpsd"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/httpsd"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // Paths of the services.
@@ -98,10 +98,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var hosts []platform.ListedHost
+	var hosts []storage.ListedHost
 	for _, group := range groups {
 		for _, target := range group.Targets {
-			hosts = append(hosts, platform.ListedHost{Address: target, State: platform.HostState(group.Labels[httpsd.StateLabel])})
+			hosts = append(hosts, storage.ListedHost{Address: target, State: storage.HostState(group.Labels[httpsd.StateLabel])})
 		}
 	}
 	s.Hosts.Set(hosts)
@@ -145,4 +145,4 @@
 func abort() { panic(http.ErrAbortHandler) }
 
 // isOutage reports whether a call failed for want of the service and not for its content.
-func isOutage(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
+func isOutage(err error) bool { return errors.Is(err, storage.ErrUnavailable) }
--- a/emulator/platformserver/server_test.go
+++ b/emulator/platformserver/server_test.go
@@ -13,10 +13,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/bronzeyard/bronzeyard/emulator/platformserver"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/dynamo"
-	"github.com/bronzeyard/bronzeyard/platform/httpsd"
-	"github.com/bronzeyard/bronzeyard/platform/s3"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/dynamo"
+	"github.com/bronzeyard/bronzeyard/storage/httpsd"
+	"github.com/bronzeyard/bronzeyard/storage/s3"
 )
 
 type clients struct {
@@ -43,9 +43,9 @@
 
 const generous = 30 * time.Second
 
-func put(sort string, version uint64, condition platform.Condition) platform.Write {
-	return platform.Write{
-		Kind: platform.Put, Key: platform.Key{Partition: "p", Sort: sort}, Value: []byte{0, 0xff, 'x'},
+func put(sort string, version uint64, condition storage.Condition) storage.Write {
+	return storage.Write{
+		Kind: storage.Put, Key: storage.Key{Partition: "p", Sort: sort}, Value: []byte{0, 0xff, 'x'},
 		Version: version, WriteID: fmt.Sprintf("w-%s-%d", sort, version), Condition: condition,
 	}
 }
@@ -55,16 +55,16 @@
 	c := start(t, generous)
 	const rows = 250
 	for i := range rows {
-		if err := c.table.Transact(t.Context(), []platform.Write{put(fmt.Sprintf("%03d", i), 1, platform.Condition{Kind: platform.Absent})}); err != nil {
+		if err := c.table.Transact(t.Context(), []storage.Write{put(fmt.Sprintf("%03d", i), 1, storage.Condition{Kind: storage.Absent})}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	item, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: "007"})
-	want := platform.Item{Key: platform.Key{Partition: "p", Sort: "007"}, Value: []byte{0, 0xff, 'x'}, Version: 1, WriteID: "w-007-1"}
+	item, err := c.table.Get(t.Context(), storage.Key{Partition: "p", Sort: "007"})
+	want := storage.Item{Key: storage.Key{Partition: "p", Sort: "007"}, Value: []byte{0, 0xff, 'x'}, Version: 1, WriteID: "w-007-1"}
 	if err != nil || !cmp.Equal(item, want) {
 		t.Fatalf("%v\n%s", err, cmp.Diff(want, item))
 	}
-	if _, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: "none"}); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.table.Get(t.Context(), storage.Key{Partition: "p", Sort: "none"}); !errors.Is(err, storage.ErrNotFound) {
 		t.Fatalf("got %v, want not found", err)
 	}
 	for _, test := range []struct {
@@ -86,32 +86,32 @@
 // Guards against conditions that are not sent, and against a conflict that names the wrong write.
 func TestTableConditions(t *testing.T) {
 	c := start(t, generous)
-	absent, second := platform.Condition{Kind: platform.Absent}, platform.Condition{Kind: platform.VersionIs, Version: 2}
-	key := platform.Key{Partition: "p", Sort: "a"}
-	if err := c.table.Transact(t.Context(), []platform.Write{put("a", 2, absent)}); err != nil {
+	absent, second := storage.Condition{Kind: storage.Absent}, storage.Condition{Kind: storage.VersionIs, Version: 2}
+	key := storage.Key{Partition: "p", Sort: "a"}
+	if err := c.table.Transact(t.Context(), []storage.Write{put("a", 2, absent)}); err != nil {
 		t.Fatal(err)
 	}
 	for name, test := range map[string]struct {
-		writes []platform.Write
+		writes []storage.Write
 		index  int
 	}{
-		"present":       {[]platform.Write{put("b", 1, absent), put("a", 3, absent)}, 1},
-		"other version": {[]platform.Write{put("a", 3, platform.Condition{Kind: platform.VersionIs, Version: 1})}, 0},
-		"check":         {[]platform.Write{put("b", 1, absent), {Kind: platform.Check, Key: key, Condition: absent}}, 1},
-		"delete":        {[]platform.Write{{Kind: platform.Delete, Key: key, Condition: platform.Condition{Kind: platform.VersionIs, Version: 7}}}, 0},
+		"present":       {[]storage.Write{put("b", 1, absent), put("a", 3, absent)}, 1},
+		"other version": {[]storage.Write{put("a", 3, storage.Condition{Kind: storage.VersionIs, Version: 1})}, 0},
+		"check":         {[]storage.Write{put("b", 1, absent), {Kind: storage.Check, Key: key, Condition: absent}}, 1},
+		"delete":        {[]storage.Write{{Kind: storage.Delete, Key: key, Condition: storage.Condition{Kind: storage.VersionIs, Version: 7}}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var conflict *platform.ConflictError
+			var conflict *storage.ConflictError
 			if err := c.table.Transact(t.Context(), test.writes); !errors.As(err, &conflict) || conflict.Index != test.index {
 				t.Fatalf("got %v, want a conflict at write %d", err, test.index)
 			}
 		})
 	}
-	if err := c.table.Transact(t.Context(), []platform.Write{{Kind: platform.Delete, Key: key, Condition: second}}); err != nil {
+	if err := c.table.Transact(t.Context(), []storage.Write{{Kind: storage.Delete, Key: key, Condition: second}}); err != nil {
 		t.Fatal(err)
 	}
 	for _, sort := range []string{"a", "b"} {
-		if _, err := c.table.Get(t.Context(), platform.Key{Partition: "p", Sort: sort}); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := c.table.Get(t.Context(), storage.Key{Partition: "p", Sort: sort}); !errors.Is(err, storage.ErrNotFound) {
 			t.Fatalf("%s: got %v, want not found", sort, err)
 		}
 	}
@@ -126,9 +126,9 @@
 	}{
 		"one lost answer is resolved": {func(c *clients) { c.server.Table.Faults.LoseAnswers(1) }, nil, true},
 		"one lost write is repeated":  {func(c *clients) { c.server.Table.Faults.LoseWrites(1) }, nil, true},
-		"two lost writes":             {func(c *clients) { c.server.Table.Faults.LoseWrites(2) }, platform.ErrUnknownOutcome, false},
-		"status 503":                  {func(c *clients) { c.server.Table.Faults.SetDown(true) }, platform.ErrUnknownOutcome, false},
-		"timeout":                     {func(c *clients) { c.server.Table.Faults.SetDelay(time.Hour) }, platform.ErrUnknownOutcome, false},
+		"two lost writes":             {func(c *clients) { c.server.Table.Faults.LoseWrites(2) }, storage.ErrUnknownOutcome, false},
+		"status 503":                  {func(c *clients) { c.server.Table.Faults.SetDown(true) }, storage.ErrUnknownOutcome, false},
+		"timeout":                     {func(c *clients) { c.server.Table.Faults.SetDelay(time.Hour) }, storage.ErrUnknownOutcome, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			timeout := generous
@@ -137,13 +137,13 @@
 			}
 			c := start(t, timeout)
 			test.inject(c)
-			err := c.table.Transact(t.Context(), []platform.Write{put("a", 1, platform.Condition{Kind: platform.Absent})})
-			if !errors.Is(err, test.want) || errors.Is(err, platform.ErrUnavailable) {
+			err := c.table.Transact(t.Context(), []storage.Write{put("a", 1, storage.Condition{Kind: storage.Absent})})
+			if !errors.Is(err, test.want) || errors.Is(err, storage.ErrUnavailable) {
 				t.Fatalf("got %v, want %v", err, test.want)
 			}
 			c.server.Table.Faults.SetDown(false)
 			c.server.Table.Faults.SetDelay(0)
-			if _, err := c.server.Table.Get(t.Context(), platform.Key{Partition: "p", Sort: "a"}); (err == nil) != test.stored {
+			if _, err := c.server.Table.Get(t.Context(), storage.Key{Partition: "p", Sort: "a"}); (err == nil) != test.stored {
 				t.Fatalf("stored: %v, want %v", err == nil, test.stored)
 			}
 		})
@@ -152,8 +152,8 @@
 		listener := httptest.NewServer(http.NotFoundHandler())
 		listener.Close()
 		table := dynamo.New(dynamo.Options{Endpoint: listener.URL, TableName: "t", Credentials: credentials.NewStaticCredentialsProvider("id", "secret", "")})
-		err := table.Transact(t.Context(), []platform.Write{put("a", 1, platform.Condition{})})
-		if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+		err := table.Transact(t.Context(), []storage.Write{put("a", 1, storage.Condition{})})
+		if !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrUnknownOutcome) {
 			t.Fatalf("got %v, want unavailable: nothing was sent", err)
 		}
 	})
@@ -170,11 +170,11 @@
 	if got, err := c.objects.Get(t.Context(), name); err != nil || !bytes.Equal(got, data) {
 		t.Fatalf("%d bytes, %v", len(got), err)
 	}
-	if _, err := c.objects.Get(t.Context(), "none"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.objects.Get(t.Context(), "none"); !errors.Is(err, storage.ErrNotFound) {
 		t.Fatalf("got %v, want not found", err)
 	}
 	c.server.Objects.Faults.SetDown(true)
-	if _, err := c.objects.Get(t.Context(), name); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.objects.Get(t.Context(), name); !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrNotFound) {
 		t.Fatalf("got %v, want unavailable", err)
 	}
 }
@@ -182,13 +182,13 @@
 // Guards against a leaving host that is read as live, and against a malformed document that is read in part.
 func TestHostList(t *testing.T) {
 	c := start(t, generous)
-	want := []platform.ListedHost{{Address: "127.0.0.1:7", State: platform.HostLive}, {Address: "127.0.0.2", State: platform.HostLeaving}}
+	want := []storage.ListedHost{{Address: "127.0.0.1:7", State: storage.HostLive}, {Address: "127.0.0.2", State: storage.HostLeaving}}
 	c.server.Hosts.Set(want)
 	got, err := c.hosts.Hosts(t.Context())
 	if err != nil || !cmp.Equal(got, want) {
 		t.Fatalf("%v, %v", got, err)
 	}
-	for _, hosts := range [][]platform.ListedHost{{{Address: "host.example:1"}}, {{Address: "127.0.0.1", State: "gone"}}} {
+	for _, hosts := range [][]storage.ListedHost{{{Address: "host.example:1"}}, {{Address: "127.0.0.1", State: "gone"}}} {
 		c.server.Hosts.Set(hosts)
 		if got, err := c.hosts.Hosts(t.Context()); err == nil {
 			t.Fatalf("%v was accepted as %v", hosts, got)
@@ -210,7 +210,7 @@
 	if status := post(`{"service":"hosts","down":true}`); status != http.StatusNoContent {
 		t.Fatalf("status %d", status)
 	}
-	if _, err := c.hosts.Hosts(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.hosts.Hosts(t.Context()); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v, want unavailable", err)
 	}
 	for _, body := range []string{`{"service":"clock"}`, `{"service":"hosts","dwn":true}`} {
--- a/emulator/platformserver/store_test.go
+++ b/emulator/platformserver/store_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 )
@@ -41,7 +41,7 @@
 		t.Fatalf("revision %d, %d customers, %v", revision, len(tree.Customers), err)
 	}
 	c.server.Table.Faults.SetDown(true)
-	if _, err := a.Apply(t.Context(), change(changes)); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+	if _, err := a.Apply(t.Context(), change(changes)); !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
 		t.Fatalf("in an outage: %v", err)
 	}
 }
--- a/fleet/idempotency/auto.go
+++ b/fleet/idempotency/auto.go
@@ -8,7 +8,7 @@
 
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
@@ -189,7 +189,7 @@
 // written takes the result of a renewal. A write of unknown outcome binds this host as if it had taken effect.
 func (l *claimLease) written(next *tableclaims.Lease, err error) {
 	l.renewing = false
-	notWritten := errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome)
+	notWritten := errors.Is(err, storage.ErrUnavailable) && !errors.Is(err, storage.ErrUnknownOutcome)
 	if notWritten {
 		return
 	}
@@ -210,7 +210,7 @@
 	row, err := o.rows.Lease(ctx, o.options.Cell, leaseHost(o.options.Views.View().Self))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	absent := errors.Is(err, platform.ErrNotFound)
+	absent := errors.Is(err, storage.ErrNotFound)
 	if err != nil && !absent {
 		return false
 	}
--- a/fleet/idempotency/auto_test.go
+++ b/fleet/idempotency/auto_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -93,9 +93,9 @@
 		gapEnds int
 	}{
 		{nil, 42, 30},
-		{platform.ErrUnavailable, 12, 0},
-		{platform.ErrUnknownOutcome, 42, 30},
-		{errors.Join(platform.ErrUnknownOutcome, platform.ErrUnavailable), 42, 30},
+		{storage.ErrUnavailable, 12, 0},
+		{storage.ErrUnknownOutcome, 42, 30},
+		{errors.Join(storage.ErrUnknownOutcome, storage.ErrUnavailable), 42, 30},
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprint(test.err), func(t *testing.T) {
--- a/fleet/idempotency/operations.go
+++ b/fleet/idempotency/operations.go
@@ -14,7 +14,7 @@
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
@@ -32,7 +32,7 @@
 	Logger zerolog.Logger
 	// Table keeps claims of mode settings.ClaimsInTable. Default none: such operations are refused with kind
 	// claims_unavailable.
-	Table platform.Table
+	Table storage.Table
 	// Cell names the cell of the epoch; the hosts of a cell share the leases of mode settings.ClaimsAuto. Default "".
 	Cell string
 	// MemoryBytes bounds the records. Default 16 MiB.
--- a/fleet/idempotency/tableclaims/batch.go
+++ b/fleet/idempotency/tableclaims/batch.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 const (
@@ -26,13 +26,13 @@
 
 // entry is one write that waits for its transaction.
 type entry struct {
-	write platform.Write
+	write storage.Write
 	done  chan error
 }
 
 // batcher puts writes of different rows into common transactions, one transaction at a time.
 type batcher struct {
-	table platform.Table
+	table storage.Table
 	// collect is the time between two transactions, in which writes gather.
 	collect time.Duration
 	// timeout bounds a transaction.
@@ -44,9 +44,9 @@
 	transactions int64
 }
 
-// submit writes one row and waits for the result: nil, errConflict, platform.ErrUnavailable if the write has provably
-// not been sent, or platform.ErrUnknownOutcome.
-func (b *batcher) submit(ctx context.Context, write platform.Write) error {
+// submit writes one row and waits for the result: nil, errConflict, storage.ErrUnavailable if the write has provably
+// not been sent, or storage.ErrUnknownOutcome.
+func (b *batcher) submit(ctx context.Context, write storage.Write) error {
 	e := &entry{write: write, done: make(chan error, 1)}
 	b.mu.Lock()
 	b.queue = append(b.queue, e)
@@ -61,7 +61,7 @@
 	case <-ctx.Done():
 	}
 	if b.withdraw(e) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, ctx.Err())
 	}
 	return <-e.done // the transaction has a timeout of its own
 }
@@ -101,10 +101,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, rest []*entry
-	taken := make(map[platform.Key]bool)
+	taken := make(map[storage.Key]bool)
 	size := 0
 	for _, e := range b.queue {
-		fits := len(batch) < platform.MaxWritesInTransaction && (len(batch) == 0 || size+len(e.write.Value) <= maxBatchBytes)
+		fits := len(batch) < storage.MaxWritesInTransaction && (len(batch) == 0 || size+len(e.write.Value) <= maxBatchBytes)
 		if !fits || taken[e.write.Key] {
 			rest = append(rest, e)
 			taken[e.write.Key] = true // writes of a row keep their order
@@ -125,7 +125,7 @@
 			return
 		}
 		err := b.transactTwice(batch)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if !errors.As(err, &conflict) || conflict.Index < 0 || conflict.Index >= len(batch) {
 			finish(batch, err)
 			return
@@ -146,21 +146,21 @@
 // a whole transaction if one of its rows is in use by another one at that moment.
 func (b *batcher) transactTwice(batch []*entry) error {
 	first := b.transact(batch)
-	inDoubt := errors.Is(first, platform.ErrUnknownOutcome)
-	if !inDoubt && !errors.Is(first, platform.ErrUnavailable) {
+	inDoubt := errors.Is(first, storage.ErrUnknownOutcome)
+	if !inDoubt && !errors.Is(first, storage.ErrUnavailable) {
 		return first
 	}
 	time.Sleep(retryPause)
 	second := b.transact(batch)
-	if inDoubt && errors.Is(second, platform.ErrUnavailable) {
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, second) // of the first transaction
+	if inDoubt && errors.Is(second, storage.ErrUnavailable) {
+		return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, second) // of the first transaction
 	}
 	return second
 }
 
 // transact applies the batch in one transaction. Every error but a conflict and ErrUnavailable is an unknown outcome.
 func (b *batcher) transact(batch []*entry) error {
-	writes := make([]platform.Write, len(batch))
+	writes := make([]storage.Write, len(batch))
 	for i, e := range batch {
 		writes[i] = e.write
 	}
@@ -169,12 +169,12 @@
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
 	defer cancel()
-	err := platform.TransactOnce(ctx, b.table, writes)
-	var conflict *platform.ConflictError
-	known := err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrUnknownOutcome) ||
-		errors.Is(err, platform.ErrUnavailable)
+	err := storage.TransactOnce(ctx, b.table, writes)
+	var conflict *storage.ConflictError
+	known := err == nil || errors.As(err, &conflict) || errors.Is(err, storage.ErrUnknownOutcome) ||
+		errors.Is(err, storage.ErrUnavailable)
 	if known {
 		return err
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, err)
 }
--- a/fleet/idempotency/tableclaims/claim.go
+++ b/fleet/idempotency/tableclaims/claim.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // ErrContended means that the row changed at each try to claim it. This host holds no claim.
@@ -134,7 +134,7 @@
 		return err
 	}
 	err = s.claims.submit(ctx, put)
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, storage.ErrUnknownOutcome) {
 		return err
 	}
 	row, readErr := s.read(ctx, &held.key)
@@ -142,7 +142,7 @@
 		return nil
 	}
 	s.GiveBack(held)
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, errors.Join(err, readErr))
+	return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, errors.Join(err, readErr))
 }
 
 // GiveBack marks a claim that is not granted as not run, in the background. Until that is stored, this host may claim
--- a/fleet/idempotency/tableclaims/finish.go
+++ b/fleet/idempotency/tableclaims/finish.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Outcome is what became of an attempt.
@@ -45,7 +45,7 @@
 			Fingerprint: outcome.Fingerprint, Attempt: outcome.Attempt, IDTime: outcome.IDTime, Deadline: outcome.IDTime,
 		}
 		err := s.store(ctx, &outcome.Key, &row, outcome.Result, base)
-		known = !errors.Is(err, errConflict) && !errors.Is(err, platform.ErrUnknownOutcome)
+		known = !errors.Is(err, errConflict) && !errors.Is(err, storage.ErrUnknownOutcome)
 		return err == nil
 	})
 }
--- a/fleet/idempotency/tableclaims/lease.go
+++ b/fleet/idempotency/tableclaims/lease.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // ErrLeaseChanged means that the row of a lease is not in the expected version.
@@ -58,26 +58,26 @@
 	}
 }
 
-func (s *Store) leasePage(ctx context.Context, cell, after string) ([]platform.Item, error) {
+func (s *Store) leasePage(ctx context.Context, cell, after string) ([]storage.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
 	defer cancel()
 	s.reads.Add(1)
 	return s.options.Table.Query(ctx, leasePartition(cell), after, leasePage)
 }
 
-// Lease returns the lease of one host, or platform.ErrNotFound.
+// Lease returns the lease of one host, or storage.ErrNotFound.
 func (s *Store) Lease(ctx context.Context, cell, host string) (Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
 	defer cancel()
 	s.reads.Add(1)
-	item, err := s.options.Table.Get(ctx, platform.Key{Partition: leasePartition(cell), Sort: host})
+	item, err := s.options.Table.Get(ctx, storage.Key{Partition: leasePartition(cell), Sort: host})
 	if err != nil {
 		return Lease{}, err
 	}
 	return decodeLease(&item)
 }
 
-func decodeLease(item *platform.Item) (Lease, error) {
+func decodeLease(item *storage.Item) (Lease, error) {
 	m := &idempotencypb.ClaimLease{}
 	if err := proto.Unmarshal(item.Value, m); err != nil {
 		return Lease{}, fmt.Errorf("%w: %w", errRow, err)
@@ -88,8 +88,8 @@
 	}, nil
 }
 
-// PutLease replaces the row of a lease and sets its new version. It returns ErrLeaseChanged, platform.ErrUnavailable if
-// nothing was written, or platform.ErrUnknownOutcome.
+// PutLease replaces the row of a lease and sets its new version. It returns ErrLeaseChanged, storage.ErrUnavailable if
+// nothing was written, or storage.ErrUnknownOutcome.
 func (s *Store) PutLease(ctx context.Context, cell string, lease *Lease) error {
 	value, err := proto.Marshal(&idempotencypb.ClaimLease{
 		UntilNs: toNano(lease.Until), GapEndNs: toNano(lease.GapEnd), Epoch: lease.Epoch, Closed: lease.Closed,
@@ -97,8 +97,8 @@
 	if err != nil {
 		return err
 	}
-	write := platform.Write{
-		Kind: platform.Put, Key: platform.Key{Partition: leasePartition(cell), Sort: lease.Host}, Value: value,
+	write := storage.Write{
+		Kind: storage.Put, Key: storage.Key{Partition: leasePartition(cell), Sort: lease.Host}, Value: value,
 		Version: newVersion(), WriteID: uuid.NewString(), Condition: leaseCondition(lease),
 	}
 	if err := s.transactLease(ctx, write); err != nil {
@@ -110,31 +110,31 @@
 
 // DeleteLease removes the row of a lease. It returns the errors of PutLease.
 func (s *Store) DeleteLease(ctx context.Context, cell string, lease *Lease) error {
-	key := platform.Key{Partition: leasePartition(cell), Sort: lease.Host}
-	return s.transactLease(ctx, platform.Write{Kind: platform.Delete, Key: key, Condition: leaseCondition(lease)})
+	key := storage.Key{Partition: leasePartition(cell), Sort: lease.Host}
+	return s.transactLease(ctx, storage.Write{Kind: storage.Delete, Key: key, Condition: leaseCondition(lease)})
 }
 
-func leaseCondition(lease *Lease) platform.Condition {
+func leaseCondition(lease *Lease) storage.Condition {
 	if lease.Version == 0 {
-		return platform.Condition{Kind: platform.Absent}
+		return storage.Condition{Kind: storage.Absent}
 	}
-	return platform.Condition{Kind: platform.VersionIs, Version: lease.Version}
+	return storage.Condition{Kind: storage.VersionIs, Version: lease.Version}
 }
 
-func (s *Store) transactLease(ctx context.Context, write platform.Write) error {
+func (s *Store) transactLease(ctx context.Context, write storage.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
 	defer cancel()
-	err := platform.TransactOnce(ctx, s.options.Table, []platform.Write{write})
-	var conflict *platform.ConflictError
+	err := storage.TransactOnce(ctx, s.options.Table, []storage.Write{write})
+	var conflict *storage.ConflictError
 	switch {
-	case errors.As(err, &conflict) && errors.Is(err, platform.ErrUnavailable):
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err) // the conflict may be with this very write
+	case errors.As(err, &conflict) && errors.Is(err, storage.ErrUnavailable):
+		return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, err) // the conflict may be with this very write
 	case errors.As(err, &conflict):
 		return ErrLeaseChanged
-	case err == nil, errors.Is(err, platform.ErrUnknownOutcome), errors.Is(err, platform.ErrUnavailable):
+	case err == nil, errors.Is(err, storage.ErrUnknownOutcome), errors.Is(err, storage.ErrUnavailable):
 		return err
 	default:
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, err)
 	}
 }
 
--- a/fleet/idempotency/tableclaims/row.go
+++ b/fleet/idempotency/tableclaims/row.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 var errRow = errors.New("tableclaims: malformed row")
@@ -28,8 +28,8 @@
 
 func partition(slot int) string { return "claims/" + strconv.Itoa(slot) }
 
-func (k *Key) row() platform.Key {
-	return platform.Key{Partition: partition(k.Slot), Sort: hex.EncodeToString(k.ID[:]) + "/" + k.Customer}
+func (k *Key) row() storage.Key {
+	return storage.Key{Partition: partition(k.Slot), Sort: hex.EncodeToString(k.ID[:]) + "/" + k.Customer}
 }
 
 // Row is the state of an operation in the table.
@@ -55,12 +55,12 @@
 // without its headers.
 func (r *Row) encode() ([]byte, error) {
 	value, err := r.marshal(r.Result)
-	if err != nil || len(value) <= platform.MaxValueBytes {
+	if err != nil || len(value) <= storage.MaxValueBytes {
 		return value, err
 	}
 	short := proto.CloneOf(r.Result)
 	short.Body, short.BodyLost = nil, true
-	if value, err = r.marshal(short); err != nil || len(value) <= platform.MaxValueBytes {
+	if value, err = r.marshal(short); err != nil || len(value) <= storage.MaxValueBytes {
 		return value, err
 	}
 	short.Header, short.Trailer = nil, nil
@@ -77,7 +77,7 @@
 	return proto.Marshal(m)
 }
 
-func decode(item *platform.Item) (*Row, error) {
+func decode(item *storage.Item) (*Row, error) {
 	m := &idempotencypb.ClaimRow{}
 	if err := proto.Unmarshal(item.Value, m); err != nil {
 		return nil, fmt.Errorf("%w: %w", errRow, err)
@@ -100,14 +100,14 @@
 func newVersion() uint64 { return rand.Uint64()>>1 | 1 }
 
 // put returns the write that stores the row if base is still stored, or if nothing is stored and base is nil.
-func (r *Row) put(key *Key, base *Row) (platform.Write, error) {
+func (r *Row) put(key *Key, base *Row) (storage.Write, error) {
 	value, err := r.encode()
-	write := platform.Write{
-		Kind: platform.Put, Key: key.row(), Value: value, Version: r.Version, WriteID: r.WriteID,
-		Condition: platform.Condition{Kind: platform.Absent},
+	write := storage.Write{
+		Kind: storage.Put, Key: key.row(), Value: value, Version: r.Version, WriteID: r.WriteID,
+		Condition: storage.Condition{Kind: storage.Absent},
 	}
 	if base != nil {
-		write.Condition = platform.Condition{Kind: platform.VersionIs, Version: base.Version}
+		write.Condition = storage.Condition{Kind: storage.VersionIs, Version: base.Version}
 	}
 	return write, err
 }
--- a/fleet/idempotency/tableclaims/store.go
+++ b/fleet/idempotency/tableclaims/store.go
@@ -7,12 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Options configures a Store.
 type Options struct {
-	Table platform.Table
+	Table storage.Table
 	// Collect is the time between two transactions of claims, in which claims gather. Default 2 ms.
 	Collect time.Duration
 	// CollectResults is the same for results and claims that are given back. Nobody waits for them, but what is not
@@ -85,7 +85,7 @@
 	defer cancel()
 	s.reads.Add(1)
 	item, err := s.options.Table.Get(ctx, key.row())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -114,12 +114,12 @@
 }
 
 // expired returns the deletions of the oldest rows of a slot, as far as their ids are older than before.
-func (s *Store) expired(ctx context.Context, slot int, before time.Time) ([]platform.Write, error) {
+func (s *Store) expired(ctx context.Context, slot int, before time.Time) ([]storage.Write, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
 	defer cancel()
 	s.reads.Add(1)
 	items, err := s.options.Table.Query(ctx, partition(slot), "", expirePage)
-	var writes []platform.Write
+	var writes []storage.Write
 	for i := range items {
 		row, decodeErr := decode(&items[i])
 		if decodeErr != nil {
@@ -128,8 +128,8 @@
 		if !row.IDTime.Before(before) {
 			break // rows are in the order of the times of their ids
 		}
-		writes = append(writes, platform.Write{
-			Kind: platform.Delete, Key: items[i].Key, Condition: platform.Condition{Kind: platform.VersionIs, Version: row.Version},
+		writes = append(writes, storage.Write{
+			Kind: storage.Delete, Key: items[i].Key, Condition: storage.Condition{Kind: storage.VersionIs, Version: row.Version},
 		})
 	}
 	return writes, err
@@ -137,7 +137,7 @@
 
 // Status describes the state of a Store, for metrics.
 type Status struct {
-	// Reads and Transactions count calls to the table, without the readings of platform.TransactOnce.
+	// Reads and Transactions count calls to the table, without the readings of storage.TransactOnce.
 	Reads, Transactions int64
 	// Pending counts results and claims to be given back that are not stored yet.
 	Pending int64
--- a/fleet/idempotency/tableclaims/store_test.go
+++ b/fleet/idempotency/tableclaims/store_test.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/idempotencypb"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -108,10 +108,10 @@
 	late []func() error
 }
 
-func (l *lateTable) Transact(ctx context.Context, writes []platform.Write) error {
+func (l *lateTable) Transact(ctx context.Context, writes []storage.Write) error {
 	if len(l.late) < 2 {
 		l.late = append(l.late, func() error { return l.Table.Transact(context.WithoutCancel(ctx), writes) })
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	}
 	return l.Table.Transact(ctx, writes)
 }
@@ -123,14 +123,14 @@
 		synctest.Test(t, func(t *testing.T) {
 			table := &lateTable{Table: memory.NewTable()}
 			s := New(t.Context(), Options{Table: table})
-			if held, row, err := s.Claim(t.Context(), request(1)); !errors.Is(err, platform.ErrUnknownOutcome) {
+			if held, row, err := s.Claim(t.Context(), request(1)); !errors.Is(err, storage.ErrUnknownOutcome) {
 				t.Fatalf("got %v, %v, %v for a claim that was not written", held, row, err)
 			}
 			time.Sleep(time.Minute)
 			if claimed {
 				claim(t, s, request(1))
 			}
-			var conflict *platform.ConflictError
+			var conflict *storage.ConflictError
 			for _, late := range table.late {
 				if err := late(); !errors.As(err, &conflict) {
 					t.Errorf("claimed again %v: the late write got %v, want a conflict", claimed, err)
@@ -148,7 +148,7 @@
 		r := request(1)
 		held := claim(t, s, r)
 		table.Faults.SetDown(true)
-		values := &idempotencypb.Values{Values: []string{string(make([]byte, platform.MaxValueBytes))}}
+		values := &idempotencypb.Values{Values: []string{string(make([]byte, storage.MaxValueBytes))}}
 		done := &idempotencypb.Result{
 			State: idempotencypb.State_STATE_DONE, Status: 201, Body: []byte("body"),
 			Header: map[string]*idempotencypb.Values{"Large": values},
--- a/fleet/idempotency/tablefleet_test.go
+++ b/fleet/idempotency/tablefleet_test.go
@@ -14,15 +14,15 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer/peertest"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
 // pausing is a table as a host sees it that is paused, or whose network is, around a write.
 type pausing struct {
-	platform.Table
+	storage.Table
 	mu   sync.Mutex
 	mode string        // "", "before", "after" the write, or "late": the write takes effect after its call has failed; "down"
 	hold chan struct{} // closed to go on
@@ -40,14 +40,14 @@
 	}
 }
 
-func (p *pausing) Transact(ctx context.Context, writes []platform.Write) error {
+func (p *pausing) Transact(ctx context.Context, writes []storage.Write) error {
 	p.mu.Lock()
 	mode, hold := p.mode, p.hold
 	p.mu.Unlock()
 	always := context.WithoutCancel(ctx)
 	switch mode {
 	case "down":
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	case "before":
 		<-hold
 		return p.Table.Transact(always, writes)
@@ -61,18 +61,18 @@
 			_ = p.Table.Transact(always, writes)
 		}()
 		<-ctx.Done()
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	default:
 		return p.Table.Transact(ctx, writes)
 	}
 }
 
-func (p *pausing) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+func (p *pausing) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	p.mu.Lock()
 	down := p.mode == "down"
 	p.mu.Unlock()
 	if down {
-		return platform.Item{}, platform.ErrUnavailable
+		return storage.Item{}, storage.ErrUnavailable
 	}
 	return p.Table.Get(ctx, key)
 }
--- a/fleet/membership/cell_test.go
+++ b/fleet/membership/cell_test.go
@@ -12,8 +12,8 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer/peertest"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // cell is a fleet of runtimes over an in-memory network and table, in fake time.
@@ -181,7 +181,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	err = c.table.Transact(c.t.Context(), []platform.Write{{Kind: platform.Put, Key: headKey, Version: item.Version + 1}})
+	err = c.table.Transact(c.t.Context(), []storage.Write{{Kind: storage.Put, Key: headKey, Version: item.Version + 1}})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/fleet/membership/exchange.go
+++ b/fleet/membership/exchange.go
@@ -10,7 +10,7 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	pb "github.com/bronzeyard/bronzeyard/fleet/membership/membershippb"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // The methods of the membership protocol.
@@ -157,10 +157,10 @@
 	r.update("", func(m *Machine, _ Moment) { m.SetUnlisted(live) })
 }
 
-func liveAddresses(hosts []platform.ListedHost) map[netip.Addr]bool {
+func liveAddresses(hosts []storage.ListedHost) map[netip.Addr]bool {
 	live := make(map[netip.Addr]bool, len(hosts))
 	for _, host := range hosts {
-		if host.State != platform.HostLive {
+		if host.State != storage.HostLive {
 			continue
 		}
 		if withPort, err := netip.ParseAddrPort(host.Address); err == nil {
--- a/fleet/membership/runtime.go
+++ b/fleet/membership/runtime.go
@@ -15,12 +15,12 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Options configure a Runtime.
 type Options struct {
-	Table platform.Table
+	Table storage.Table
 	// Cell names the epoch row. Required.
 	Cell string
 	// Self is the host's entry in the epoch. An incarnation of 0 is replaced by a random one.
@@ -43,7 +43,7 @@
 	// differs in ActiveUntil alone is not reported. It must not wait for calls of this package. Optional.
 	OnView func(before, after *fleet.View)
 	// HostList speeds up suspicion. Optional.
-	HostList platform.HostList
+	HostList storage.HostList
 	Logger   zerolog.Logger
 	// Durations are the time constants, the same on all hosts of a cell.
 	Durations
--- a/fleet/membership/table.go
+++ b/fleet/membership/table.go
@@ -7,19 +7,19 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // headKey is the row whose version is the newest settings revision. The row is absent at revision 0.
-var headKey = platform.Key{Partition: "settings", Sort: "head"}
+var headKey = storage.Key{Partition: "settings", Sort: "head"}
 
 // epochKey is the row of a cell's epoch.
-func epochKey(cell string) platform.Key {
-	return platform.Key{Partition: "cell/" + cell, Sort: "epoch"}
+func epochKey(cell string) storage.Key {
+	return storage.Key{Partition: "cell/" + cell, Sort: "epoch"}
 }
 
 // readCell reads the epoch row, nil if absent, and the settings head.
-func readCell(ctx context.Context, table platform.Table, cell string) (epoch *epochState, head uint64, err error) {
+func readCell(ctx context.Context, table storage.Table, cell string) (epoch *epochState, head uint64, err error) {
 	reads, ctx := errgroup.WithContext(ctx)
 	reads.Go(func() error {
 		item, err := getOrZero(ctx, table, epochKey(cell))
@@ -41,32 +41,32 @@
 }
 
 // getOrZero returns the zero Item if none is stored.
-func getOrZero(ctx context.Context, table platform.Table, key platform.Key) (platform.Item, error) {
+func getOrZero(ctx context.Context, table storage.Table, key storage.Key) (storage.Item, error) {
 	item, err := table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Item{}, nil
+	if errors.Is(err, storage.ErrNotFound) {
+		return storage.Item{}, nil
 	}
 	return item, err
 }
 
 // storeEpoch stores a proposal if neither the epoch nor the settings head has changed since it was made.
-func storeEpoch(ctx context.Context, table platform.Table, cell string, p *Proposal) error {
+func storeEpoch(ctx context.Context, table storage.Table, cell string, p *Proposal) error {
 	value, err := proto.Marshal(epochToProto(&p.epoch))
 	if err != nil {
 		return err
 	}
-	return platform.TransactOnce(ctx, table, []platform.Write{
+	return storage.TransactOnce(ctx, table, []storage.Write{
 		{
-			Kind: platform.Put, Key: epochKey(cell), Value: value, Version: p.epoch.Number, WriteID: p.epoch.WriteID,
+			Kind: storage.Put, Key: epochKey(cell), Value: value, Version: p.epoch.Number, WriteID: p.epoch.WriteID,
 			Condition: versionIs(p.base),
 		},
-		{Kind: platform.Check, Key: headKey, Condition: versionIs(p.head)},
+		{Kind: storage.Check, Key: headKey, Condition: versionIs(p.head)},
 	})
 }
 
-func versionIs(version uint64) platform.Condition {
+func versionIs(version uint64) storage.Condition {
 	if version == 0 {
-		return platform.Condition{Kind: platform.Absent}
+		return storage.Condition{Kind: storage.Absent}
 	}
-	return platform.Condition{Kind: platform.VersionIs, Version: version}
+	return storage.Condition{Kind: storage.VersionIs, Version: version}
 }
--- a/fleet/membership/transport_test.go
+++ b/fleet/membership/transport_test.go
@@ -13,8 +13,8 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // wireHost is a runtime on a real transport over loopback.
@@ -45,7 +45,7 @@
 	}
 }
 
-func startWireHost(t *testing.T, name string, table platform.Table, changed chan struct{}, tasks *errgroup.Group) *wireHost {
+func startWireHost(t *testing.T, name string, table storage.Table, changed chan struct{}, tasks *errgroup.Group) *wireHost {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/host/admin/answers.go
+++ b/host/admin/answers.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 )
@@ -88,7 +88,7 @@
 		return answer(http.StatusConflict, KindChangeIDReused, "use a new change id for a different change")
 	case errors.As(err, &damaged):
 		return answer(http.StatusServiceUnavailable, KindDamaged, "this host can't follow the change log; use another host or write a newer snapshot; nothing was changed")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return answer(http.StatusServiceUnavailable, KindUnavailable, "repeat the request later; nothing was changed")
 	case errors.Is(err, store.ErrBadChange):
 		return answer(http.StatusBadRequest, KindBadRequest, "correct the request; nothing was changed")
--- a/host/host.go
+++ b/host/host.go
@@ -20,7 +20,7 @@
 	"github.com/bronzeyard/bronzeyard/host/config"
 	"github.com/bronzeyard/bronzeyard/host/metrics"
 	"github.com/bronzeyard/bronzeyard/host/settingsync"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 	"github.com/bronzeyard/bronzeyard/traffic/proxy"
 )
@@ -28,10 +28,10 @@
 // Options of a Host. All fields without a default are required.
 type Options struct {
 	Config  *config.Config
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   storage.Table
+	Objects storage.ObjectStore
 	// HostList is the platform's list of hosts. Default none.
-	HostList platform.HostList
+	HostList storage.HostList
 	// Clock is the host's clock. Default clock.System.
 	Clock clock.Clock
 	// Dial opens connections to other hosts. Default net.Dialer.
--- a/host/hostlist.go
+++ b/host/hostlist.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -21,7 +21,7 @@
 // leavingList follows the platform's host list and knows which addresses it marks as leaving. While the list cannot be
 // read, the last one that was read stays in use.
 type leavingList struct {
-	list    platform.HostList
+	list    storage.HostList
 	logger  zerolog.Logger
 	leaving atomic.Pointer[map[string]bool]
 }
@@ -53,7 +53,7 @@
 	}
 	leaving := make(map[string]bool)
 	for _, host := range hosts {
-		if host.State == platform.HostLeaving {
+		if host.State == storage.HostLeaving {
 			leaving[host.Address] = true
 		}
 	}
--- a/host/hostlist_test.go
+++ b/host/hostlist_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -12,10 +12,10 @@
 // outage of the list that brings leaving upstreams back.
 func TestLeavingList(t *testing.T) {
 	list := &memory.HostList{}
-	list.Set([]platform.ListedHost{
-		{Address: "192.0.2.1", State: platform.HostLeaving},
-		{Address: "192.0.2.2:80", State: platform.HostLeaving},
-		{Address: "192.0.2.3", State: platform.HostLive},
+	list.Set([]storage.ListedHost{
+		{Address: "192.0.2.1", State: storage.HostLeaving},
+		{Address: "192.0.2.2:80", State: storage.HostLeaving},
+		{Address: "192.0.2.3", State: storage.HostLive},
 	})
 	l := &leavingList{list: list}
 	l.read(t.Context())
--- a/settings/store/apply.go
+++ b/settings/store/apply.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -71,7 +71,7 @@
 
 // Apply makes a change and returns its revision. A repeated change id returns the revision of the first time.
 //
-// Errors: *settings.InvalidError, *ConflictError, ErrChangeIDReused and platform.ErrUnavailable mean that nothing was
+// Errors: *settings.InvalidError, *ConflictError, ErrChangeIDReused and storage.ErrUnavailable mean that nothing was
 // changed; ErrOutcomeUnknown means that the change may have been made; *DamagedError means that this host can't follow
 // the change log and that nothing was changed.
 func (s *Store) Apply(ctx context.Context, change Change) (uint64, error) {
@@ -82,7 +82,7 @@
 	case s.applying <- struct{}{}:
 		defer func() { <-s.applying }()
 	case <-ctx.Done():
-		return 0, fmt.Errorf("%w: another change is being made through this host", platform.ErrUnavailable)
+		return 0, fmt.Errorf("%w: another change is being made through this host", storage.ErrUnavailable)
 	}
 	attempt := attempt{store: s, change: &change}
 	revision, err := attempt.run(ctx)
@@ -134,13 +134,13 @@
 			break
 		}
 	}
-	return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return 0, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 }
 
 // earlier looks for the result of an earlier attempt with the same change id.
 func (a *attempt) earlier(ctx context.Context) (uint64, bool, error) {
 	item, err := a.store.get(ctx, changeKey(a.change.ID))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -165,10 +165,10 @@
 
 // unavailable marks an error of a read as one after which nothing was changed.
 func unavailable(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return err
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 }
 
 // once makes one transaction. It returns done == false if another attempt may succeed.
@@ -229,12 +229,12 @@
 	}
 }
 
-func (a *attempt) transact(ctx context.Context, writes []platform.Write, tree *settings.Tree, record Record) (uint64, bool, error) {
+func (a *attempt) transact(ctx context.Context, writes []storage.Write, tree *settings.Tree, record Record) (uint64, bool, error) {
 	s := a.store
 	callCtx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
-	err := platform.TransactOnce(callCtx, s.options.Table, writes)
-	var conflict *platform.ConflictError
+	err := storage.TransactOnce(callCtx, s.options.Table, writes)
+	var conflict *storage.ConflictError
 	switch {
 	case err == nil:
 		s.accepted(tree, record)
@@ -245,7 +245,7 @@
 			return 0, true, classify(pollErr)
 		}
 		return 0, false, err
-	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, storage.ErrUnavailable) && !errors.Is(err, storage.ErrUnknownOutcome):
 		return 0, true, err
 	default:
 		a.inDoubt = true
@@ -263,9 +263,9 @@
 	}
 }
 
-// writes builds the transaction. The row of the change id goes first, because platform.TransactOnce reads the first row
+// writes builds the transaction. The row of the change id goes first, because storage.TransactOnce reads the first row
 // back: it is never overwritten, while the head may be by a later change, which would cost another attempt.
-func (s *Store) writes(ctx context.Context, record *Record, effects []settings.Effect) ([]platform.Write, error) {
+func (s *Store) writes(ctx context.Context, record *Record, effects []settings.Effect) ([]storage.Write, error) {
 	sum, err := digest(record.Operator, record.Edits)
 	if err != nil {
 		return nil, err
@@ -282,17 +282,17 @@
 	if err != nil {
 		return nil, err
 	}
-	writeID, absent := rand.Text(), platform.Condition{Kind: platform.Absent}
+	writeID, absent := rand.Text(), storage.Condition{Kind: storage.Absent}
 	headCondition := absent
 	if record.Revision > 1 {
-		headCondition = platform.Condition{Kind: platform.VersionIs, Version: record.Revision - 1}
+		headCondition = storage.Condition{Kind: storage.VersionIs, Version: record.Revision - 1}
 	}
-	put := func(key platform.Key, value []byte, condition platform.Condition) platform.Write {
-		return platform.Write{
-			Kind: platform.Put, Key: key, Value: value, Version: record.Revision, WriteID: writeID, Condition: condition,
+	put := func(key storage.Key, value []byte, condition storage.Condition) storage.Write {
+		return storage.Write{
+			Kind: storage.Put, Key: key, Value: value, Version: record.Revision, WriteID: writeID, Condition: condition,
 		}
 	}
-	return []platform.Write{
+	return []storage.Write{
 		put(changeKey(record.ID), change, absent),
 		put(HeadKey(), nil, headCondition),
 		put(logKey(record.Revision), log, absent),
--- a/settings/store/audit.go
+++ b/settings/store/audit.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -39,7 +39,7 @@
 	Next uint64 `json:"next,omitzero"`
 }
 
-// Audit searches the audit log backwards. Errors: platform.ErrUnavailable, *DamagedError.
+// Audit searches the audit log backwards. Errors: storage.ErrUnavailable, *DamagedError.
 func (s *Store) Audit(ctx context.Context, filter AuditFilter) (AuditPage, error) {
 	head, err := s.readHead(ctx)
 	if err != nil {
@@ -101,7 +101,7 @@
 	return entries, from, nil
 }
 
-func decodeAudit(item *platform.Item) (AuditEntry, error) {
+func decodeAudit(item *storage.Item) (AuditEntry, error) {
 	var entry AuditEntry
 	err := json.Unmarshal(item.Value, &entry, json.RejectUnknownMembers(true))
 	if err == nil && entry.Revision != item.Version {
--- a/settings/store/chunks.go
+++ b/settings/store/chunks.go
@@ -11,7 +11,7 @@
 	"github.com/go-json-experiment/json"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -115,7 +115,7 @@
 // missing manifest is no error.
 func (s *Store) loadSnapshot(ctx context.Context) error {
 	item, err := s.get(ctx, manifestKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -168,7 +168,7 @@
 
 func (s *Store) readChunk(ctx context.Context, name string, revision uint64) (*settings.Tree, error) {
 	data, err := s.getObject(ctx, name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return nil, err
 	}
 	var part *settings.Tree
@@ -243,16 +243,16 @@
 }
 
 func (s *Store) putManifest(ctx context.Context, m *manifest) error {
-	condition := platform.Condition{Kind: platform.Absent}
+	condition := storage.Condition{Kind: storage.Absent}
 	stored, err := s.get(ctx, manifestKey())
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 	case err != nil:
 		return err
 	case stored.Version >= m.Revision:
 		return nil
 	default:
-		condition = platform.Condition{Kind: platform.VersionIs, Version: stored.Version}
+		condition = storage.Condition{Kind: storage.VersionIs, Version: stored.Version}
 	}
 	value, err := json.Marshal(m)
 	if err != nil {
@@ -261,8 +261,8 @@
 	// A lost answer needs no resolution: the manifest of a revision is the same whoever writes it.
 	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
-	err = s.options.Table.Transact(ctx, []platform.Write{{
-		Kind: platform.Put, Key: manifestKey(), Value: value, Version: m.Revision, Condition: condition,
+	err = s.options.Table.Transact(ctx, []storage.Write{{
+		Kind: storage.Put, Key: manifestKey(), Value: value, Version: m.Revision, Condition: condition,
 	}})
 	if err != nil {
 		return err
--- a/settings/store/load.go
+++ b/settings/store/load.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -13,7 +13,7 @@
 const rowsPerQuery = 200
 
 // Load brings a starting host to the newest revision: the newest snapshot, then the log after it. It returns what is in
-// force afterwards, also together with an error. Errors: platform.ErrUnavailable if the platform does not answer, after
+// force afterwards, also together with an error. Errors: storage.ErrUnavailable if the platform does not answer, after
 // which the host can Import from a peer; *DamagedError if stored data was refused.
 func (s *Store) Load(ctx context.Context) (*settings.Tree, uint64, error) {
 	err := s.loadSnapshot(ctx)
@@ -34,7 +34,7 @@
 }
 
 // Poll reads the head and, if it is newer than what is in force, the changes up to it; then it writes a snapshot if this
-// host has to. An unchanged head costs one read. Errors: platform.ErrUnavailable; *DamagedError if stored data was
+// host has to. An unchanged head costs one read. Errors: storage.ErrUnavailable; *DamagedError if stored data was
 // refused and the last good revision stays in force.
 func (s *Store) Poll(ctx context.Context) error {
 	head, err := s.readHead(ctx)
@@ -69,8 +69,8 @@
 
 func (s *Store) readHead(ctx context.Context) (uint64, error) {
 	item, err := s.get(ctx, HeadKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		item, err = platform.Item{}, nil
+	if errors.Is(err, storage.ErrNotFound) {
+		item, err = storage.Item{}, nil
 	}
 	if err != nil {
 		return 0, err
--- a/settings/store/machine_test.go
+++ b/settings/store/machine_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 )
@@ -38,28 +38,28 @@
 	armed  int
 	down   bool
 	garble bool
-	late   *[][]platform.Write
+	late   *[][]storage.Write
 }
 
 func (l *link) read() error {
 	if l.down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	if l.armed > 0 {
 		l.armed--
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-func (l *link) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+func (l *link) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	if err := l.read(); err != nil {
-		return platform.Item{}, err
+		return storage.Item{}, err
 	}
 	return l.table.Get(ctx, key)
 }
 
-func (l *link) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+func (l *link) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	if err := l.read(); err != nil {
 		return nil, err
 	}
@@ -70,9 +70,9 @@
 	return items, err
 }
 
-func (l *link) Transact(ctx context.Context, writes []platform.Write) error {
+func (l *link) Transact(ctx context.Context, writes []storage.Write) error {
 	if l.down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	fate := "ok"
 	if len(l.writes) > 0 {
@@ -84,14 +84,14 @@
 		if err := l.table.Transact(ctx, writes); err != nil {
 			return err
 		}
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	case "write lost":
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	case "late":
 		*l.late = append(*l.late, writes)
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	case "refused":
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	default:
 		return l.table.Transact(ctx, writes)
 	}
@@ -112,7 +112,7 @@
 	links    []*link
 	hosts    []*store.Store
 	applied  []uint64
-	late     [][]platform.Write
+	late     [][]storage.Write
 	changes  map[string]*outcome
 	ids      []string
 	refused  map[string]bool
--- a/settings/store/rows.go
+++ b/settings/store/rows.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -34,9 +34,9 @@
 )
 
 // HeadKey is the key of the row whose version is the newest revision.
-func HeadKey() platform.Key { return platform.Key{Partition: partition, Sort: "head"} }
+func HeadKey() storage.Key { return storage.Key{Partition: partition, Sort: "head"} }
 
-func manifestKey() platform.Key { return platform.Key{Partition: partition, Sort: "manifest"} }
+func manifestKey() storage.Key { return storage.Key{Partition: partition, Sort: "manifest"} }
 
 func bucket(prefix string, revision uint64) string {
 	return fmt.Sprintf("%s%0*d", prefix, revisionDigits, revision/revisionsPerBucket)
@@ -44,16 +44,16 @@
 
 func sortKey(revision uint64) string { return fmt.Sprintf("%0*d", revisionDigits, revision) }
 
-func logKey(revision uint64) platform.Key {
-	return platform.Key{Partition: bucket(logPartition, revision), Sort: sortKey(revision)}
+func logKey(revision uint64) storage.Key {
+	return storage.Key{Partition: bucket(logPartition, revision), Sort: sortKey(revision)}
 }
 
-func auditKey(revision uint64) platform.Key {
-	return platform.Key{Partition: bucket(auditPartition, revision), Sort: sortKey(revision)}
+func auditKey(revision uint64) storage.Key {
+	return storage.Key{Partition: bucket(auditPartition, revision), Sort: sortKey(revision)}
 }
 
-func changeKey(id string) platform.Key {
-	return platform.Key{Partition: changePartition + id, Sort: "change"}
+func changeKey(id string) storage.Key {
+	return storage.Key{Partition: changePartition + id, Sort: "change"}
 }
 
 // Record is one revision in the change log.
@@ -129,7 +129,7 @@
 }
 
 // decodeRow reads a log row and, if its edits are in an object, that object.
-func (s *Store) decodeRow(ctx context.Context, item *platform.Item, revision uint64) (Record, error) {
+func (s *Store) decodeRow(ctx context.Context, item *storage.Item, revision uint64) (Record, error) {
 	where := item.Key.Partition + " " + item.Key.Sort
 	record, err := DecodeRecord(item.Value)
 	if err == nil && (record.Revision != revision || item.Version != revision) {
@@ -142,7 +142,7 @@
 		return record, nil
 	}
 	data, err := s.getObject(ctx, record.Object)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return Record{}, err
 	}
 	if err == nil {
--- a/settings/store/scale_test.go
+++ b/settings/store/scale_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 )
--- a/settings/store/store.go
+++ b/settings/store/store.go
@@ -11,15 +11,15 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
 // Options of a Store.
 type Options struct {
 	// Table and Objects are required.
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   storage.Table
+	Objects storage.ObjectStore
 	// Clock gives the times of changes. Default clock.System.
 	Clock clock.Clock
 	// Logger gets changes of state. Default none.
@@ -191,13 +191,13 @@
 		Msg("settings stay at the last good revision")
 }
 
-func (s *Store) get(ctx context.Context, key platform.Key) (platform.Item, error) {
+func (s *Store) get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
 	return s.options.Table.Get(ctx, key)
 }
 
-func (s *Store) query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+func (s *Store) query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
 	return s.options.Table.Query(ctx, partition, after, limit)
--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -14,8 +14,8 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/platform"
-	"github.com/bronzeyard/bronzeyard/platform/memory"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
 )
@@ -140,14 +140,14 @@
 	cut, down bool
 }
 
-func (c *cutTable) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+func (c *cutTable) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	if c.down {
-		return platform.Item{}, platform.ErrUnavailable
+		return storage.Item{}, storage.ErrUnavailable
 	}
 	return c.Table.Get(ctx, key)
 }
 
-func (c *cutTable) Transact(ctx context.Context, writes []platform.Write) error {
+func (c *cutTable) Transact(ctx context.Context, writes []storage.Write) error {
 	if !c.cut {
 		return c.Table.Transact(ctx, writes)
 	}
@@ -155,7 +155,7 @@
 	if err := c.Table.Transact(ctx, writes); err != nil {
 		return err
 	}
-	return platform.ErrUnknownOutcome
+	return storage.ErrUnknownOutcome
 }
 
 // Guards against a starting host that stays at a stale snapshot, or that needs the whole log.
@@ -188,7 +188,7 @@
 	if err := errors.Join(a.WriteSnapshot(t.Context()), stale.WriteSnapshot(t.Context())); err != nil {
 		t.Fatal(err)
 	}
-	manifest, err := w.table.Get(t.Context(), platform.Key{Partition: "settings", Sort: "manifest"})
+	manifest, err := w.table.Get(t.Context(), storage.Key{Partition: "settings", Sort: "manifest"})
 	if err != nil || manifest.Version != 13 {
 		t.Fatalf("a host at revision 12 replaced the snapshot of revision 13 by one of %d (%v)", manifest.Version, err)
 	}
@@ -226,7 +226,7 @@
 	}
 	change := store.Change{ID: "c1", Operator: "ada", Edits: edits}
 	w.objects.Faults.SetDown(true)
-	if _, err := a.Apply(t.Context(), change); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+	if _, err := a.Apply(t.Context(), change); !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
 		t.Fatalf("got %v, want unavailable with a known outcome", err)
 	}
 	w.objects.Faults.SetDown(false)
@@ -267,7 +267,7 @@
 					if err == nil {
 						break
 					}
-					if !errors.Is(err, platform.ErrUnavailable) {
+					if !errors.Is(err, storage.ErrUnavailable) {
 						t.Errorf("change %s: %v", change.ID, err)
 						return
 					}
@@ -351,8 +351,8 @@
 	if err := w.importInto(w.host(), a, 5); !errors.As(err, &damaged) {
 		t.Fatalf("revision 6 was taken over by a host at 0: %v", err)
 	}
-	back := platform.Write{Kind: platform.Put, Key: store.HeadKey(), Version: 2}
-	if err := w.table.Transact(t.Context(), []platform.Write{back}); err != nil {
+	back := storage.Write{Kind: storage.Put, Key: store.HeadKey(), Version: 2}
+	if err := w.table.Transact(t.Context(), []storage.Write{back}); err != nil {
 		t.Fatal(err)
 	}
 	if err := b.Poll(t.Context()); !errors.As(err, &damaged) || b.Status().Fault == "" {
@@ -369,10 +369,10 @@
 	w.table.Faults.SetDown(true)
 	w.objects.Faults.SetDown(true)
 	change := store.Change{ID: "c2", Operator: "ada", Base: 1, Edits: []settings.Edit{addCustomer("mill")}}
-	if _, err := a.Apply(t.Context(), change); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+	if _, err := a.Apply(t.Context(), change); !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
 		t.Fatalf("got %v, want unavailable with a known outcome", err)
 	}
-	if _, _, err := late.Load(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+	if _, _, err := late.Load(t.Context()); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v, want unavailable", err)
 	}
 	data, err := a.Export()
@@ -387,10 +387,10 @@
 
 // Guards against a host that takes over a damaged row, that falls back to an older revision, or that says nothing.
 func TestDamagedRows(t *testing.T) {
-	for name, damage := range map[string]func(platform.Item) platform.Item{
-		"not JSON":        func(item platform.Item) platform.Item { item.Value = []byte("{"); return item },
-		"unknown member":  func(item platform.Item) platform.Item { item.Value = []byte(`{"x":1}`); return item },
-		"other revision":  func(item platform.Item) platform.Item { item.Version = 9; return item },
+	for name, damage := range map[string]func(storage.Item) storage.Item{
+		"not JSON":        func(item storage.Item) storage.Item { item.Value = []byte("{"); return item },
+		"unknown member":  func(item storage.Item) storage.Item { item.Value = []byte(`{"x":1}`); return item },
+		"other revision":  func(item storage.Item) storage.Item { item.Version = 9; return item },
 		"invalid setting": badEdit,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -398,14 +398,14 @@
 			a, b := w.host(), w.host()
 			w.apply(a, "c1", 0, addCustomer("harbour"))
 			w.apply(a, "c2", 1, addCustomer("mill"))
-			key := platform.Key{Partition: "settings/log/00000000000000000000", Sort: "00000000000000000002"}
+			key := storage.Key{Partition: "settings/log/00000000000000000000", Sort: "00000000000000000002"}
 			item, err := w.table.Get(t.Context(), key)
 			if err != nil {
 				t.Fatal(err)
 			}
 			item = damage(item)
-			write := platform.Write{Kind: platform.Put, Key: key, Value: item.Value, Version: item.Version}
-			if err := w.table.Transact(t.Context(), []platform.Write{write}); err != nil {
+			write := storage.Write{Kind: storage.Put, Key: key, Value: item.Value, Version: item.Version}
+			if err := w.table.Transact(t.Context(), []storage.Write{write}); err != nil {
 				t.Fatal(err)
 			}
 			_, revision, err := b.Load(t.Context())
@@ -424,7 +424,7 @@
 	}
 }
 
-func badEdit(item platform.Item) platform.Item {
+func badEdit(item storage.Item) storage.Item {
 	item.Value = []byte(`{"revision":2,"id":"c2","operator":"x","time":"2026-01-01T00:00:00Z","base":1,` +
 		`"edits":[{"op":"set","path":"customers/harbour/burst","value":0}]}`)
 	return item
--- a/platform/doc.go
+++ b/storage/doc.go
@@ -1,7 +1,7 @@
-// Package platform defines the services that the platform provides: a transactional table, an object store and a list
+// Package storage defines the services that the platform provides: a transactional table, an object store and a list
 // of hosts. Implementations live in subpackages, one per wire format.
 //
 // Reads from the table are strongly consistent. A write whose answer was lost may still have taken effect; Transact
 // reports this as ErrUnknownOutcome and TransactOnce resolves it by reading the write id back. Every call takes a
 // context and must honour its deadline.
-package platform
+package storage
--- a/platform/dynamo/dynamo.go
+++ b/storage/dynamo/dynamo.go
@@ -16,7 +16,7 @@
 	"github.com/aws/smithy-go"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Options of a Table.
@@ -53,7 +53,7 @@
 	attributeWriteID   = "write_id"
 )
 
-// Table is a platform.Table. It is safe for concurrent use.
+// Table is a storage.Table. It is safe for concurrent use.
 type Table struct {
 	client  *dynamodb.Client
 	http    *http.Client
@@ -88,24 +88,24 @@
 	return &Table{client: client, http: options.HTTPClient, name: options.TableName, timeout: options.CallTimeout}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
 	output, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName: &t.name, Key: keyAttributes(key), ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return platform.Item{}, t.unavailable(err)
+		return storage.Item{}, t.unavailable(err)
 	}
 	if len(output.Item) == 0 {
-		return platform.Item{}, platform.ErrNotFound
+		return storage.Item{}, storage.ErrNotFound
 	}
 	return decodeItem(output.Item)
 }
 
-// Query implements platform.Table. The service limits the size of a page, so one query may take several requests.
-func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+// Query implements storage.Table. The service limits the size of a page, so one query may take several requests.
+func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
 	condition, values := "pk = :pk", map[string]types.AttributeValue{":pk": text(partition)}
@@ -113,7 +113,7 @@
 		condition += " AND sk > :after"
 		values[":after"] = text(after)
 	}
-	var items []platform.Item
+	var items []storage.Item
 	var start map[string]types.AttributeValue
 	for len(items) < limit {
 		output, err := t.client.Query(ctx, &dynamodb.QueryInput{
@@ -138,10 +138,10 @@
 	return items, nil
 }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(ctx context.Context, writes []platform.Write) error {
+// Transact implements storage.Table.
+func (t *Table) Transact(ctx context.Context, writes []storage.Write) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
@@ -156,11 +156,11 @@
 			return nil
 		}
 		err = writeError(err, writes)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if errors.As(err, &conflict) {
 			return err
 		}
-		if !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, storage.ErrUnknownOutcome) {
 			if inDoubt != nil {
 				return inDoubt
 			}
@@ -179,35 +179,35 @@
 // timeout.
 func (t *Table) unavailable(err error) error {
 	t.http.CloseIdleConnections()
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 }
 
 func withoutRetries(o *dynamodb.Options) { o.Retryer = aws.NopRetryer{} }
 
 // writeError says what a failed request did.
-func writeError(err error, writes []platform.Write) error {
+func writeError(err error, writes []storage.Write) error {
 	var canceled *types.TransactionCanceledException
 	if errors.As(err, &canceled) {
 		for i, reason := range canceled.CancellationReasons {
 			if aws.ToString(reason.Code) == "ConditionalCheckFailed" && i < len(writes) {
-				return &platform.ConflictError{Index: i, Key: writes[i].Key}
+				return &storage.ConflictError{Index: i, Key: writes[i].Key}
 			}
 		}
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	var inProgress *types.TransactionInProgressException
 	var refused smithy.APIError
 	var response *smithyhttp.ResponseError
 	if errors.As(err, &refused) && errors.As(err, &response) && !errors.As(err, &inProgress) {
 		if status := response.HTTPStatusCode(); status >= http.StatusBadRequest && status < http.StatusInternalServerError {
-			return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+			return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 		}
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnknownOutcome, err)
 }
 
 func text(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
@@ -216,6 +216,6 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatUint(n, 10)}
 }
 
-func keyAttributes(key platform.Key) map[string]types.AttributeValue {
+func keyAttributes(key storage.Key) map[string]types.AttributeValue {
 	return map[string]types.AttributeValue{attributePartition: text(key.Partition), attributeSort: text(key.Sort)}
 }
--- a/platform/dynamo/items.go
+++ b/storage/dynamo/items.go
@@ -10,41 +10,41 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // ErrMalformedItem means that a stored item lacks an attribute or has one of another type.
 var ErrMalformedItem = errors.New("dynamo: malformed item")
 
-func decodeItem(attributes map[string]types.AttributeValue) (platform.Item, error) {
+func decodeItem(attributes map[string]types.AttributeValue) (storage.Item, error) {
 	partition, ok1 := attributes[attributePartition].(*types.AttributeValueMemberS)
 	sort, ok2 := attributes[attributeSort].(*types.AttributeValueMemberS)
 	value, ok3 := attributes[attributeValue].(*types.AttributeValueMemberB)
 	version, ok4 := attributes[attributeVersion].(*types.AttributeValueMemberN)
 	writeID, ok5 := attributes[attributeWriteID].(*types.AttributeValueMemberS)
 	if !ok1 || !ok2 || !ok3 || !ok4 || !ok5 {
-		return platform.Item{}, ErrMalformedItem
+		return storage.Item{}, ErrMalformedItem
 	}
 	number, err := strconv.ParseUint(version.Value, 10, 64)
 	if err != nil {
-		return platform.Item{}, fmt.Errorf("%w: version: %w", ErrMalformedItem, err)
+		return storage.Item{}, fmt.Errorf("%w: version: %w", ErrMalformedItem, err)
 	}
-	return platform.Item{
-		Key: platform.Key{Partition: partition.Value, Sort: sort.Value}, Value: value.Value, Version: number, WriteID: writeID.Value,
+	return storage.Item{
+		Key: storage.Key{Partition: partition.Value, Sort: sort.Value}, Value: value.Value, Version: number, WriteID: writeID.Value,
 	}, nil
 }
 
 // transaction checks the limits before anything is sent, so that exceeding them is no unknown outcome.
-func (t *Table) transaction(writes []platform.Write) (*dynamodb.TransactWriteItemsInput, error) {
-	if len(writes) == 0 || len(writes) > platform.MaxWritesInTransaction {
-		return nil, fmt.Errorf("dynamo: a transaction has 1 to %d writes, not %d", platform.MaxWritesInTransaction, len(writes))
+func (t *Table) transaction(writes []storage.Write) (*dynamodb.TransactWriteItemsInput, error) {
+	if len(writes) == 0 || len(writes) > storage.MaxWritesInTransaction {
+		return nil, fmt.Errorf("dynamo: a transaction has 1 to %d writes, not %d", storage.MaxWritesInTransaction, len(writes))
 	}
 	input := &dynamodb.TransactWriteItemsInput{ClientRequestToken: aws.String(rand.Text())}
 	for i := range writes {
 		write := &writes[i]
-		if len(write.Value) > platform.MaxValueBytes {
+		if len(write.Value) > storage.MaxValueBytes {
 			return nil, fmt.Errorf("dynamo: value of %s/%s has %d bytes, at most %d are allowed",
-				write.Key.Partition, write.Key.Sort, len(write.Value), platform.MaxValueBytes)
+				write.Key.Partition, write.Key.Sort, len(write.Value), storage.MaxValueBytes)
 		}
 		item, err := t.writeItem(write)
 		if err != nil {
@@ -55,10 +55,10 @@
 	return input, nil
 }
 
-func (t *Table) writeItem(write *platform.Write) (types.TransactWriteItem, error) {
+func (t *Table) writeItem(write *storage.Write) (types.TransactWriteItem, error) {
 	condition, names, values := conditionOf(write.Condition)
 	switch write.Kind {
-	case platform.Put:
+	case storage.Put:
 		attributes := keyAttributes(write.Key)
 		attributes[attributeValue] = &types.AttributeValueMemberB{Value: append([]byte{}, write.Value...)}
 		attributes[attributeVersion] = number(write.Version)
@@ -67,12 +67,12 @@
 			TableName: &t.name, Item: attributes, ConditionExpression: condition,
 			ExpressionAttributeNames: names, ExpressionAttributeValues: values,
 		}}, nil
-	case platform.Delete:
+	case storage.Delete:
 		return types.TransactWriteItem{Delete: &types.Delete{
 			TableName: &t.name, Key: keyAttributes(write.Key), ConditionExpression: condition,
 			ExpressionAttributeNames: names, ExpressionAttributeValues: values,
 		}}, nil
-	case platform.Check:
+	case storage.Check:
 		if condition == nil {
 			return types.TransactWriteItem{}, errors.New("dynamo: a check needs a condition")
 		}
@@ -85,11 +85,11 @@
 	}
 }
 
-func conditionOf(c platform.Condition) (*string, map[string]string, map[string]types.AttributeValue) {
+func conditionOf(c storage.Condition) (*string, map[string]string, map[string]types.AttributeValue) {
 	switch c.Kind {
-	case platform.Absent:
+	case storage.Absent:
 		return aws.String("attribute_not_exists(pk)"), nil, nil
-	case platform.VersionIs:
+	case storage.VersionIs:
 		return aws.String("#version = :version"),
 			map[string]string{"#version": attributeVersion},
 			map[string]types.AttributeValue{":version": number(c.Version)}
--- a/platform/errors.go
+++ b/storage/errors.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
@@ -9,11 +9,11 @@
 // Errors of the platform's services.
 var (
 	// ErrNotFound means that no such item or object is stored.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("storage: not found")
 	// ErrUnavailable means that the service did not take the request; nothing was changed.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("storage: service unavailable")
 	// ErrUnknownOutcome means that a write may or may not have taken effect.
-	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	ErrUnknownOutcome = errors.New("storage: outcome of the write is unknown")
 )
 
 // ConflictError reports the first write of a transaction whose condition did not hold.
@@ -25,7 +25,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: condition of write %d on %s/%s does not hold", e.Index, e.Key.Partition, e.Key.Sort)
+	return fmt.Sprintf("storage: condition of write %d on %s/%s does not hold", e.Index, e.Key.Partition, e.Key.Sort)
 }
 
 // TransactOnce applies the writes and resolves an unknown outcome by reading back the first Put: if the stored item
--- a/platform/httpsd/httpsd.go
+++ b/storage/httpsd/httpsd.go
@@ -10,7 +10,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 const (
@@ -37,7 +37,7 @@
 	CallTimeout time.Duration
 }
 
-// HostList is a platform.HostList. It is safe for concurrent use.
+// HostList is a storage.HostList. It is safe for concurrent use.
 type HostList struct {
 	options Options
 }
@@ -53,20 +53,20 @@
 	return &HostList{options: options}
 }
 
-// Hosts implements platform.HostList. A document that does not have the expected form is an error as a whole.
-func (l *HostList) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+// Hosts implements storage.HostList. A document that does not have the expected form is an error as a whole.
+func (l *HostList) Hosts(ctx context.Context) ([]storage.ListedHost, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
 	defer cancel()
 	data, err := l.read(ctx)
 	if err != nil {
 		l.options.HTTPClient.CloseIdleConnections() // After a network fault they may all be silent.
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	var groups []Group
 	if err := json.Unmarshal(data, &groups); err != nil {
 		return nil, fmt.Errorf("httpsd: %w", err)
 	}
-	hosts := []platform.ListedHost{}
+	hosts := []storage.ListedHost{}
 	for _, group := range groups {
 		listed, err := listedHosts(group)
 		if err != nil {
@@ -97,21 +97,21 @@
 	return data, err
 }
 
-func listedHosts(group Group) ([]platform.ListedHost, error) {
-	state := platform.HostState(group.Labels[StateLabel])
+func listedHosts(group Group) ([]storage.ListedHost, error) {
+	state := storage.HostState(group.Labels[StateLabel])
 	switch state {
 	case "":
-		state = platform.HostLive
-	case platform.HostLive, platform.HostLeaving:
+		state = storage.HostLive
+	case storage.HostLive, storage.HostLeaving:
 	default:
 		return nil, fmt.Errorf("httpsd: %q is not a state", state)
 	}
-	var hosts []platform.ListedHost
+	var hosts []storage.ListedHost
 	for _, target := range group.Targets {
 		if !isAddress(target) {
 			return nil, fmt.Errorf("httpsd: %q is not an IP number with an optional port", target)
 		}
-		hosts = append(hosts, platform.ListedHost{Address: target, State: state})
+		hosts = append(hosts, storage.ListedHost{Address: target, State: state})
 	}
 	return hosts, nil
 }
--- a/platform/memory/faults.go
+++ b/storage/memory/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Faults is a set of faults that can be changed while the service is in use. The zero value injects none.
@@ -17,7 +17,7 @@
 	loseWrites  int
 }
 
-// SetDown starts or ends an outage in which every call fails with platform.ErrUnavailable.
+// SetDown starts or ends an outage in which every call fails with storage.ErrUnavailable.
 func (f *Faults) SetDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -31,14 +31,14 @@
 	f.delay = delay
 }
 
-// LoseAnswers lets the next n writes take effect and fail with platform.ErrUnknownOutcome.
+// LoseAnswers lets the next n writes take effect and fail with storage.ErrUnknownOutcome.
 func (f *Faults) LoseAnswers(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loseAnswers = n
 }
 
-// LoseWrites lets the next n writes fail with platform.ErrUnknownOutcome without taking effect.
+// LoseWrites lets the next n writes fail with storage.ErrUnknownOutcome without taking effect.
 func (f *Faults) LoseWrites(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -60,7 +60,7 @@
 		}
 	}
 	if down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return ctx.Err()
 }
--- a/platform/memory/memory.go
+++ b/storage/memory/memory.go
@@ -7,21 +7,21 @@
 	"slices"
 	"sync"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
-// Table is an in-memory platform.Table.
+// Table is an in-memory storage.Table.
 type Table struct {
 	Faults Faults
 
 	mu     sync.Mutex
-	items  map[platform.Key]platform.Item
+	items  map[storage.Key]storage.Item
 	reads  int
 	writes int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{items: make(map[platform.Key]platform.Item)} }
+func NewTable() *Table { return &Table{items: make(map[storage.Key]storage.Item)} }
 
 // Counts returns the reads and the written items so far.
 func (t *Table) Counts() (reads, writes int) {
@@ -30,43 +30,43 @@
 	return t.reads, t.writes
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	if err := t.Faults.enter(ctx); err != nil {
-		return platform.Item{}, err
+		return storage.Item{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	item, ok := t.items[key]
 	if !ok {
-		return platform.Item{}, platform.ErrNotFound
+		return storage.Item{}, storage.ErrNotFound
 	}
 	return cloneItem(item), nil
 }
 
-// Query implements platform.Table.
-func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+// Query implements storage.Table.
+func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	if err := t.Faults.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	var found []platform.Item
+	var found []storage.Item
 	for key, item := range t.items {
 		if key.Partition == partition && key.Sort > after {
 			found = append(found, cloneItem(item))
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Item) int {
+	slices.SortFunc(found, func(a, b storage.Item) int {
 		return bytes.Compare([]byte(a.Key.Sort), []byte(b.Key.Sort))
 	})
 	return found[:min(limit, len(found))], nil
 }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(ctx context.Context, writes []platform.Write) error {
+// Transact implements storage.Table.
+func (t *Table) Transact(ctx context.Context, writes []storage.Write) error {
 	if err := validate(writes); err != nil {
 		return err
 	}
@@ -80,17 +80,17 @@
 		}
 	}
 	if !answered {
-		return platform.ErrUnknownOutcome
+		return storage.ErrUnknownOutcome
 	}
 	return nil
 }
 
-func (t *Table) apply(writes []platform.Write) error {
+func (t *Table) apply(writes []storage.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := range writes {
 		if !t.holds(writes[i].Key, writes[i].Condition) {
-			return &platform.ConflictError{Index: i, Key: writes[i].Key}
+			return &storage.ConflictError{Index: i, Key: writes[i].Key}
 		}
 	}
 	for i := range writes {
@@ -99,42 +99,42 @@
 	return nil
 }
 
-func (t *Table) applyOne(write *platform.Write) {
+func (t *Table) applyOne(write *storage.Write) {
 	switch write.Kind {
-	case platform.Put:
+	case storage.Put:
 		t.writes++
-		t.items[write.Key] = platform.Item{
+		t.items[write.Key] = storage.Item{
 			Key: write.Key, Value: bytes.Clone(write.Value), Version: write.Version, WriteID: write.WriteID,
 		}
-	case platform.Delete:
+	case storage.Delete:
 		t.writes++
 		delete(t.items, write.Key)
-	case platform.Check:
+	case storage.Check:
 	}
 }
 
-func (t *Table) holds(key platform.Key, condition platform.Condition) bool {
+func (t *Table) holds(key storage.Key, condition storage.Condition) bool {
 	item, stored := t.items[key]
 	switch condition.Kind {
-	case platform.Absent:
+	case storage.Absent:
 		return !stored
-	case platform.VersionIs:
+	case storage.VersionIs:
 		return stored && item.Version == condition.Version
 	default:
 		return true
 	}
 }
 
-func validate(writes []platform.Write) error {
-	if len(writes) == 0 || len(writes) > platform.MaxWritesInTransaction {
-		return fmt.Errorf("memory: a transaction has 1 to %d writes, not %d", platform.MaxWritesInTransaction, len(writes))
+func validate(writes []storage.Write) error {
+	if len(writes) == 0 || len(writes) > storage.MaxWritesInTransaction {
+		return fmt.Errorf("memory: a transaction has 1 to %d writes, not %d", storage.MaxWritesInTransaction, len(writes))
 	}
-	seen := make(map[platform.Key]bool, len(writes))
+	seen := make(map[storage.Key]bool, len(writes))
 	for i := range writes {
 		write := &writes[i]
-		if len(write.Value) > platform.MaxValueBytes {
+		if len(write.Value) > storage.MaxValueBytes {
 			return fmt.Errorf("memory: value of %s/%s has %d bytes, at most %d are allowed",
-				write.Key.Partition, write.Key.Sort, len(write.Value), platform.MaxValueBytes)
+				write.Key.Partition, write.Key.Sort, len(write.Value), storage.MaxValueBytes)
 		}
 		if seen[write.Key] {
 			return fmt.Errorf("memory: two writes on %s/%s in one transaction", write.Key.Partition, write.Key.Sort)
@@ -144,12 +144,12 @@
 	return nil
 }
 
-func cloneItem(item platform.Item) platform.Item {
+func cloneItem(item storage.Item) storage.Item {
 	item.Value = bytes.Clone(item.Value)
 	return item
 }
 
-// ObjectStore is an in-memory platform.ObjectStore.
+// ObjectStore is an in-memory storage.ObjectStore.
 type ObjectStore struct {
 	Faults Faults
 
@@ -160,7 +160,7 @@
 // NewObjectStore returns an empty object store.
 func NewObjectStore() *ObjectStore { return &ObjectStore{objects: make(map[string][]byte)} }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (s *ObjectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := s.Faults.enter(ctx); err != nil {
 		return nil, err
@@ -169,12 +169,12 @@
 	defer s.mu.Unlock()
 	data, ok := s.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return bytes.Clone(data), nil
 }
 
-// Put implements platform.ObjectStore.
+// Put implements storage.ObjectStore.
 func (s *ObjectStore) Put(ctx context.Context, name string, data []byte) error {
 	if err := s.Faults.enter(ctx); err != nil {
 		return err
@@ -185,23 +185,23 @@
 	return nil
 }
 
-// HostList is an in-memory platform.HostList.
+// HostList is an in-memory storage.HostList.
 type HostList struct {
 	Faults Faults
 
 	mu    sync.Mutex
-	hosts []platform.ListedHost
+	hosts []storage.ListedHost
 }
 
 // Set replaces the list.
-func (l *HostList) Set(hosts []platform.ListedHost) {
+func (l *HostList) Set(hosts []storage.ListedHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts = slices.Clone(hosts)
 }
 
-// Hosts implements platform.HostList.
-func (l *HostList) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+// Hosts implements storage.HostList.
+func (l *HostList) Hosts(ctx context.Context) ([]storage.ListedHost, error) {
 	if err := l.Faults.enter(ctx); err != nil {
 		return nil, err
 	}
--- a/platform/s3/s3.go
+++ b/storage/s3/s3.go
@@ -14,7 +14,7 @@
 	awss3 "github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 
-	"github.com/bronzeyard/bronzeyard/platform"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // MaxObjectBytes bounds an object.
@@ -44,7 +44,7 @@
 	CallTimeout time.Duration
 }
 
-// ObjectStore is a platform.ObjectStore. It is safe for concurrent use.
+// ObjectStore is a storage.ObjectStore. It is safe for concurrent use.
 type ObjectStore struct {
 	client  *awss3.Client
 	http    *http.Client
@@ -83,14 +83,14 @@
 	return &ObjectStore{client: client, http: options.HTTPClient, bucket: options.Bucket, timeout: options.CallTimeout}
 }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (s *ObjectStore) Get(ctx context.Context, name string) (data []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	output, err := s.client.GetObject(ctx, &awss3.GetObjectInput{Bucket: &s.bucket, Key: &name})
 	var missing *types.NoSuchKey
 	if errors.As(err, &missing) {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	if err != nil {
 		return nil, s.unavailable(err)
@@ -107,8 +107,8 @@
 	}
 }
 
-// Put implements platform.ObjectStore. A repeated Put of the same data is harmless, so every failure is
-// platform.ErrUnavailable, also if the object may have been stored.
+// Put implements storage.ObjectStore. A repeated Put of the same data is harmless, so every failure is
+// storage.ErrUnavailable, also if the object may have been stored.
 func (s *ObjectStore) Put(ctx context.Context, name string, data []byte) error {
 	if len(data) > MaxObjectBytes {
 		return fmt.Errorf("s3: the object %q has %d bytes, at most %d are allowed", name, len(data), MaxObjectBytes)
@@ -126,5 +126,5 @@
 // timeout.
 func (s *ObjectStore) unavailable(err error) error {
 	s.http.CloseIdleConnections()
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "context"
 
