--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -42,12 +42,14 @@
 	goodFactor = 0.7
 	// strikesAfterTrial remain when a trial closes a breaker, so that an error status right after opens it again.
 	strikesAfterTrial = 0.5
-	// firstHold is how long a breaker stays open at first.
-	firstHold = 1500 * time.Millisecond
+	// firstHold is how long a breaker stays open at first, if only a request can test its upstream.
+	firstHold = 2 * time.Second
 	// holdGrowth is the factor between the holds of breakers that open again after a trial.
 	holdGrowth = 1.5
-	// longestHold bounds the hold. It stays near the time in which a recovered upstream must get requests again.
-	longestHold = 4 * time.Second
+	// longestHold bounds the hold.
+	longestHold = 8 * time.Second
+	// probeHold is the hold where a probe can test the upstream. A probe costs no request.
+	probeHold = 800 * time.Millisecond
 	// forgetHold is the time after a close from which the next hold is the first again.
 	forgetHold = 6 * time.Second
 	// trialHold is how long a trial keeps other hosts from making one.
@@ -84,8 +86,10 @@
 const (
 	Closed State = iota
 	Open
-	// TrialDue means that this host may make a trial.
+	// TrialDue means that this host may make a trial with a request.
 	TrialDue
+	// ProbeDue means that this host may make a trial with a probe.
+	ProbeDue
 )
 
 type circuit struct {
@@ -96,8 +100,13 @@
 	hold      time.Duration
 	closedAt  time.Time
 	trial     bool // this host's trial is running
+	cause     Sample
 }
 
+// probed reports whether a probe can show that the upstream has recovered: failures of connections show in any exchange,
+// failures of the work only when work is done.
+func (c *circuit) probed() bool { return c.cause == Broken || c.cause == Unreachable }
+
 // Set holds the breakers of all upstreams. It is safe for concurrent use.
 type Set struct {
 	self string
@@ -134,13 +143,19 @@
 func (s *Set) State(now time.Time, id settings.UpstreamID) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.circuits[id]
+	return s.state(now, id, s.circuits[id])
+}
+
+func (s *Set) state(now time.Time, id settings.UpstreamID, c *circuit) State {
 	if c == nil || !c.open {
 		return Closed
 	}
 	if now.Before(c.until.Add(time.Duration(s.rank(id)) * rankDelay)) {
 		return Open
 	}
+	if c.probed() {
+		return ProbeDue
+	}
 	return TrialDue
 }
 
@@ -158,6 +173,19 @@
 
 func score(id settings.UpstreamID, host string) uint64 { return xxhash.Sum64String(string(id) + "\x00" + host) }
 
+// ProbesDue returns the upstreams that this host may probe now.
+func (s *Set) ProbesDue(now time.Time) []settings.UpstreamID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []settings.UpstreamID
+	for id, c := range s.circuits {
+		if s.state(now, id, c) == ProbeDue {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
 // BeginTrial starts a trial of this host.
 func (s *Set) BeginTrial(now time.Time, id settings.UpstreamID) []Notice {
 	s.mu.Lock()
@@ -225,6 +253,7 @@
 	c.decay(now)
 	c.strikes += strikesOf(sample)
 	c.trial = false
+	c.cause = sample
 	switch {
 	case c.open:
 		// Attempts from before the breaker opened say nothing new; a trial that failed does, and comes after the hold.
@@ -261,15 +290,24 @@
 }
 
 func (c *circuit) openFor(now time.Time) {
+	c.open = true
+	if c.probed() {
+		c.until = now.Add(probeHold)
+		return
+	}
 	if c.hold == 0 || now.Sub(c.closedAt) > forgetHold {
 		c.hold = firstHold
 	} else {
 		c.grow()
 	}
-	c.open, c.until = true, now.Add(c.hold)
+	c.until = now.Add(c.hold)
 }
 
 func (c *circuit) reopen(now time.Time) {
+	if c.probed() {
+		c.until = now.Add(probeHold)
+		return
+	}
 	c.grow()
 	c.until = now.Add(c.hold)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
 		Forwarder: g.forwarder, Headers: options.Headers, Observe: g.observe, Draw: rand.Float64,
+		LimitOf: g.limitOfCustomer,
 	})
 	g.server = pipeline.New(pipeline.Options{
 		Handler: handler.Serve, Limits: g.limits, Refuse: refuse, Budget: budget, MaxConnections: options.Connections,
@@ -160,6 +161,7 @@
 	go followers.configuration(running)
 	go followers.upstreams(running)
 	go followers.hosts(running)
+	go newProber(g).run(running)
 	go g.node.Run(running)
 	go g.log.run(running)
 	served := make(chan error, 1)
@@ -286,7 +288,16 @@
 	if !ok {
 		return quota.Limit{}, false
 	}
-	return quota.Limit{Rate: customer.Rate, Burst: customer.Burst}, true
+	return g.limitOfCustomer(customer), true
+}
+
+// toleranceShare is the share of the limits' tolerance that is used. The rest is for what hosts admit before they have
+// heard of each other.
+const toleranceShare = 0.5
+
+func (g *Gateway) limitOfCustomer(customer *settings.Customer) quota.Limit {
+	tolerance := toleranceShare * g.boundsNow().LimitTolerance
+	return quota.Limit{Rate: customer.Rate, Burst: customer.Burst, Tolerance: tolerance}
 }
 
 // observe logs a finished request.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -98,7 +98,7 @@
 		switch breakers(u.ID) {
 		case breaker.TrialDue:
 			return p.take(Choice{Upstream: *u, Trial: true, Candidates: len(upstreams)}, c.state), true
-		case breaker.Open:
+		case breaker.Open, breaker.ProbeDue:
 			open = append(open, c)
 		default:
 			candidates = append(candidates, c)
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -19,15 +19,20 @@
 	nearShare = 0.6
 	// deepest bounds the debt of a bucket, in seconds of the rate.
 	deepest = 1.0
-	// startShare is the share of the burst that a new bucket holds. What the hosts admitted before a restart of all of them
-	// is not known.
-	startShare = 0.5
 	// forgetAfter is the time without use after which a customer's state is dropped.
 	forgetAfter = time.Minute
 )
 
 // Limit is a customer's rate in requests per second and its burst in requests.
-type Limit struct{ Rate, Burst float64 }
+type Limit struct {
+	Rate, Burst float64
+	// Tolerance is the number of requests by which the hosts together may exceed the limit because they know of each other
+	// late. It is used in favour of the customer.
+	Tolerance float64
+}
+
+// capacity is the size of the bucket.
+func (l Limit) capacity() float64 { return l.Burst + l.Tolerance }
 
 // Use is what a host reports of a customer, counted since the start of its process.
 type Use struct {
@@ -136,7 +141,7 @@
 	b := l.buckets[id]
 	if b == nil {
 		l.sweep(now)
-		b = &bucket{limit: limit, tokens: startShare * limit.Burst, filledAt: now, remotes: make(map[string]remote)}
+		b = &bucket{limit: limit, tokens: limit.capacity(), share: 1, filledAt: now, remotes: make(map[string]remote)}
 		b.own.Customer = id
 		l.buckets[id] = b
 	}
@@ -160,7 +165,7 @@
 // guard is what other hosts may have admitted since their last reports.
 func (b *bucket) guard(now time.Time) float64 {
 	others := max(0, b.all.perSecond(now)-b.mine.perSecond(now))
-	return min(others*guardTime.Seconds(), b.limit.Burst/2)
+	return min(others*guardTime.Seconds(), b.limit.capacity()/2)
 }
 
 // part is this host's part of the rate, by demand.
@@ -188,8 +193,8 @@
 	b.filledAt = now
 	silent := max(0, l.hosts-1-l.live(now))
 	rate := b.limit.Rate * (1 - float64(silent)/float64(l.hosts))
-	b.tokens = clamp(b.tokens+rate*passed, -b.limit.Rate*deepest, b.limit.Burst)
-	b.share = min(b.share+rate*b.part(now)*passed, max(1, b.limit.Burst*b.part(now)))
+	b.tokens = clamp(b.tokens+rate*passed, -b.limit.Rate*deepest, b.limit.capacity())
+	b.share = min(b.share+rate*b.part(now)*passed, max(1, b.limit.capacity()*b.part(now)))
 }
 
 // live counts the other hosts that were heard lately.
@@ -257,7 +262,7 @@
 }
 
 func (b *bucket) near(now time.Time) bool {
-	return b.mine.now(now) > 0.5 && (b.all.perSecond(now) > nearShare*b.limit.Rate || b.tokens < b.limit.Burst/2)
+	return b.mine.now(now) > 0.5 && (b.all.perSecond(now) > nearShare*b.limit.Rate || b.tokens < b.limit.capacity()/2)
 }
 
 func clamp(x, low, high float64) float64 { return min(max(x, low), high) }
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -138,3 +138,9 @@
 	}
 	return view
 }
+
+// Find returns the entry of an upstream.
+func (v *View) Find(id settings.UpstreamID) (Entry, bool) {
+	entry, ok := v.known[id]
+	return entry, ok
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -65,7 +65,7 @@
 	Admit(now time.Time, id settings.CustomerID, limit quota.Limit) quota.Decision
 }
 
-// Options configure a Relay. All fields but Draw are required.
+// Options configure a Relay. All fields are required.
 type Options struct {
 	// Snapshot returns the settings in force; nil if none are known.
 	Snapshot func() *settings.Snapshot
@@ -77,6 +77,8 @@
 	Headers     Headers
 	// Observe is called once for each request. It must not block.
 	Observe func(*Event)
+	// LimitOf returns the limit that a customer is held to.
+	LimitOf func(*settings.Customer) quota.Limit
 	// Draw returns a random number from 0 up to 1 for splits.
 	Draw func() float64
 }
@@ -267,8 +269,7 @@
 	if x.customer == nil {
 		return nil
 	}
-	limit := quota.Limit{Rate: x.customer.Rate, Burst: x.customer.Burst}
-	decision := x.options.Limiter.Admit(time.Now(), x.customer.ID, limit)
+	decision := x.options.Limiter.Admit(time.Now(), x.customer.ID, x.options.LimitOf(x.customer))
 	x.event.Tokens, x.event.HostsHeard = decision.Tokens, decision.Hosts
 	if decision.Allowed {
 		return nil
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -140,7 +141,9 @@
 	case relay.Answered:
 		r.report(id, breaker.Good)
 	case relay.FailedStatus:
-		r.report(id, breaker.ErrorStatus)
+		if result.Status != http.StatusGatewayTimeout {
+			r.report(id, breaker.ErrorStatus)
+		}
 	case relay.Broken, relay.NotSent:
 		r.report(id, breaker.Broken)
 	case relay.NotConnected:
@@ -148,9 +151,7 @@
 	case relay.WrongInstance:
 		r.registry.Gone(id)
 	case relay.TimedOut:
-		if result.Granted >= time.Second {
-			r.report(id, breaker.Hung)
-		}
+		// Running out of a short time says nothing; out of a long one was reported when the attempt began to hang.
 	case relay.NotRun, relay.Cancelled:
 	}
 }
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -65,4 +65,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// LimitTolerance is the number of requests by which all hosts together may exceed a customer's limit.
+	LimitTolerance float64
 }
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -171,7 +171,9 @@
 	for name, values := range q.Header {
 		header[name] = values
 	}
-	header[names.RequestID] = []string{a.attemptID}
+	if a.attemptID != "" {
+		header[names.RequestID] = []string{a.attemptID}
+	}
 	if deadline, ok := a.ctx.Deadline(); ok {
 		left := max(1, time.Until(deadline).Milliseconds())
 		header[names.Timeout] = []string{strconv.FormatInt(left, 10)}
