--- a/bench/capacitybench/layers.go
+++ b/bench/capacitybench/layers.go
@@ -18,8 +18,8 @@
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency"
 	"github.com/bronzeyard/bronzeyard/fleet/membership"
 	"github.com/bronzeyard/bronzeyard/fleet/ratelimit"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/traffic/outlier"
 )
 
--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -18,8 +18,8 @@
 	"github.com/bronzeyard/bronzeyard/cmd/internal/ctl"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/host/admin"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 const token = "token-of-ada"
--- a/emulator/local/local.go
+++ b/emulator/local/local.go
@@ -18,9 +18,9 @@
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
 	"github.com/bronzeyard/bronzeyard/host"
 	"github.com/bronzeyard/bronzeyard/host/config"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // Options of a local deployment.
--- a/emulator/platformserver/store_test.go
+++ b/emulator/platformserver/store_test.go
@@ -7,9 +7,9 @@
 	"testing"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Guards against clients and a store that each hold to their contract and together lose or double a change: lost
--- a/fleet/idempotency/auto_test.go
+++ b/fleet/idempotency/auto_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Guards against a second run of an operation that was claimed in memory only and whose owner is lost, in whatever order
--- a/fleet/idempotency/operations.go
+++ b/fleet/idempotency/operations.go
@@ -14,8 +14,8 @@
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/idempotency/tableclaims"
 	"github.com/bronzeyard/bronzeyard/fleet/peer"
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
--- a/fleet/idempotency/tablefleet_test.go
+++ b/fleet/idempotency/tablefleet_test.go
@@ -14,9 +14,9 @@
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer/peertest"
+	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/storage/memory"
-	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -30,7 +30,7 @@
 // Strikes by sample. A breaker opens at 1.
 const (
 	strikesErrorStatus = 0.6
-	strikesHung        = 1.0
+	strikesHung        = 0.5
 	strikesBroken      = 1.0
 	strikesUnreachable = 1.0
 )
@@ -42,14 +42,13 @@
 	goodFactor = 0.7
 	// strikesAfterTrial remain when a trial closes a breaker, so that an error status right after opens it again.
 	strikesAfterTrial = 0.5
-	// firstHold is how long a breaker stays open at first, if only a request can test its upstream.
-	firstHold = 2 * time.Second
+	// firstHold is how long a breaker stays open at first. A trial may cost a request that cannot be repeated, and an
+	// upstream that is missed for some seconds costs little.
+	firstHold = 5 * time.Second
 	// holdGrowth is the factor between the holds of breakers that open again after a trial.
-	holdGrowth = 1.5
+	holdGrowth = 1.2
 	// longestHold bounds the hold.
 	longestHold = 8 * time.Second
-	// probeHold is the hold where a probe can test the upstream. A probe costs no request.
-	probeHold = 800 * time.Millisecond
 	// forgetHold is the time after a close from which the next hold is the first again.
 	forgetHold = 6 * time.Second
 	// trialHold is how long a trial keeps other hosts from making one.
@@ -86,10 +85,8 @@
 const (
 	Closed State = iota
 	Open
-	// TrialDue means that this host may make a trial with a request.
+	// TrialDue means that this host may make a trial.
 	TrialDue
-	// ProbeDue means that this host may make a trial with a probe.
-	ProbeDue
 )
 
 type circuit struct {
@@ -100,13 +97,8 @@
 	hold      time.Duration
 	closedAt  time.Time
 	trial     bool // this host's trial is running
-	cause     Sample
 }
 
-// probed reports whether a probe can show that the upstream has recovered: failures of connections show in any exchange,
-// failures of the work only when work is done.
-func (c *circuit) probed() bool { return c.cause == Broken || c.cause == Unreachable }
-
 // Set holds the breakers of all upstreams. It is safe for concurrent use.
 type Set struct {
 	self string
@@ -153,12 +145,21 @@
 	if now.Before(c.until.Add(time.Duration(s.rank(id)) * rankDelay)) {
 		return Open
 	}
-	if c.probed() {
-		return ProbeDue
-	}
 	return TrialDue
 }
 
+// Strikes returns the strikes against an upstream.
+func (s *Set) Strikes(now time.Time, id settings.UpstreamID) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.circuits[id]
+	if c == nil {
+		return 0
+	}
+	c.decay(now)
+	return c.strikes
+}
+
 // rank is this host's place in the order of trials of an upstream.
 func (s *Set) rank(id settings.UpstreamID) int {
 	own := score(id, s.self)
@@ -171,19 +172,8 @@
 	return rank
 }
 
-func score(id settings.UpstreamID, host string) uint64 { return xxhash.Sum64String(string(id) + "\x00" + host) }
-
-// ProbesDue returns the upstreams that this host may probe now.
-func (s *Set) ProbesDue(now time.Time) []settings.UpstreamID {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var due []settings.UpstreamID
-	for id, c := range s.circuits {
-		if s.state(now, id, c) == ProbeDue {
-			due = append(due, id)
-		}
-	}
-	return due
+func score(id settings.UpstreamID, host string) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + host)
 }
 
 // BeginTrial starts a trial of this host.
@@ -253,7 +243,6 @@
 	c.decay(now)
 	c.strikes += strikesOf(sample)
 	c.trial = false
-	c.cause = sample
 	switch {
 	case c.open:
 		// Attempts from before the breaker opened say nothing new; a trial that failed does, and comes after the hold.
@@ -291,10 +280,6 @@
 
 func (c *circuit) openFor(now time.Time) {
 	c.open = true
-	if c.probed() {
-		c.until = now.Add(probeHold)
-		return
-	}
 	if c.hold == 0 || now.Sub(c.closedAt) > forgetHold {
 		c.hold = firstHold
 	} else {
@@ -304,10 +289,6 @@
 }
 
 func (c *circuit) reopen(now time.Time) {
-	if c.probed() {
-		c.until = now.Add(probeHold)
-		return
-	}
 	c.grow()
 	c.until = now.Add(c.hold)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,7 +161,6 @@
 	go followers.configuration(running)
 	go followers.upstreams(running)
 	go followers.hosts(running)
-	go newProber(g).run(running)
 	go g.node.Run(running)
 	go g.log.run(running)
 	served := make(chan error, 1)
@@ -313,4 +312,3 @@
 	default:
 	}
 }
-
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -37,9 +37,9 @@
 	outstanding atomic.Int64
 	// ended is set before the last answer counts as written. No request may start after it: the caller takes requests
 	// behind that answer as not read and sends them again.
-	ended atomic.Bool
-	mu          sync.Mutex
-	reading     bool // a request has begun to arrive, so the idle timeout does not apply
+	ended   atomic.Bool
+	mu      sync.Mutex
+	reading bool // a request has begun to arrive, so the idle timeout does not apply
 }
 
 // exchange is one request and its answer.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,8 @@
 	latencyWeight = 0.25
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
 	slowCost = 0.4
+	// leastShare is the share of a service's upstreams that stay in use whatever their breakers say.
+	leastShare = 0.34
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
 	slowHalfLife = 3 * time.Second
 )
@@ -72,6 +75,8 @@
 	random *rand.Rand
 	states map[settings.UpstreamID]*state
 	took   float64 // mean duration of the service in seconds
+	// samples counts good answers.
+	samples int
 }
 
 // New returns a Pool for a host in the data centre.
@@ -79,35 +84,42 @@
 	return &Pool{dataCentre: dataCentre, random: random, states: make(map[settings.UpstreamID]*state)}
 }
 
-// Pick chooses an upstream outside exclude and counts the attempt as in flight until Done. breakers states each
-// upstream's breaker. It reports false if there is no candidate.
+// Breakers states the circuit breaker of an upstream.
+type Breakers interface {
+	State(now time.Time, id settings.UpstreamID) breaker.State
+	Strikes(now time.Time, id settings.UpstreamID) float64
+}
+
+// Pick chooses an upstream outside exclude and counts the attempt as in flight until Done. It reports false if there is no
+// candidate.
 func (p *Pool) Pick(
-	now time.Time, upstreams []settings.Upstream, exclude []settings.UpstreamID,
-	breakers func(settings.UpstreamID) breaker.State,
+	now time.Time, upstreams []settings.Upstream, exclude []settings.UpstreamID, breakers Breakers,
 ) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates []candidate
-	var open []candidate
+	var candidates, open []candidate
+	usable := 0
 	for i := range upstreams {
 		u := &upstreams[i]
-		if u.Leaving || slices.Contains(exclude, u.ID) {
+		if u.Leaving {
+			continue
+		}
+		usable++
+		if slices.Contains(exclude, u.ID) {
 			continue
 		}
 		c := candidate{upstream: u, state: p.state(u.ID)}
-		switch breakers(u.ID) {
+		switch breakers.State(now, u.ID) {
 		case breaker.TrialDue:
-			return p.take(Choice{Upstream: *u, Trial: true, Candidates: len(upstreams)}, c.state), true
-		case breaker.Open, breaker.ProbeDue:
+			return p.take(Choice{Upstream: *u, Trial: true, Candidates: usable}, c.state), true
+		case breaker.Open:
+			c.strikes = breakers.Strikes(now, u.ID)
 			open = append(open, c)
 		default:
 			candidates = append(candidates, c)
 		}
 	}
-	if len(candidates) == 0 {
-		// With every breaker open, any upstream is better than a refusal.
-		candidates = open
-	}
+	candidates = fillUp(candidates, open, usable)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -132,6 +144,18 @@
 type candidate struct {
 	upstream *settings.Upstream
 	state    *state
+	strikes  float64
+}
+
+// fillUp adds upstreams whose breakers are open, those with the fewest strikes first, until the candidates are at least
+// leastShare of the usable upstreams. When most of a service seems sick, the evidence or the load is at fault.
+func fillUp(candidates, open []candidate, usable int) []candidate {
+	missing := min(int(math.Ceil(leastShare*float64(usable)))-len(candidates), len(open))
+	if missing <= 0 {
+		return candidates
+	}
+	slices.SortFunc(open, func(a, b candidate) int { return cmp.Compare(a.strikes, b.strikes) })
+	return append(candidates, open[:missing]...)
 }
 
 // choose takes the better of two near candidates, or of two distant ones if those are better by the cost of distance.
@@ -218,6 +242,7 @@
 func (p *Pool) observe(now time.Time, s *state, took float64) {
 	s.took = smoothed(s.took, took, latencyWeight)
 	s.tookAt = now
+	p.samples++
 	p.took = smoothed(p.took, took, latencyWeight/4)
 }
 
@@ -228,10 +253,16 @@
 	return mean + weight*(sample-mean)
 }
 
-// Typical is the mean duration of the service's good answers; 0 if none is known.
+// typicalSamples is the number of answers from which the mean duration of a service is known.
+const typicalSamples = 5
+
+// Typical is the mean duration of the service's good answers; 0 if too few are known.
 func (p *Pool) Typical() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.samples < typicalSamples {
+		return 0
+	}
 	return time.Duration(p.took * float64(time.Second))
 }
 
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -35,7 +35,9 @@
 }
 
 // Upstreams returns the upstreams of a service, sorted by id.
-func (v *View) Upstreams(service settings.ServiceName) []settings.Upstream { return v.upstreams[service] }
+func (v *View) Upstreams(service settings.ServiceName) []settings.Upstream {
+	return v.upstreams[service]
+}
 
 // Has reports whether the upstream is known.
 func (v *View) Has(id settings.UpstreamID) bool {
@@ -138,9 +140,3 @@
 	}
 	return view
 }
-
-// Find returns the entry of an upstream.
-func (v *View) Find(id settings.UpstreamID) (Entry, bool) {
-	entry, ok := v.known[id]
-	return entry, ok
-}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"net/http"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -17,8 +17,10 @@
 const (
 	// hangFactor is the multiple of a service's mean duration after which an attempt counts as hung.
 	hangFactor = 4
-	// shortestHang is the least time after which an attempt counts as hung.
-	shortestHang = 300 * time.Millisecond
+	// shortestHang is the least time after which an attempt counts as hung, and unknownHang the time while the mean is not
+	// known.
+	shortestHang = time.Second
+	unknownHang  = 2500 * time.Millisecond
 	// budgetShare is the share of the retry budget that the hosts use. The rest is for differences between their windows and
 	// the one that is judged.
 	budgetShare = 0.8
@@ -102,9 +104,7 @@
 	now := time.Now()
 	view := r.registry.View()
 	s := r.service(service)
-	choice, ok := s.pool.Pick(now, view.Upstreams(service), exclude, func(id settings.UpstreamID) breaker.State {
-		return r.breakers.State(now, id)
-	})
+	choice, ok := s.pool.Pick(now, view.Upstreams(service), exclude, r.breakers)
 	if !ok {
 		return relay.Attempt{}, false
 	}
@@ -123,7 +123,11 @@
 }
 
 func (r *router) hangTime(s *routedService) time.Duration {
-	return max(shortestHang, hangFactor*s.pool.Typical(), time.Second)
+	typical := s.pool.Typical()
+	if typical == 0 {
+		return unknownHang
+	}
+	return max(shortestHang, hangFactor*typical)
 }
 
 // done takes the result of an attempt.
@@ -180,7 +184,9 @@
 }
 
 // Arrived implements relay.Upstreams.
-func (r *router) Arrived(service settings.ServiceName) { r.service(service).budget.OnSuccess(time.Now()) }
+func (r *router) Arrived(service settings.ServiceName) {
+	r.service(service).budget.OnSuccess(time.Now())
+}
 
 // TryRetry implements relay.Upstreams.
 func (r *router) TryRetry(service settings.ServiceName) bool {
--- a/host/admin/admin_test.go
+++ b/host/admin/admin_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/host/admin"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 const token = "token-of-ada-0123456789"
--- a/host/admin/answers.go
+++ b/host/admin/answers.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // ErrorKind is one kind of error of the API.
--- a/host/host.go
+++ b/host/host.go
@@ -20,8 +20,8 @@
 	"github.com/bronzeyard/bronzeyard/host/config"
 	"github.com/bronzeyard/bronzeyard/host/metrics"
 	"github.com/bronzeyard/bronzeyard/host/settingsync"
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/traffic/proxy"
 )
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -14,9 +14,9 @@
 	"github.com/bronzeyard/bronzeyard/emulator/upstream"
 	"github.com/bronzeyard/bronzeyard/host"
 	"github.com/bronzeyard/bronzeyard/host/config"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 const testKey = "test-key"
--- a/host/hostlist.go
+++ b/host/hostlist.go
@@ -8,8 +8,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Reads of the host list. A leaving upstream must get no new work after 3 s; the list itself lags as well.
--- a/host/hostlist_test.go
+++ b/host/hostlist_test.go
@@ -3,9 +3,9 @@
 import (
 	"testing"
 
+	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/storage/memory"
-	"github.com/bronzeyard/bronzeyard/settings"
 )
 
 // Guards against a leaving upstream that goes on getting work because the list names it by IP number alone, and against an
--- a/host/settingsync/settingsync_test.go
+++ b/host/settingsync/settingsync_test.go
@@ -10,9 +10,9 @@
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
 	"github.com/bronzeyard/bronzeyard/fleet/peer/peertest"
 	"github.com/bronzeyard/bronzeyard/host/settingsync"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // fixture is two hosts over one table.
--- a/settings/derived.go
+++ b/settings/derived.go
@@ -96,8 +96,6 @@
 type servicePart struct {
 	routes   *routeIndex
 	services map[ServiceName]*Service
-	// routeTo holds one route to each service; only of snapshots made by NewSnapshot.
-	routeTo map[ServiceName]*Route
 }
 
 func (p *servicePart) withUpstreams(tree *Tree, touched map[string]bool) *servicePart {
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -199,15 +199,7 @@
 
 func newServicePart(routes []Route, services []Service) *servicePart {
 	index := newRouteIndex(routes)
-	part := &servicePart{
-		routes: &index, services: make(map[ServiceName]*Service, len(services)), routeTo: make(map[ServiceName]*Route),
-	}
-	for i := range routes {
-		part.routeTo[routes[i].Service] = &routes[i]
-		for _, share := range routes[i].Split {
-			part.routeTo[share.Service] = &routes[i]
-		}
-	}
+	part := &servicePart{routes: &index, services: make(map[ServiceName]*Service, len(services))}
 	for i := range services {
 		part.services[services[i].Name] = &services[i]
 	}
@@ -229,12 +221,6 @@
 	return s.part.routes.lookup(host, method, path)
 }
 
-// RouteTo returns a route whose requests go to the service.
-func (s *Snapshot) RouteTo(service ServiceName) (*Route, bool) {
-	route, ok := s.part.routeTo[service]
-	return route, ok
-}
-
 // Service returns a service by name.
 func (s *Snapshot) Service(name ServiceName) (*Service, bool) {
 	service, ok := s.part.services[name]
--- a/settings/store/audit.go
+++ b/settings/store/audit.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // AuditFilter selects entries of the audit log. Zero fields select everything.
--- a/settings/store/chunks.go
+++ b/settings/store/chunks.go
@@ -11,8 +11,8 @@
 	"github.com/go-json-experiment/json"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 const (
--- a/settings/store/load.go
+++ b/settings/store/load.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // rowsPerQuery bounds the rows of the log that are read and validated together.
--- a/settings/store/machine_test.go
+++ b/settings/store/machine_test.go
@@ -12,10 +12,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/storage"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict.
--- a/settings/store/rows.go
+++ b/settings/store/rows.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Keys of the table.
--- a/settings/store/scale_test.go
+++ b/settings/store/scale_test.go
@@ -8,9 +8,9 @@
 	"testing"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // metered counts the bytes of objects.
--- a/settings/store/store.go
+++ b/settings/store/store.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/storage"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/storage"
 )
 
 // Options of a Store.
--- a/settings/store/store_test.go
+++ b/settings/store/store_test.go
@@ -14,10 +14,10 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/bronzeyard/bronzeyard/fleet/clock"
-	"github.com/bronzeyard/bronzeyard/storage"
-	"github.com/bronzeyard/bronzeyard/storage/memory"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/settings/store"
+	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/memory"
 )
 
 // world is a platform and the hosts that use it.
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -153,7 +153,7 @@
 	reused    atomic.Bool
 	sent      atomic.Pointer[sentCounter] // of the connection, if it counts
 	sentEarly atomic.Int64                // bytes that the connection had sent before this request
-	bodyError atomic.Pointer[error] // of the caller's body
+	bodyError atomic.Pointer[error]       // of the caller's body
 }
 
 // request builds the outgoing request.
@@ -171,9 +171,7 @@
 	for name, values := range q.Header {
 		header[name] = values
 	}
-	if a.attemptID != "" {
-		header[names.RequestID] = []string{a.attemptID}
-	}
+	header[names.RequestID] = []string{a.attemptID}
 	if deadline, ok := a.ctx.Deadline(); ok {
 		left := max(1, time.Until(deadline).Milliseconds())
 		header[names.Timeout] = []string{strconv.FormatInt(left, 10)}
