Keep entries after a gap only if they were missing at the store's return

An entry that was seen after the return and then left was kept for the rest of the grace, and the grace ended only at the next read, up to a second later. Ruled out: slow reads; each took a few ms. Tests fail without the change.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -165,10 +165,19 @@
 				Str("service", string(change.Service)).Str("change", change.What).Uint64("store_version", version).Send()
 		}
 		f.router.keep(f.router.registry.View())
-		f.sleep(ctx, f.boundsNow().StopLeaving/upstreamsPart-time.Since(started))
+		f.sleep(ctx, f.untilNextRead(started))
 	}
 }
 
+// untilNextRead is the time until the upstreams are read again: earlier if entries that are kept end before.
+func (f *followers) untilNextRead(started time.Time) time.Duration {
+	wait := f.boundsNow().StopLeaving/upstreamsPart - time.Since(started)
+	if until, kept := f.router.registry.KeptUntil(); kept {
+		wait = min(wait, time.Until(until))
+	}
+	return wait
+}
+
 // hosts writes this host's record and follows those of the others.
 func (f *followers) hosts(ctx context.Context) {
 	dependency := f.dependency("hosts")
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -13,8 +13,8 @@
 const (
 	// gapAfter is the time between two reads from which entries may have lapsed unjustly.
 	gapAfter = 2500 * time.Millisecond
-	// returnGrace is for how long after a gap missing entries are kept.
-	returnGrace = 2300 * time.Millisecond
+	// returnGrace is for how long after a gap missing entries are kept. Upstreams write again within about 2 s.
+	returnGrace = 2100 * time.Millisecond
 )
 
 // Entry is one upstream's entry in the store.
@@ -58,8 +58,10 @@
 
 // Registry keeps the newest View. Update must not be called by two goroutines at once.
 type Registry struct {
-	view       atomic.Pointer[View]
-	graceUntil time.Time
+	view atomic.Pointer[View]
+	// kept are the entries that were missing in the first read after a gap and in each since. They end at keptUntil.
+	kept      map[settings.UpstreamID]bool
+	keptUntil time.Time
 }
 
 // New returns a Registry without upstreams.
@@ -75,20 +77,28 @@
 // Update takes a complete read of the entries. startedAt is when the read was started.
 func (r *Registry) Update(startedAt time.Time, version uint64, entries []Entry) []Change {
 	before := r.view.Load()
-	if !before.ReadAt.IsZero() && startedAt.Sub(before.ReadAt) > gapAfter {
-		r.graceUntil = startedAt.Add(returnGrace)
+	gap := !before.ReadAt.IsZero() && startedAt.Sub(before.ReadAt) > gapAfter
+	if gap {
+		r.kept, r.keptUntil = make(map[settings.UpstreamID]bool), startedAt.Add(returnGrace)
 	}
 	known := make(map[settings.UpstreamID]Entry, len(entries))
 	for _, entry := range entries {
 		known[entry.Upstream.ID] = entry
+		delete(r.kept, entry.Upstream.ID)
+	}
+	if !startedAt.Before(r.keptUntil) {
+		r.kept = nil
 	}
 	var changes []Change
 	for id, entry := range before.known {
 		if _, ok := known[id]; ok {
 			continue
 		}
+		if gap && !entry.Upstream.Leaving {
+			r.kept[id] = true
+		}
 		what := "removed"
-		if startedAt.Before(r.graceUntil) && !reused(known, entry) {
+		if r.kept[id] && !reused(known, entry) {
 			known[id] = entry
 			what = "kept"
 		}
@@ -108,6 +118,10 @@
 	return changes
 }
 
+// KeptUntil returns when entries that are kept although they are missing end, if there are any. The store must be read
+// then.
+func (r *Registry) KeptUntil() (time.Time, bool) { return r.keptUntil, len(r.kept) > 0 }
+
 // reused reports whether another upstream has the address of a missing one, which therefore is gone.
 func reused(known map[settings.UpstreamID]Entry, missing Entry) bool {
 	for _, entry := range known {
--- /dev/null
+++ b/gateway/registry/registry_test.go
@@ -0,0 +1,93 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func entry(id string, leaving bool) Entry {
+	return Entry{Service: "desk", Upstream: settings.Upstream{
+		ID: settings.UpstreamID(id), Address: id + ":80", Leaving: leaving,
+	}}
+}
+
+func ids(r *Registry) string {
+	list := ""
+	for _, u := range r.View().Upstreams("desk") {
+		list += string(u.ID)
+	}
+	return list
+}
+
+func expect(t *testing.T, r *Registry, want string) {
+	t.Helper()
+	if got := ids(r); got != want {
+		t.Errorf("upstreams in use are %q, want %q", got, want)
+	}
+}
+
+// Guards against requests to upstreams that are gone, when the store was readable all the time.
+func TestMissingEntryIsGoneWithoutGap(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", false)})
+	r.Update(at(1), 2, []Entry{entry("a", false)})
+	expect(t, r, "a")
+}
+
+// Guards against an empty list of upstreams after an outage in which all entries lapsed.
+func TestEntriesThatLapsedInAGapAreKeptForAWhile(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", false)})
+	r.Update(at(10), 2, nil)
+	expect(t, r, "ab")
+	r.Update(at(11), 3, []Entry{entry("a", false)})
+	expect(t, r, "ab")
+	r.Update(at(12.4), 4, []Entry{entry("a", false)})
+	expect(t, r, "a")
+}
+
+// Guards against keeping an upstream that was in the store after the gap and has left since: hunt-ce58-27 on the daan
+// deployment sent it a request 2,020 ms after its entry was gone.
+func TestEntrySeenAfterTheGapIsGoneWhenItIsMissing(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", false)})
+	r.Update(at(10), 2, []Entry{entry("a", false), entry("b", false)})
+	r.Update(at(11), 3, []Entry{entry("a", false)})
+	expect(t, r, "a")
+}
+
+// Guards against keeping an upstream that was leaving before the gap.
+func TestLeavingEntryIsNotKept(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", true)})
+	r.Update(at(10), 2, []Entry{entry("a", false)})
+	expect(t, r, "a")
+}
+
+// Guards against use of kept entries beyond the grace between two reads: scale-2 on the daan deployment sent a request
+// 3.1 s after the return of the store, in the second after the grace.
+func TestKeptEntriesEndAtAKnownTime(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false)})
+	r.Update(at(10), 2, nil)
+	until, kept := r.KeptUntil()
+	if !kept || until.After(at(12.2)) {
+		t.Errorf("kept entries end at %v (%v), want at most 2.2 s after the return", until.Sub(start), kept)
+	}
+}
+
+// Guards against sending the requests of a service to another one that took over an address.
+func TestKeptEntryEndsWhenItsAddressIsReused(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false)})
+	taken := entry("z", false)
+	taken.Service, taken.Upstream.Address = "other", "a:80"
+	r.Update(at(10), 2, []Entry{taken})
+	expect(t, r, "")
+}
