--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
+)
 
 // AddressAnswer tells callers where to connect.
 type AddressAnswer struct {
@@ -14,6 +18,9 @@
 	addressTTL = 2 * time.Second
 	// isolatedShare is the share of the other hosts below which this host takes itself for the one that is cut off.
 	isolatedShare = 0.5
+	// leastNear is the number of hosts in the caller's data centre from which callers are kept there. A caller that holds an
+	// answer must have others to turn to when a host fails.
+	leastNear = 2
 )
 
 func (g *Gateway) addressTTL() time.Duration {
@@ -23,15 +30,19 @@
 	return addressTTL
 }
 
-// Addresses answers a caller: all hosts that are alive and stay. A host that hears less than half of the others cannot
-// tell whether they or itself are cut off, and hands out all hosts that it knows.
-func (g *Gateway) Addresses() AddressAnswer {
+// Addresses answers a caller of a data centre: the hosts there that are alive and stay, or those everywhere if there are
+// too few. A host that hears less than half of the others cannot tell whether they or itself are cut off, and hands out
+// all hosts that it knows.
+func (g *Gateway) Addresses(dataCentre string) AddressAnswer {
 	now := time.Now()
-	answer := AddressAnswer{TTL: g.addressTTL()}
+	hosts := g.node.Hosts(now)
 	if g.Ready() {
-		answer.Addresses = append(answer.Addresses, g.options.CallerAddress)
+		hosts = append(hosts, gossip.Host{HeardAt: now, Record: gossip.Record{
+			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre,
+		}})
 	}
-	hosts := g.node.Hosts(now)
+	answer := AddressAnswer{TTL: g.addressTTL()}
+	var near []string
 	alive := 0
 	for i := range hosts {
 		if hosts[i].Alive(now) {
@@ -40,9 +51,16 @@
 	}
 	isolated := float64(alive) < isolatedShare*float64(len(hosts))
 	for i := range hosts {
-		if !hosts[i].Leaving && (isolated || hosts[i].Alive(now)) {
-			answer.Addresses = append(answer.Addresses, hosts[i].CallerAddress)
+		if hosts[i].Leaving || (!isolated && !hosts[i].Alive(now)) {
+			continue
 		}
+		answer.Addresses = append(answer.Addresses, hosts[i].CallerAddress)
+		if hosts[i].DataCentre == dataCentre {
+			near = append(near, hosts[i].CallerAddress)
+		}
+	}
+	if len(near) >= leastNear {
+		answer.Addresses = near
 	}
 	return answer
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -18,8 +18,6 @@
 	answerSlack = time.Second
 	// readTimeout bounds a plain read of the store.
 	readTimeout = 900 * time.Millisecond
-	// upstreamsPart is the part of Bounds.StopLeaving after which the upstreams are read again.
-	upstreamsPart = 2
 	// hostsInterval is the time between reads of the hosts' records without a reason.
 	hostsInterval = 10 * time.Second
 	// hostsPause is the least time between two reads of the records.
@@ -147,37 +145,6 @@
 	return c.Version()
 }
 
-// upstreams follows the entries of upstreams.
-func (f *followers) upstreams(ctx context.Context) {
-	dependency := f.dependency("upstreams")
-	for ctx.Err() == nil {
-		started := time.Now()
-		reading, cancel := context.WithTimeout(ctx, readTimeout)
-		entries, version, err := f.options.Upstreams.Upstreams(reading)
-		cancel()
-		if err != nil {
-			f.sleep(ctx, dependency.failed(err))
-			continue
-		}
-		dependency.worked()
-		for _, change := range f.router.registry.Update(started, version, entries) {
-			f.logger.Info().Str("event", "upstream").Str("upstream", string(change.Upstream)).
-				Str("service", string(change.Service)).Str("change", change.What).Uint64("store_version", version).Send()
-		}
-		f.router.keep(f.router.registry.View())
-		f.sleep(ctx, f.untilNextRead(started))
-	}
-}
-
-// untilNextRead is the time until the upstreams are read again: earlier if entries that are kept end before.
-func (f *followers) untilNextRead(started time.Time) time.Duration {
-	wait := f.boundsNow().StopLeaving/upstreamsPart - time.Since(started)
-	if until, kept := f.router.registry.KeptUntil(); kept {
-		wait = min(wait, time.Until(until))
-	}
-	return wait
-}
-
 // hosts writes this host's record and follows those of the others.
 func (f *followers) hosts(ctx context.Context) {
 	dependency := f.dependency("hosts")
--- /dev/null
+++ b/gateway/follow_upstreams.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// freshPart is the part of Bounds.StopLeaving for which a read of the upstreams stays fresh. The rest is for the hosts
+	// that are to read next and fail, for the way to the others, and for their own reads.
+	freshPart = 0.45
+	// turnDelay is the time between the turns of two hosts to read, and longestTurn the most that a host waits.
+	turnDelay   = 50 * time.Millisecond
+	longestTurn = 250 * time.Millisecond
+	// readSpread spreads the reads of hosts that learn of a change at the same time.
+	readSpread = 60 * time.Millisecond
+)
+
+// registryNews tells what another host has read of the upstreams.
+type registryNews struct {
+	readAt time.Time
+	digest uint64
+}
+
+// registryState returns what this host tells the others of its view of the upstreams.
+func (g *Gateway) registryState(now time.Time) (digest uint64, age time.Duration) {
+	view := g.router.registry.View()
+	if view.ReadAt.IsZero() {
+		return 0, 0
+	}
+	return view.Digest(), max(0, now.Sub(view.ReadAt))
+}
+
+// hearRegistry passes on news that are newer than this host's view. Older ones say nothing.
+func (g *Gateway) hearRegistry(news registryNews) {
+	if !news.readAt.After(g.router.registry.View().ReadAt) {
+		return
+	}
+	select {
+	case g.registryNews <- news:
+	default: // the follower is about to read anyway
+	}
+}
+
+// upstreams follows the entries of upstreams. One host at a time reads the store and tells the others the digest of what
+// it found; a host whose view has the same digest takes that as a read of its own, any other reads too. A host that hears
+// of no read in time reads by itself, so a host that fails to read, or to be heard, delays the others by its turn only.
+func (f *followers) upstreams(ctx context.Context) {
+	dependency := f.dependency("upstreams")
+	for ctx.Err() == nil {
+		if err := f.readUpstreams(ctx); err != nil {
+			f.sleep(ctx, dependency.failed(err))
+			continue
+		}
+		dependency.worked()
+		f.awaitStale(ctx)
+	}
+}
+
+// readUpstreams reads the store.
+func (f *followers) readUpstreams(ctx context.Context) error {
+	started := time.Now()
+	reading, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entries, version, err := f.options.Upstreams.Upstreams(reading)
+	if err != nil {
+		return err
+	}
+	for _, change := range f.router.registry.Update(started, version, entries) {
+		f.logger.Info().Str("event", "upstream").Str("upstream", string(change.Upstream)).
+			Str("service", string(change.Service)).Str("change", change.What).Uint64("store_version", version).Send()
+	}
+	f.router.keep(f.router.registry.View())
+	return nil
+}
+
+// awaitStale returns when the upstreams must be read again: after it is this host's turn, or when another host has found
+// other entries.
+func (f *followers) awaitStale(ctx context.Context) {
+	announce := true
+	for ctx.Err() == nil {
+		if announce {
+			f.node.Announce()
+		}
+		announce = false
+		timer := time.NewTimer(f.untilTurn())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			return
+		case news := <-f.registryNews:
+			if !f.router.registry.Confirm(news.readAt, news.digest) {
+				f.sleep(ctx, time.Duration(rand.Int64N(int64(readSpread))))
+				timer.Stop()
+				return
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// untilTurn is the time until this host reads the upstreams if no other does: earlier if entries that are kept end before.
+func (f *followers) untilTurn() time.Duration {
+	fresh := time.Duration(freshPart * float64(f.boundsNow().StopLeaving))
+	wait := time.Until(f.router.registry.View().ReadAt.Add(fresh)) + f.turn()
+	if until, kept := f.router.registry.KeptUntil(); kept {
+		wait = min(wait, time.Until(until))
+	}
+	return wait
+}
+
+// turn is how long this host leaves the others to read before it does. The order is by a hash of the hosts' ids.
+func (f *followers) turn() time.Duration {
+	now := time.Now()
+	own := xxhash.Sum64String(f.options.HostID)
+	rank := 0
+	for _, host := range f.node.Hosts(now) {
+		if host.Alive(now) && xxhash.Sum64String(host.ID) < own {
+			rank++
+		}
+	}
+	return min(longestTurn, time.Duration(rank)*turnDelay)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,8 @@
 	// rereadConfiguration and rereadHosts ask the followers to read now.
 	rereadConfiguration chan struct{}
 	rereadHosts         chan struct{}
+	// registryNews carries what other hosts have read of the upstreams.
+	registryNews chan registryNews
 }
 
 // inForce is the configuration in force and when it was last confirmed by the store.
@@ -96,7 +98,7 @@
 	g := &Gateway{
 		options: options, logger: options.Logger, incarnation: rand.Uint64(), limiter: quota.New(),
 		rereadConfiguration: make(chan struct{}, 1), rereadHosts: make(chan struct{}, 1),
-		log: newDecisionLog(options.Logger),
+		registryNews: make(chan registryNews, 1), log: newDecisionLog(options.Logger),
 	}
 	g.bounds.Store(&options.Bounds)
 	g.router = newRouter(options.DataCentre, g.boundsNow, options.HostID)
@@ -141,7 +143,7 @@
 			ID: g.options.HostID, Incarnation: g.incarnation, Address: address.String(),
 			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: gossip.NewKey(),
 		},
-		Conn: packets, Configuration: g.version, Uses: g.limiter.Uses, Receive: g.receive,
+		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses, Receive: g.receive,
 		Unknown:  func(string) { poke(g.rereadHosts) },
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
@@ -272,6 +274,9 @@
 	if m.Configuration > g.version() {
 		poke(g.rereadConfiguration)
 	}
+	if m.RegistryDigest != 0 {
+		g.hearRegistry(registryNews{readAt: now.Add(-m.RegistryAge), digest: m.RegistryDigest})
+	}
 	for _, notice := range m.Notices {
 		g.router.hear(now, m.Host, notice)
 	}
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,9 @@
 	Configuration uint64
 	Notices       []breaker.Notice
 	Uses          []quota.Use
+	// RegistryDigest tells which upstreams the sender has read from the store, RegistryAge how long ago. 0 without a read.
+	RegistryDigest uint64
+	RegistryAge    time.Duration
 }
 
 // Options configure a Node.
@@ -52,6 +56,8 @@
 	Conn net.PacketConn
 	// Configuration returns the version in force at this host. Required.
 	Configuration func() uint64
+	// Registry returns the digest and the age of the newest read of the upstreams. Required.
+	Registry func(now time.Time) (digest uint64, age time.Duration)
 	// Uses returns the counts to report. Required.
 	Uses func(now time.Time, onlyNear bool) []quota.Use
 	// Receive takes verified messages, one at a time. Required.
@@ -80,7 +86,7 @@
 // New returns a Node that knows no other host.
 func New(options Options) *Node {
 	n := &Node{options: options, wake: make(chan struct{}, 1)}
-	n.table.self = options.Self.ID
+	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
 	n.table.hosts = make(map[string]*Host)
 	return n
 }
@@ -105,6 +111,9 @@
 	n.poke()
 }
 
+// Announce sends a heartbeat soon.
+func (n *Node) Announce() { n.poke() }
+
 // Leave tells all hosts that this one leaves.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
@@ -179,6 +188,9 @@
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
 	}
+	now := time.Now()
+	digest, age := n.options.Registry(now)
+	m.RegistryDigest, m.RegistryAgeMs = digest, uint32(age.Milliseconds())
 	for _, notice := range notices {
 		m.Notices = append(m.Notices, &gossippb.Notice{
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
@@ -193,11 +205,15 @@
 		return
 	}
 	packet := append(mac(n.options.Self.Key, body), body...)
-	for _, host := range n.table.list(time.Now()) {
-		// A datagram that cannot be sent is lost like one on the way; the heartbeats show a host that is away.
-		if _, err := n.options.Conn.WriteTo(packet, net.UDPAddrFromAddrPort(host.to)); err == nil {
-			n.sent.Add(1)
-		}
+	for _, to := range n.table.targets(now) {
+		n.write(packet, to)
+	}
+}
+
+// write sends a packet. One that cannot be sent is lost like one on the way; heartbeats show a host that is away.
+func (n *Node) write(packet []byte, to netip.AddrPort) {
+	if _, err := n.options.Conn.WriteTo(packet, net.UDPAddrFromAddrPort(to)); err == nil {
+		n.sent.Add(1)
 	}
 }
 
@@ -246,6 +262,9 @@
 		n.rejected.Add(1)
 		return
 	}
+	for _, to := range n.table.relayTargets(message.Host) {
+		n.write(packet, to)
+	}
 	if returned {
 		n.options.Returned(message.Host)
 	}
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -31,7 +32,8 @@
 
 // table holds the other hosts.
 type table struct {
-	self string
+	self       string
+	dataCentre string
 
 	mu    sync.Mutex
 	hosts map[string]*Host
@@ -97,3 +99,58 @@
 
 // Alive reports whether the host was heard lately.
 func (h *Host) Alive(now time.Time) bool { return now.Sub(h.HeardAt) <= AliveFor }
+
+// targets returns where to send a datagram: to every host of the own data centre, and in each other one to a host drawn
+// at random, which passes it on there. Traffic between data centres is dear, and with a new draw each time a host that is
+// away costs only a part of the datagrams.
+func (t *table) targets(now time.Time) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets []netip.AddrPort
+	distant := make(map[string][]*Host)
+	for _, host := range t.hosts {
+		switch {
+		case now.Sub(host.HeardAt) > countedFor:
+		case host.DataCentre == t.dataCentre:
+			targets = append(targets, host.to)
+		default:
+			distant[host.DataCentre] = append(distant[host.DataCentre], host)
+		}
+	}
+	for _, hosts := range distant {
+		targets = append(targets, drawn(now, hosts).to)
+	}
+	return targets
+}
+
+// drawn prefers hosts that are alive and stay.
+func drawn(now time.Time, hosts []*Host) *Host {
+	var alive []*Host
+	for _, host := range hosts {
+		if host.Alive(now) && !host.Leaving {
+			alive = append(alive, host)
+		}
+	}
+	if len(alive) > 0 {
+		hosts = alive
+	}
+	return hosts[rand.IntN(len(hosts))]
+}
+
+// relayTargets returns the hosts to which a datagram from another data centre is passed on: the others of the own one.
+// They drop what they have seen.
+func (t *table) relayTargets(from string) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sender := t.hosts[from]
+	if sender == nil || sender.DataCentre == t.dataCentre {
+		return nil
+	}
+	var targets []netip.AddrPort
+	for _, host := range t.hosts {
+		if host.DataCentre == t.dataCentre {
+			targets = append(targets, host.to)
+		}
+	}
+	return targets
+}
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -1,12 +1,15 @@
 package registry
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -32,8 +35,13 @@
 	// Upstreams are sorted by id.
 	upstreams map[settings.ServiceName][]settings.Upstream
 	known     map[settings.UpstreamID]Entry
+	// digest covers what the store held at the read, without entries that are kept.
+	digest uint64
 }
 
+// Digest is equal for reads that found the same entries. It is 0 before the first read.
+func (v *View) Digest() uint64 { return v.digest }
+
 // Upstreams returns the upstreams of a service, sorted by id.
 func (v *View) Upstreams(service settings.ServiceName) []settings.Upstream {
 	return v.upstreams[service]
@@ -86,6 +94,7 @@
 		known[entry.Upstream.ID] = entry
 		delete(r.kept, entry.Upstream.ID)
 	}
+	digest := digestOf(known)
 	if !startedAt.Before(r.keptUntil) {
 		r.kept = nil
 	}
@@ -113,7 +122,7 @@
 			changes = append(changes, Change{Upstream: id, Service: entry.Service, What: "leaving"})
 		}
 	}
-	r.view.Store(newView(startedAt, version, known))
+	r.view.Store(newView(startedAt, version, known, digest))
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(string(a.Upstream), string(b.Upstream)) })
 	return changes
 }
@@ -140,12 +149,39 @@
 	}
 	known := maps.Clone(before.known)
 	delete(known, id)
-	r.view.CompareAndSwap(before, newView(before.ReadAt, before.Version, known))
+	r.view.CompareAndSwap(before, newView(before.ReadAt, before.Version, known, before.digest))
+}
+
+// Confirm takes a read of another host that found the entries with the digest. It reports whether they are those of this
+// host's newest view, which then counts as read at that time. It must not be called beside Update.
+func (r *Registry) Confirm(readAt time.Time, digest uint64) bool {
+	before := r.view.Load()
+	if digest != before.digest {
+		return false
+	}
+	if readAt.After(before.ReadAt) {
+		confirmed := *before
+		confirmed.ReadAt = readAt
+		r.view.CompareAndSwap(before, &confirmed)
+	}
+	return true
+}
+
+// digestOf covers the fields that decide about the use of upstreams. Entries change all the time in others.
+func digestOf(known map[settings.UpstreamID]Entry) uint64 {
+	hash := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		entry := known[id]
+		u := &entry.Upstream
+		// Writing to a hash cannot fail.
+		_, _ = fmt.Fprintf(hash, "%q %q %q %q %d %t\n", entry.Service, u.ID, u.Address, u.DataCentre, u.Slots, u.Leaving)
+	}
+	return hash.Sum64()
 }
 
-func newView(readAt time.Time, version uint64, known map[settings.UpstreamID]Entry) *View {
+func newView(readAt time.Time, version uint64, known map[settings.UpstreamID]Entry, digest uint64) *View {
 	view := &View{
-		ReadAt: readAt, Version: version, known: known,
+		ReadAt: readAt, Version: version, known: known, digest: digest,
 		upstreams: make(map[settings.ServiceName][]settings.Upstream),
 	}
 	for _, id := range slices.Sorted(maps.Keys(known)) {
