--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -31,6 +31,8 @@
 	// maxNotices bounds the notices in one datagram.
 	maxNotices = 24
 	macBytes   = 16
+	// transit is added to the ages that are stated, so that what is passed on from host to host never seems younger.
+	transit = 5 * time.Millisecond
 	maxPacket  = 2048
 	// readPause follows a failed read of the socket.
 	readPause = 10 * time.Millisecond
@@ -190,7 +192,7 @@
 	}
 	now := time.Now()
 	digest, age := n.options.Registry(now)
-	m.RegistryDigest, m.RegistryAgeMs = digest, uint32(age.Milliseconds())
+	m.RegistryDigest, m.RegistryAgeMs = digest, uint32((age + transit).Milliseconds())
 	for _, notice := range notices {
 		m.Notices = append(m.Notices, &gossippb.Notice{
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
@@ -274,6 +276,7 @@
 func decode(m *gossippb.Datagram) *Message {
 	message := &Message{
 		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
+		RegistryDigest: m.GetRegistryDigest(), RegistryAge: time.Duration(m.GetRegistryAgeMs()) * time.Millisecond,
 	}
 	for _, notice := range m.GetNotices() {
 		message.Notices = append(message.Notices, breaker.Notice{
