--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -33,6 +33,8 @@
 	strikesHung        = 0.5
 	strikesBroken      = 1.0
 	strikesUnreachable = 1.0
+	// strikesHeardUnreachable counts a failed connection of another host. It may be the path from there.
+	strikesHeardUnreachable = 0.4
 )
 
 const (
@@ -53,6 +55,9 @@
 	forgetHold = 6 * time.Second
 	// trialHold is how long a trial keeps other hosts from making one.
 	trialHold = 1500 * time.Millisecond
+	// earlyAfter is the time after the last bad sample from which a trial may come before the hold ends, if the other
+	// upstreams are full.
+	earlyAfter = time.Second
 	// rankDelay is the time between the turns of two hosts for a trial.
 	rankDelay = 150 * time.Millisecond
 )
@@ -92,8 +97,10 @@
 type circuit struct {
 	strikes   float64
 	strikesAt time.Time
+	badAt     time.Time
 	open      bool
 	until     time.Time
+	triedAt   time.Time // of the last trial of any host
 	hold      time.Duration
 	closedAt  time.Time
 	trial     bool // this host's trial is running
@@ -176,6 +183,14 @@
 	return xxhash.Sum64String(string(id) + "\x00" + host)
 }
 
+// MayTryEarly reports whether a trial may start before the hold ends.
+func (s *Set) MayTryEarly(now time.Time, id settings.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.circuits[id]
+	return c != nil && c.open && now.Sub(c.badAt) >= earlyAfter && now.Sub(c.triedAt) >= trialHold
+}
+
 // BeginTrial starts a trial of this host.
 func (s *Set) BeginTrial(now time.Time, id settings.UpstreamID) []Notice {
 	s.mu.Lock()
@@ -184,8 +199,8 @@
 	if c == nil || !c.open {
 		return nil
 	}
-	c.trial = true
-	c.until = now.Add(trialHold)
+	c.trial, c.triedAt = true, now
+	c.until = later(c.until, now.Add(trialHold))
 	return []Notice{{Kind: NoticeTrial, Upstream: id}}
 }
 
@@ -196,7 +211,7 @@
 	if sample == Good {
 		return s.good(now, id), false
 	}
-	opened = s.bad(now, id, sample)
+	opened = s.bad(now, id, strikesOf(sample))
 	return []Notice{{Kind: NoticeSample, Upstream: id, Sample: sample}}, opened
 }
 
@@ -221,10 +236,14 @@
 	defer s.mu.Unlock()
 	switch notice.Kind {
 	case NoticeSample:
-		return s.bad(now, notice.Upstream, notice.Sample)
+		strikes := strikesOf(notice.Sample)
+		if notice.Sample == Unreachable {
+			strikes = strikesHeardUnreachable
+		}
+		return s.bad(now, notice.Upstream, strikes)
 	case NoticeTrial:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open && !c.trial {
-			c.until = later(c.until, now.Add(trialHold))
+			c.until, c.triedAt = later(c.until, now.Add(trialHold)), now
 		}
 	case NoticeClosed:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open {
@@ -234,19 +253,20 @@
 	return false
 }
 
-func (s *Set) bad(now time.Time, id settings.UpstreamID, sample Sample) bool {
+func (s *Set) bad(now time.Time, id settings.UpstreamID, strikes float64) bool {
 	c := s.circuits[id]
 	if c == nil {
 		c = &circuit{}
 		s.circuits[id] = c
 	}
 	c.decay(now)
-	c.strikes += strikesOf(sample)
-	c.trial = false
+	c.strikes += strikes
+	trial := c.trial || now.Sub(c.triedAt) < trialHold
+	c.trial, c.badAt = false, now
 	switch {
 	case c.open:
-		// Attempts from before the breaker opened say nothing new; a trial that failed does, and comes after the hold.
-		if now.After(c.until.Add(-trialHold)) {
+		// Attempts from before the breaker opened say nothing new; a trial that failed does.
+		if trial {
 			c.reopen(now)
 		}
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 const (
 	// pooledIdle is for how long an idle connection to an upstream is kept.
 	pooledIdle = 8 * time.Second
+	// connectTimeout bounds the time for a connection to an upstream. Another upstream is tried after it.
+	connectTimeout = 300 * time.Millisecond
 	// bufferedAnswer is the largest answer that is passed on, in bytes.
 	bufferedAnswer = 16 << 20
 	// defaultBufferBytes bounds all buffered bodies together where the memory of the host is not known.
@@ -109,7 +111,7 @@
 	budget := forward.NewBufferBudget(buffers)
 	g.forwarder = forward.New(forward.Options{
 		Names:              forward.Names{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
-		ToleratesUnbounded: true, PooledIdle: pooledIdle, BufferedAnswer: bufferedAnswer, Budget: budget,
+		ToleratesUnbounded: true, ConnectTimeout: connectTimeout, PooledIdle: pooledIdle, BufferedAnswer: bufferedAnswer, Budget: budget,
 	})
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -28,6 +28,8 @@
 	slowCost = 0.4
 	// leastShare is the share of a service's upstreams that stay in use whatever their breakers say.
 	leastShare = 0.34
+	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early.
+	fullLoad = 0.9
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
 	slowHalfLife = 3 * time.Second
 )
@@ -88,6 +90,7 @@
 type Breakers interface {
 	State(now time.Time, id settings.UpstreamID) breaker.State
 	Strikes(now time.Time, id settings.UpstreamID) float64
+	MayTryEarly(now time.Time, id settings.UpstreamID) bool
 }
 
 // Pick chooses an upstream outside exclude and counts the attempt as in flight until Done. It reports false if there is no
@@ -124,6 +127,11 @@
 		return Choice{}, false
 	}
 	chosen, load := p.choose(now, candidates)
+	if load >= fullLoad {
+		if early, ok := earlyTrial(now, open, breakers); ok {
+			return p.take(Choice{Upstream: *early.upstream, Trial: true, Load: load, Candidates: usable}, early.state), true
+		}
+	}
 	return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(candidates)}, chosen.state), true
 }
 
@@ -147,6 +155,20 @@
 	strikes  float64
 }
 
+// earlyTrial returns the upstream with the fewest strikes that may be tried before its hold ends.
+func earlyTrial(now time.Time, open []candidate, breakers Breakers) (candidate, bool) {
+	best := -1
+	for i := range open {
+		if breakers.MayTryEarly(now, open[i].upstream.ID) && (best < 0 || open[i].strikes < open[best].strikes) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return candidate{}, false
+	}
+	return open[best], true
+}
+
 // fillUp adds upstreams whose breakers are open, those with the fewest strikes first, until the candidates are at least
 // leastShare of the usable upstreams. When most of a service seems sick, the evidence or the load is at fault.
 func fillUp(candidates, open []candidate, usable int) []candidate {
