Stop without cutting a request that arrives while connections are closed

The process ended when no request was in flight for 200 ms, without a look at requests that were read in that moment. Now idle connections are dropped under a lock that also starts requests, and the process ends when none is left. A header that stops midway was answered as malformed instead of timed out; found by the new tests of the connection loop.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,8 +183,8 @@
 	leaveReserve = 500 * time.Millisecond
 	// leaveStep is the time between two checks of the requests in flight.
 	leaveStep = 50 * time.Millisecond
-	// lastRequests is for how long the connections stay open after the last request, for requests on their way.
-	lastRequests = 200 * time.Millisecond
+	// lastRequests is for how long no request must have come before the connections are closed.
+	lastRequests = 700 * time.Millisecond
 )
 
 // leave takes the host out of use without cutting a request.
@@ -197,21 +197,28 @@
 	g.logger.Info().Str("event", "stop").Int64("in_flight", g.server.InFlight()).
 		Dur("grace_ms", bounds.StopGrace).Send()
 	end := started.Add(bounds.StopGrace - leaveReserve)
+	g.awaitQuiet(started, end)
+	_ = g.listener.Close()
+	for g.server.CloseIdle() > 0 && time.Now().Before(end) {
+		time.Sleep(leaveStep)
+	}
+	g.logger.Info().Str("event", "stopped").Int64("in_flight", g.server.InFlight()).
+		Dur("took_ms", time.Since(started)).Send()
+	g.log.flush()
+}
+
+// awaitQuiet returns when callers no longer send requests and have had the time to ask for other addresses.
+func (g *Gateway) awaitQuiet(started, end time.Time) {
 	quiet := started
 	for time.Now().Before(end) {
 		time.Sleep(leaveStep)
 		if g.server.InFlight() > 0 {
 			quiet = time.Now()
 		}
-		if time.Since(started) > g.addressTTL()+lastRequests && time.Since(quiet) > lastRequests {
-			break
+		if time.Since(started) > g.addressTTL() && time.Since(quiet) > lastRequests {
+			return
 		}
 	}
-	_ = g.listener.Close()
-	g.server.CloseIdle()
-	g.logger.Info().Str("event", "stopped").Int64("in_flight", g.server.InFlight()).
-		Dur("took_ms", time.Since(started)).Send()
-	g.log.flush()
 }
 
 // SetBounds puts new bounds in force.
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -40,6 +40,7 @@
 	ended   atomic.Bool
 	mu      sync.Mutex
 	reading bool // a request has begun to arrive, so the idle timeout does not apply
+	dropped bool // the connection was closed while it was idle; no request may start
 }
 
 // exchange is one request and its answer.
@@ -150,7 +151,7 @@
 	c.source.left = limits.HeaderBytes + headerSlack
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return c.refuse(headerRefusal(err, c.source))
+		return c.refuse(headerRefusal(c.source))
 	}
 	c.source.left = math.MaxInt64
 	request := &Request{HTTP: parsed, ReadAt: time.Now()}
@@ -159,7 +160,10 @@
 	}
 	e := newExchange()
 	e.method, e.close, e.barrier = parsed.Method, parsed.Close, !isSafe(parsed.Method)
-	c.count(e)
+	if !c.count(e) {
+		c.server.options.Budget.Release(int64(cap(request.Body)))
+		return nil, nil
+	}
 	return e, request
 }
 
@@ -167,14 +171,31 @@
 	return &exchange{answer: make(chan *Response, 1), written: make(chan struct{})}
 }
 
-func (c *conn) count(e *exchange) {
-	e.counted = true
-	c.server.requests.Add(1)
+// count makes a request count as in flight. It reports false if the connection was dropped.
+func (c *conn) count(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.dropped {
+		return false
+	}
+	e.counted = true
+	c.server.requests.Add(1)
 	c.outstanding.Add(1)
 	c.reading = false
 	_ = c.net.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
+	return true
+}
+
+// drop closes the connection if it is idle. It reports false if a request is in flight or arriving.
+func (c *conn) drop() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outstanding.Load() > 0 || c.reading {
+		return false
+	}
+	c.dropped = true
+	_ = c.net.Close() // the reader finds the connection closed and ends it
+	return true
 }
 
 // idle starts the idle timeout unless answers are outstanding, in which case the writer starts it.
@@ -203,19 +224,21 @@
 	answer := c.server.options.Refuse(refusal)
 	answer.Close = true
 	e.answer <- answer
-	c.count(e)
+	if !c.count(e) {
+		return nil, nil
+	}
 	return e, nil
 }
 
-// headerRefusal returns 0 if the connection has ended.
-func headerRefusal(err error, source *limitedReader) Refusal {
-	var netError net.Error
+// headerRefusal explains why a header could not be parsed: by the error of the connection if there was one, because the
+// parser takes a header that stops midway as malformed. It returns 0 if the connection has ended.
+func headerRefusal(source *limitedReader) Refusal {
 	switch {
 	case source.left <= 0:
 		return HeaderTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(source.failed, os.ErrDeadlineExceeded):
 		return HeaderTimedOut
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netError):
+	case source.failed != nil:
 		return 0
 	default:
 		return Malformed
@@ -366,8 +389,9 @@
 
 // limitedReader bounds what is read from a connection. left is changed only between reads.
 type limitedReader struct {
-	conn net.Conn
-	left int64
+	conn   net.Conn
+	left   int64
+	failed error // of the connection
 }
 
 // Read implements io.Reader.
@@ -380,6 +404,9 @@
 	}
 	n, err := l.conn.Read(p)
 	l.left -= int64(n)
+	if err != nil {
+		l.failed = err
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/gateway/pipeline/pipeline_test.go
@@ -0,0 +1,250 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/forward"
+)
+
+// harness is a server whose handler can be steered by the path of a request: /wait/N blocks until release is closed.
+type harness struct {
+	server  *Server
+	address string
+	release chan struct{}
+	started atomic.Int64
+	gone    atomic.Int64
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{release: make(chan struct{})}
+	h.server = New(Options{
+		Handler: h.handle,
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		},
+		Refuse: func(r Refusal) *Response {
+			return &Response{Status: 400 + int(r), Header: http.Header{}, Body: []byte("refused")}
+		},
+		Budget: forward.NewBufferBudget(1 << 20),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.address = listener.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- h.server.Serve(t.Context(), listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return h
+}
+
+func (h *harness) handle(ctx context.Context, r *Request) *Response {
+	h.started.Add(1)
+	if strings.HasPrefix(r.HTTP.URL.Path, "/wait") {
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			h.gone.Add(1)
+		}
+	}
+	body := fmt.Sprintf("%s %s %d", r.HTTP.Method, r.HTTP.URL.Path, len(r.Body))
+	return &Response{Status: 200, Header: http.Header{}, Body: []byte(body), Close: r.HTTP.URL.Path == "/close"}
+}
+
+func (h *harness) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+func sendText(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, reader *bufio.Reader) (int, string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body)
+}
+
+func (h *harness) await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting for: " + what)
+		}
+	}
+}
+
+const get = "GET %s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// Guards against pipelined requests that wait unread behind a slow one, and against answers out of order.
+func TestPipelinedRequestsRunSideBySideInOrder(t *testing.T) {
+	h := newHarness(t)
+	conn, reader := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/wait/1"))
+	sendText(t, conn, fmt.Sprintf(get, "/2")+fmt.Sprintf(get, "/3"))
+	h.await(t, "all requests to start", func() bool { return h.started.Load() == 3 })
+	close(h.release)
+	for _, want := range []string{"/wait/1", "/2", "/3"} {
+		if _, body := receive(t, reader); body != "GET "+want+" 0" {
+			t.Errorf("got answer %q, want that of %s", body, want)
+		}
+	}
+}
+
+// Guards against a request that must not repeat running beside the ones before it.
+func TestUnsafeRequestsWaitForThoseBefore(t *testing.T) {
+	h := newHarness(t)
+	conn, reader := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/wait")+"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"+fmt.Sprintf(get, "/after"))
+	h.await(t, "the first request to start", func() bool { return h.started.Load() == 1 })
+	close(h.release)
+	receive(t, reader)
+	if _, body := receive(t, reader); body != "POST /p 2" {
+		t.Errorf("second answer is %q", body)
+	}
+	if _, body := receive(t, reader); body != "GET /after 0" {
+		t.Errorf("third answer is %q", body)
+	}
+}
+
+// Guards against running a request behind an answer that closes the connection: the caller sends it again.
+func TestNothingRunsBehindAnAnswerThatCloses(t *testing.T) {
+	h := newHarness(t)
+	conn, reader := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/close")+"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi")
+	if status, _ := receive(t, reader); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if _, err := http.ReadResponse(reader, nil); err == nil {
+		t.Error("a second answer came behind the one that closes")
+	}
+	if n := h.started.Load(); n != 1 {
+		t.Errorf("%d requests started, want 1", n)
+	}
+}
+
+// Guards against work that goes on for callers that have gone.
+func TestClosedConnectionCancelsItsRequests(t *testing.T) {
+	h := newHarness(t)
+	conn, _ := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/wait/1")+fmt.Sprintf(get, "/wait/2"))
+	h.await(t, "both requests to start", func() bool { return h.started.Load() == 2 })
+	_ = conn.Close()
+	h.await(t, "both requests to be cancelled", func() bool { return h.gone.Load() == 2 })
+}
+
+// Guards against a stop that cuts a request (LOST on trouble-2 of the mfbb deployment: a request was read while the
+// process was closing its connections).
+func TestCloseIdleLeavesRequestsInFlight(t *testing.T) {
+	h := newHarness(t)
+	busy, reader := h.dial(t)
+	idle, idleReader := h.dial(t)
+	sendText(t, busy, fmt.Sprintf(get, "/wait"))
+	h.await(t, "the request to start", func() bool { return h.started.Load() == 1 && h.server.Connections() == 2 })
+	if left := h.server.CloseIdle(); left != 1 {
+		t.Errorf("%d connections stay open, want 1", left)
+	}
+	if _, err := idleReader.ReadByte(); err == nil {
+		t.Error("the idle connection is still open")
+	}
+	_ = idle.Close()
+	close(h.release)
+	if status, _ := receive(t, reader); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
+
+// Guards against requests that start on a connection after it was dropped as idle.
+func TestDroppedConnectionStartsNoRequest(t *testing.T) {
+	h := newHarness(t)
+	ours, theirs := net.Pipe()
+	defer func() { _ = ours.Close() }()
+	c := newConn(t.Context(), h.server, theirs)
+	if !c.drop() {
+		t.Fatal("an idle connection was not dropped")
+	}
+	if c.count(newExchange()) {
+		t.Error("a request counts as in flight on a dropped connection")
+	}
+}
+
+// Guards against smuggling: what follows a body of stated length is the next request, and nothing else.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		want    int
+	}{
+		"not HTTP":        {"nonsense\r\n\r\n", 400 + int(Malformed)},
+		"two lengths":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400 + int(Malformed)},
+		"negative length": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400 + int(Malformed)},
+		"unknown coding":  {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 400 + int(Malformed)},
+		"broken chunk":    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400 + int(Malformed)},
+		"large header":    {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 400 + int(HeaderTooLarge)},
+		"large body":      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n", 400 + int(BodyTooLarge)},
+		"large chunks":    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n", 400 + int(BodyTooLarge)},
+		"slow header":     {"GET / HTTP/1.1\r\nHo", 400 + int(HeaderTimedOut)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			conn, reader := h.dial(t)
+			_, _ = io.WriteString(conn, c.request) // the server may close before all of it was sent
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != c.want || !response.Close {
+				t.Errorf("status %d, close %v; want %d and close", response.StatusCode, response.Close, c.want)
+			}
+			if n := h.started.Load(); n != 0 {
+				t.Errorf("%d requests reached the handler", n)
+			}
+		})
+	}
+}
+
+// Guards against bodies that arrive changed.
+func TestChunkedBody(t *testing.T) {
+	h := newHarness(t)
+	conn, reader := h.dial(t)
+	sendText(t, conn, "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"+fmt.Sprintf(get, "/n"))
+	if _, body := receive(t, reader); body != "POST /c 5" {
+		t.Errorf("answer %q", body)
+	}
+	if _, body := receive(t, reader); body != "GET /n 0" {
+		t.Errorf("answer %q", body)
+	}
+}
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -124,15 +124,18 @@
 // CloseAfterAnswers makes every further answer the last one of its connection.
 func (s *Server) CloseAfterAnswers() { s.closing.Store(true) }
 
-// CloseIdle closes the connections that have no request in flight.
-func (s *Server) CloseIdle() {
+// CloseIdle closes the connections that have no request in flight and returns how many stay open. A request whose bytes
+// arrive at that moment is dropped unread, never passed on.
+func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	left := 0
 	for c := range s.conns {
-		if c.outstanding.Load() == 0 {
-			_ = c.net.Close() // the reader finds the connection closed and ends it
+		if !c.drop() {
+			left++
 		}
 	}
+	return left
 }
 
 // Serve accepts connections until the listener is closed.
