--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -26,8 +26,8 @@
 	latencyWeight = 0.25
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
 	slowCost = 0.4
-	// leastShare is the share of a service's upstreams that stay in use whatever their breakers say.
-	leastShare = 0.34
+	// scarceShare is the share of a service's upstreams with closed breakers below which the others are tried early.
+	scarceShare = 0.5
 	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early.
 	fullLoad = 0.9
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
@@ -93,46 +93,78 @@
 	MayTryEarly(now time.Time, id settings.UpstreamID) bool
 }
 
-// Pick chooses an upstream outside exclude and counts the attempt as in flight until Done. It reports false if there is no
-// candidate.
-func (p *Pool) Pick(
-	now time.Time, upstreams []settings.Upstream, exclude []settings.UpstreamID, breakers Breakers,
-) (Choice, bool) {
+// Request states what Pick must know of a request.
+type Request struct {
+	// Exclude lists the upstreams that the request has tried.
+	Exclude []settings.UpstreamID
+	// Repeatable requests may be lost at an upstream that is likely sick, because they can be sent again.
+	Repeatable bool
+}
+
+// Pick chooses an upstream and counts the attempt as in flight until Done. It reports false if there is no candidate.
+func (p *Pool) Pick(now time.Time, upstreams []settings.Upstream, request Request, breakers Breakers) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates, open []candidate
-	usable := 0
+	view := p.sort(now, upstreams, request.Exclude, breakers)
+	if view.due != nil {
+		return p.take(Choice{Upstream: *view.due.upstream, Trial: true, Candidates: view.usable}, view.due.state), true
+	}
+	early := float64(view.closed) < scarceShare*float64(view.usable)
+	if len(view.candidates) > 0 {
+		chosen, load := p.choose(now, view.candidates)
+		if load < fullLoad && !early {
+			return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
+		}
+		if trial, ok := earlyTrial(now, view.open, breakers); ok {
+			return p.take(Choice{Upstream: *trial.upstream, Trial: true, Load: load, Candidates: view.usable}, trial.state), true
+		}
+		return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
+	}
+	// Where every upstream seems sick the evidence may be at fault. Else only a request that can be sent again is risked.
+	if len(view.open) == 0 || (view.closed > 0 && !request.Repeatable) {
+		return Choice{}, false
+	}
+	best := slices.MinFunc(view.open, func(a, b candidate) int { return cmp.Compare(a.strikes, b.strikes) })
+	return p.take(Choice{Upstream: *best.upstream, Candidates: len(view.open)}, best.state), true
+}
+
+// sorted holds the upstreams of a service by what they can be used for.
+type sorted struct {
+	// usable and closed count upstreams that stay, and those of them with a closed breaker, tried or not.
+	usable, closed int
+	// due is an upstream whose trial is due, candidates have closed and open has open breakers; none of them was tried.
+	due        *candidate
+	candidates []candidate
+	open       []candidate
+}
+
+func (p *Pool) sort(now time.Time, upstreams []settings.Upstream, exclude []settings.UpstreamID, breakers Breakers) sorted {
+	var view sorted
 	for i := range upstreams {
 		u := &upstreams[i]
 		if u.Leaving {
 			continue
 		}
-		usable++
+		view.usable++
+		state := breakers.State(now, u.ID)
+		if state == breaker.Closed {
+			view.closed++
+		}
 		if slices.Contains(exclude, u.ID) {
 			continue
 		}
 		c := candidate{upstream: u, state: p.state(u.ID)}
-		switch breakers.State(now, u.ID) {
+		switch state {
+		case breaker.Closed:
+			view.candidates = append(view.candidates, c)
 		case breaker.TrialDue:
-			return p.take(Choice{Upstream: *u, Trial: true, Candidates: usable}, c.state), true
+			view.due = &c
 		case breaker.Open:
 			c.strikes = breakers.Strikes(now, u.ID)
-			open = append(open, c)
-		default:
-			candidates = append(candidates, c)
-		}
-	}
-	candidates = fillUp(candidates, open, usable)
-	if len(candidates) == 0 {
-		return Choice{}, false
-	}
-	chosen, load := p.choose(now, candidates)
-	if load >= fullLoad {
-		if early, ok := earlyTrial(now, open, breakers); ok {
-			return p.take(Choice{Upstream: *early.upstream, Trial: true, Load: load, Candidates: usable}, early.state), true
+			view.open = append(view.open, c)
 		}
 	}
-	return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(candidates)}, chosen.state), true
+	return view
 }
 
 func (p *Pool) state(id settings.UpstreamID) *state {
@@ -169,17 +201,6 @@
 	return open[best], true
 }
 
-// fillUp adds upstreams whose breakers are open, those with the fewest strikes first, until the candidates are at least
-// leastShare of the usable upstreams. When most of a service seems sick, the evidence or the load is at fault.
-func fillUp(candidates, open []candidate, usable int) []candidate {
-	missing := min(int(math.Ceil(leastShare*float64(usable)))-len(candidates), len(open))
-	if missing <= 0 {
-		return candidates
-	}
-	slices.SortFunc(open, func(a, b candidate) int { return cmp.Compare(a.strikes, b.strikes) })
-	return append(candidates, open[:missing]...)
-}
-
 // choose takes the better of two near candidates, or of two distant ones if those are better by the cost of distance.
 func (p *Pool) choose(now time.Time, candidates []candidate) (candidate, float64) {
 	var near, far []candidate
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -24,7 +25,7 @@
 
 // pick chooses an upstream that the request has not tried.
 func (x *exchange) pick() (Attempt, bool) {
-	return x.options.Upstreams.Pick(x.service, x.tried)
+	return x.options.Upstreams.Pick(x.service, placement.Request{Exclude: x.tried, Repeatable: x.policy.Idempotent})
 }
 
 // start prepares an attempt.
@@ -131,7 +132,7 @@
 }
 
 // parseLoad reads "running,waiting,slots"; nil if the text is something else.
-func parseLoad(text string) *Load {
+func parseLoad(text string) *placement.Load {
 	fields := strings.Split(text, ",")
 	if len(fields) != 3 {
 		return nil
@@ -144,7 +145,7 @@
 		}
 		numbers[i] = n
 	}
-	return &Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	return &placement.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
 }
 
 // maxAttempts is the number of upstreams to which the request may be sent.
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
@@ -84,15 +85,12 @@
 	return names[o]
 }
 
-// Load is what an upstream reported about itself.
-type Load struct{ Running, Waiting, Slots int }
-
 // Result reports on an attempt.
 type Result struct {
 	Outcome Outcome
 	Status  int
 	// Load is nil if the upstream reported none.
-	Load *Load
+	Load *placement.Load
 	Took time.Duration
 	// Granted is the time that the attempt was given.
 	Granted time.Duration
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
@@ -48,8 +49,8 @@
 
 // Upstreams chooses upstreams.
 type Upstreams interface {
-	// Pick chooses an upstream outside exclude; false if there is none.
-	Pick(service settings.ServiceName, exclude []settings.UpstreamID) (Attempt, bool)
+	// Pick chooses an upstream for a request; false if there is none.
+	Pick(service settings.ServiceName, request placement.Request) (Attempt, bool)
 	// HangsAfter is the time without an answer after which an attempt at the service counts as hung; 0 if unknown.
 	HangsAfter(service settings.ServiceName) time.Duration
 	// Arrived counts a request for a service.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -100,11 +100,11 @@
 }
 
 // Pick implements relay.Upstreams.
-func (r *router) Pick(service settings.ServiceName, exclude []settings.UpstreamID) (relay.Attempt, bool) {
+func (r *router) Pick(service settings.ServiceName, request placement.Request) (relay.Attempt, bool) {
 	now := time.Now()
 	view := r.registry.View()
 	s := r.service(service)
-	choice, ok := s.pool.Pick(now, view.Upstreams(service), exclude, r.breakers)
+	choice, ok := s.pool.Pick(now, view.Upstreams(service), request, r.breakers)
 	if !ok {
 		return relay.Attempt{}, false
 	}
@@ -132,11 +132,7 @@
 
 // done takes the result of an attempt.
 func (r *router) done(s *routedService, id settings.UpstreamID, result relay.Result) {
-	outcome := placement.Outcome{Shed: result.Outcome == relay.NotRun}
-	if result.Load != nil {
-		load := placement.Load(*result.Load)
-		outcome.Load = &load
-	}
+	outcome := placement.Outcome{Shed: result.Outcome == relay.NotRun, Load: result.Load}
 	if result.Outcome == relay.Answered {
 		outcome.Took = result.Took
 	}
