--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -204,7 +204,7 @@
 			alive = append(alive, hosts[i].ID)
 		}
 	}
-	f.router.setHosts(alive, len(hosts)+1)
+	f.router.setHosts(alive, others)
 	f.limiter.SetHosts(others)
 }
 
@@ -237,6 +237,7 @@
 	}
 	for _, id := range f.node.Update(time.Now(), records) {
 		f.limiter.Restarted(id)
+		f.router.retries.Restarted(id)
 		f.logger.Info().Str("event", "host_found").Str("host_id", id).Send()
 	}
 	f.countHosts()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 			ID: g.options.HostID, Incarnation: g.incarnation, Address: address.String(),
 			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: gossip.NewKey(),
 		},
-		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses, Receive: g.receive,
+		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses, Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown:  func(string) { poke(g.rereadHosts) },
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
@@ -292,6 +292,7 @@
 		g.router.hear(now, m.Host, notice)
 	}
 	g.limiter.Heard(now, m.Host, m.Uses, g.limitOf)
+	g.router.retries.Heard(now, m.Host, m.Retries, g.router.retryLimit)
 }
 
 func (g *Gateway) limitOf(id settings.CustomerID) (quota.Limit, bool) {
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -27,7 +27,7 @@
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
 	// maxUses bounds the counts in one datagram, so that it fits into one packet.
-	maxUses = 24
+	maxUses = 16
 	// maxNotices bounds the notices in one datagram.
 	maxNotices = 24
 	macBytes   = 16
@@ -46,6 +46,8 @@
 	Configuration uint64
 	Notices       []breaker.Notice
 	Uses          []quota.Use
+	// Retries counts the use of retry budgets; Customer holds the name of the service.
+	Retries []quota.Use
 	// RegistryDigest tells which upstreams the sender has read from the store, RegistryAge how long ago. 0 without a read.
 	RegistryDigest uint64
 	RegistryAge    time.Duration
@@ -65,6 +67,8 @@
 	Registry func(now time.Time) (digest uint64, age time.Duration, settled bool)
 	// Uses returns the counts to report. Required.
 	Uses func(now time.Time, onlyNear bool) []quota.Use
+	// Retries returns the use of retry budgets. Required.
+	Retries func(now time.Time, onlyNear bool) []quota.Use
 	// Receive takes verified messages, one at a time. Required.
 	Receive func(now time.Time, m *Message)
 	// Unknown is called when a datagram cannot be verified because its sender's record is not known. Required.
@@ -141,20 +145,20 @@
 	defer heartbeat.Stop()
 	uses := time.NewTicker(usesInterval)
 	defer uses.Stop()
-	n.broadcast(nil, n.options.Uses(time.Now(), false))
+	n.broadcast(n.collect(false))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-			n.broadcast(n.take(), n.options.Uses(time.Now(), false))
+			n.broadcast(n.collect(false))
 		case <-uses.C:
-			if near := n.options.Uses(time.Now(), true); len(near) > 0 {
-				n.broadcast(n.take(), near)
+			if c := n.collect(true); len(c.uses)+len(c.retries) > 0 {
+				n.broadcast(c)
 			}
 		case <-n.wake:
 			time.Sleep(coalesceNotices)
-			n.broadcast(n.take(), nil)
+			n.broadcast(content{notices: n.take()})
 		}
 	}
 }
@@ -167,16 +171,34 @@
 	return notices
 }
 
-// broadcast sends to all hosts, in as many datagrams as the counts need.
-func (n *Node) broadcast(notices []breaker.Notice, uses []quota.Use) {
+// content is what datagrams tell besides the state of the host.
+type content struct {
+	notices []breaker.Notice
+	uses    []quota.Use
+	retries []quota.Use
+}
+
+// collect returns the counts to report. Notices that wait go with them.
+func (n *Node) collect(onlyNear bool) content {
+	now := time.Now()
+	c := content{uses: n.options.Uses(now, onlyNear), retries: n.options.Retries(now, onlyNear)}
+	if !onlyNear || len(c.uses)+len(c.retries) > 0 {
+		c.notices = n.take()
+	}
+	return c
+}
+
+// broadcast sends to all hosts, in as many datagrams as the content needs.
+func (n *Node) broadcast(c content) {
 	for {
-		nowNotices, laterNotices := split(notices, maxNotices)
-		nowUses, laterUses := split(uses, maxUses)
-		n.send(nowNotices, nowUses)
-		if len(laterNotices) == 0 && len(laterUses) == 0 {
+		var first content
+		first.notices, c.notices = split(c.notices, maxNotices)
+		first.uses, c.uses = split(c.uses, maxUses)
+		first.retries, c.retries = split(c.retries, maxUses)
+		n.send(first)
+		if len(c.notices)+len(c.uses)+len(c.retries) == 0 {
 			return
 		}
-		notices, uses = laterNotices, laterUses
 	}
 }
 
@@ -188,7 +210,7 @@
 }
 
 // send writes one datagram to each host. The sequence number is the same for all, so that it is encoded once.
-func (n *Node) send(notices []breaker.Notice, uses []quota.Use) {
+func (n *Node) send(c content) {
 	m := &gossippb.Datagram{
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
@@ -197,16 +219,12 @@
 	digest, age, settled := n.options.Registry(now)
 	m.RegistryDigest, m.RegistryAgeMs = digest, uint32((age + transit).Milliseconds())
 	m.RegistrySettled = settled
-	for _, notice := range notices {
+	for _, notice := range c.notices {
 		m.Notices = append(m.Notices, &gossippb.Notice{
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
 		})
 	}
-	for _, use := range uses {
-		m.Uses = append(m.Uses, &gossippb.Use{
-			Customer: string(use.Customer), Admitted: use.Admitted, Asked: use.Asked, Tokens: use.Tokens,
-		})
-	}
+	m.Uses, m.Retries = encodeUses(c.uses), encodeUses(c.retries)
 	body, err := proto.Marshal(m)
 	if err != nil {
 		n.rejected.Add(1) // an id that is not UTF-8
@@ -291,13 +309,29 @@
 			Sample: breaker.Sample(notice.GetSample()),
 		})
 	}
-	for _, use := range m.GetUses() {
-		message.Uses = append(message.Uses, quota.Use{
+	message.Uses, message.Retries = decodeUses(m.GetUses()), decodeUses(m.GetRetries())
+	return message
+}
+
+func encodeUses(uses []quota.Use) []*gossippb.Use {
+	encoded := make([]*gossippb.Use, len(uses))
+	for i, use := range uses {
+		encoded[i] = &gossippb.Use{
+			Customer: string(use.Customer), Admitted: use.Admitted, Asked: use.Asked, Tokens: use.Tokens,
+		}
+	}
+	return encoded
+}
+
+func decodeUses(encoded []*gossippb.Use) []quota.Use {
+	uses := make([]quota.Use, len(encoded))
+	for i, use := range encoded {
+		uses[i] = quota.Use{
 			Customer: settings.CustomerID(use.GetCustomer()), Admitted: use.GetAdmitted(), Asked: use.GetAsked(),
 			Tokens: use.GetTokens(),
-		})
+		}
 	}
-	return message
+	return uses
 }
 
 // Record returns the stored form of this host's record.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -99,6 +99,8 @@
 	Exclude []settings.UpstreamID
 	// Repeatable requests may be lost at an upstream that is likely sick, because they can be sent again.
 	Repeatable bool
+	// Again is true for a request that an upstream has failed already; it makes no trial.
+	Again bool
 }
 
 // Pick chooses an upstream and counts the attempt as in flight until Done. It reports false if there is no candidate.
@@ -106,13 +108,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view := p.sort(now, upstreams, request.Exclude, breakers)
-	if view.due != nil {
+	if view.due != nil && !request.Again {
 		return p.take(Choice{Upstream: *view.due.upstream, Trial: true, Candidates: view.usable}, view.due.state), true
 	}
 	early := float64(view.closed) < scarceShare*float64(view.usable)
 	if len(view.candidates) > 0 {
 		chosen, load := p.choose(now, view.candidates)
-		if load < fullLoad && !early {
+		if request.Again || (load < fullLoad && !early) {
 			return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
 		}
 		if trial, ok := earlyTrial(now, view.open, breakers); ok {
@@ -121,6 +123,9 @@
 		return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
 	}
 	// Where every upstream seems sick the evidence may be at fault. Else only a request that can be sent again is risked.
+	if view.due != nil {
+		view.open = append(view.open, *view.due)
+	}
 	if len(view.open) == 0 || (view.closed > 0 && !request.Repeatable) {
 		return Choice{}, false
 	}
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -25,7 +25,9 @@
 
 // pick chooses an upstream that the request has not tried.
 func (x *exchange) pick() (Attempt, bool) {
-	return x.options.Upstreams.Pick(x.service, placement.Request{Exclude: x.tried, Repeatable: x.policy.Idempotent})
+	return x.options.Upstreams.Pick(x.service, placement.Request{
+		Exclude: x.tried, Repeatable: x.policy.Idempotent, Again: len(x.tried) > 0,
+	})
 }
 
 // start prepares an attempt.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -8,10 +9,10 @@
 
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
+	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/registry"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
-	"github.com/bronzeyard/bronzeyard/traffic/retry"
 )
 
 const (
@@ -21,9 +22,13 @@
 	// known.
 	shortestHang = time.Second
 	unknownHang  = 2500 * time.Millisecond
-	// budgetShare is the share of the retry budget that the hosts use. The rest is for differences between their windows and
-	// the one that is judged.
-	budgetShare = 0.8
+	// budgetShare is the share of the retry budget that the hosts use. The rest is for what they do before they have heard of
+	// each other.
+	budgetShare = 0.75
+	// leastRetries is the rate of retries of a service without requests, per second. A limit of 0 would be none.
+	leastRetries = 0.1
+	// arrivalHalfLife is the time in which the rate of a service's requests follows a change by half.
+	arrivalHalfLife = 5 * time.Second
 	// shortestRetryAfter and retrySpread make callers that were refused come back spread over time.
 	shortestRetryAfter = 300 * time.Millisecond
 	retrySpread        = 0.5
@@ -31,8 +36,34 @@
 
 // routedService is what a host keeps for one service.
 type routedService struct {
-	pool   *placement.Pool
-	budget *retry.Budget
+	pool *placement.Pool
+
+	mu sync.Mutex
+	// arrivals is a decaying count of this host's requests, as of arrivedAt.
+	arrivals  float64
+	arrivedAt time.Time
+}
+
+// arrived counts a request.
+func (s *routedService) arrived(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = s.decayed(now) + 1
+	s.arrivedAt = now
+}
+
+func (s *routedService) decayed(now time.Time) float64 {
+	if s.arrivedAt.IsZero() {
+		return 0
+	}
+	return s.arrivals * math.Exp2(-float64(now.Sub(s.arrivedAt))/float64(arrivalHalfLife))
+}
+
+// perSecond is the rate of this host's requests.
+func (s *routedService) perSecond(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decayed(now) * math.Ln2 / arrivalHalfLife.Seconds()
 }
 
 // router joins the registry, breakers, placement and retry budgets. It implements relay.Upstreams.
@@ -40,6 +71,7 @@
 	dataCentre string
 	registry   *registry.Registry
 	breakers   *breaker.Set
+	retries    *quota.Limiter
 	bounds     func() Bounds
 	// tell sends notices to the other hosts, and opened logs a breaker that opened.
 	tell   func([]breaker.Notice)
@@ -53,6 +85,7 @@
 func newRouter(dataCentre string, bounds func() Bounds, self string) *router {
 	return &router{
 		dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
+		retries:  quota.New(),
 		services: make(map[settings.ServiceName]*routedService),
 	}
 }
@@ -62,31 +95,19 @@
 	defer r.mu.Unlock()
 	s := r.services[name]
 	if s == nil {
-		bounds := r.bounds()
-		s = &routedService{
-			pool: placement.New(r.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-			budget: retry.NewBudget(retry.BudgetOptions{
-				Ratio: budgetShare * bounds.RetryRatio, Window: bounds.RetryWindow,
-				Base: budgetShare * bounds.RetrySlack / float64(r.hosts),
-			}),
-		}
+		s = &routedService{pool: placement.New(r.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 		r.services[name] = s
 	}
 	return s
 }
 
-// setHosts states how many hosts share the retry budgets.
-func (r *router) setHosts(ids []string, total int) {
-	r.breakers.SetHosts(ids)
+// setHosts states the live hosts, this one included, and all others that count.
+func (r *router) setHosts(alive, others []string) {
+	r.breakers.SetHosts(alive)
+	r.retries.SetHosts(others)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.hosts == total {
-		return
-	}
-	r.hosts = total
-	for _, s := range r.services {
-		s.budget.SetBase(budgetShare * r.bounds().RetrySlack / float64(total))
-	}
+	r.hosts = len(others) + 1
 }
 
 // keep drops what is known of upstreams that are gone.
@@ -181,12 +202,27 @@
 
 // Arrived implements relay.Upstreams.
 func (r *router) Arrived(service settings.ServiceName) {
-	r.service(service).budget.OnSuccess(time.Now())
+	r.service(service).arrived(time.Now())
 }
 
-// TryRetry implements relay.Upstreams.
+// TryRetry implements relay.Upstreams. The retry budget of a service is a limit over all hosts like that of a customer.
 func (r *router) TryRetry(service settings.ServiceName) bool {
-	return r.service(service).budget.TryRetry(time.Now())
+	id := settings.CustomerID(service)
+	limit, _ := r.retryLimit(id)
+	return r.retries.Admit(time.Now(), id, limit).Allowed
+}
+
+// retryLimit returns the retry budget of a service: the slack may come at once, and the ratio of the requests flows in.
+// Callers reach hosts at random, so the requests of all hosts are about those of this one times their number.
+func (r *router) retryLimit(service settings.CustomerID) (quota.Limit, bool) {
+	bounds := r.bounds()
+	r.mu.Lock()
+	hosts := float64(r.hosts)
+	r.mu.Unlock()
+	requests := r.service(settings.ServiceName(service)).perSecond(time.Now()) * hosts
+	return quota.Limit{
+		Rate: budgetShare*bounds.RetryRatio*requests + leastRetries, Burst: budgetShare * bounds.RetrySlack,
+	}, true
 }
 
 // RefusedFor implements relay.Upstreams.
--- a/traffic/retry/retry.go
+++ b/traffic/retry/retry.go
@@ -13,7 +13,8 @@
 	// Window is the time over which successes and retries are counted.
 	Window = 10 * time.Second
 
-	buckets = 10
+	buckets      = 10
+	bucketLength = Window / buckets
 )
 
 // BudgetOptions configure a Budget.
@@ -22,10 +23,6 @@
 	Ratio float64
 	// Minimum is the number of retries per Window that need no success. Default DefaultMinimum.
 	Minimum float64
-	// Base is a number of retries per Window that is added to the share of successes. Default 0.
-	Base float64
-	// Window is the time over which successes and retries are counted. Default Window.
-	Window time.Duration
 }
 
 type bucket struct {
@@ -50,19 +47,9 @@
 	if options.Minimum == 0 {
 		options.Minimum = DefaultMinimum
 	}
-	if options.Window == 0 {
-		options.Window = Window
-	}
 	return &Budget{options: options}
 }
 
-// SetBase changes Base, which depends on how many hosts share it.
-func (b *Budget) SetBase(base float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.options.Base = base
-}
-
 // OnSuccess counts an attempt that succeeded.
 func (b *Budget) OnSuccess(now time.Time) {
 	b.mu.Lock()
@@ -82,7 +69,7 @@
 			retries += b.buckets[i].retries
 		}
 	}
-	if retries+1 > max(b.options.Minimum, successes*b.options.Ratio+b.options.Base) {
+	if retries+1 > max(b.options.Minimum, successes*b.options.Ratio) {
 		return false
 	}
 	current.retries++
@@ -90,7 +77,7 @@
 }
 
 func (b *Budget) current(now time.Time) *bucket {
-	index := now.UnixNano() / int64(b.options.Window/buckets)
+	index := now.UnixNano() / int64(bucketLength)
 	current := &b.buckets[uint64(index)%buckets]
 	if current.index != index {
 		*current = bucket{index: index}
