--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -47,6 +47,9 @@
 	// firstHold is how long a breaker stays open at first. A trial may cost a request that cannot be repeated, and an
 	// upstream that is missed for some seconds costs little.
 	firstHold = 5 * time.Second
+	// repeatableHold is the time after the last bad sample or trial from which a request that can be sent again makes a
+	// trial. Its failure costs little.
+	repeatableHold = 1500 * time.Millisecond
 	// holdGrowth is the factor between the holds of breakers that open again after a trial.
 	holdGrowth = 1.2
 	// longestHold bounds the hold.
@@ -138,18 +141,19 @@
 	}
 }
 
-// State returns the state of an upstream's breaker.
-func (s *Set) State(now time.Time, id settings.UpstreamID) State {
+// State returns the state of an upstream's breaker for a request that can be sent again or not.
+func (s *Set) State(now time.Time, id settings.UpstreamID, repeatable bool) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state(now, id, s.circuits[id])
-}
-
-func (s *Set) state(now time.Time, id settings.UpstreamID, c *circuit) State {
+	c := s.circuits[id]
 	if c == nil || !c.open {
 		return Closed
 	}
-	if now.Before(c.until.Add(time.Duration(s.rank(id)) * rankDelay)) {
+	due := c.until
+	if repeatable {
+		due = earlier(due, later(c.badAt, c.triedAt).Add(repeatableHold))
+	}
+	if now.Before(due.Add(time.Duration(s.rank(id)) * rankDelay)) {
 		return Open
 	}
 	return TrialDue
@@ -320,6 +324,13 @@
 	c.strikes, c.strikesAt = strikesAfterTrial, now
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,7 @@
 		Unknown:  func(string) { poke(g.rereadHosts) },
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
-	g.router.tell = g.node.Tell
+	g.router.tell, g.router.tellLoad = g.node.Tell, g.node.TellLoad
 	g.router.opened = g.log.breakerOpened
 	return nil
 }
@@ -291,6 +291,9 @@
 	for _, notice := range m.Notices {
 		g.router.hear(now, m.Host, notice)
 	}
+	for _, report := range m.Loads {
+		g.router.hearLoad(now, report)
+	}
 	g.limiter.Heard(now, m.Host, m.Uses, g.limitOf)
 	g.router.retries.Heard(now, m.Host, m.Retries, g.router.retryLimit)
 }
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
@@ -22,12 +23,14 @@
 const (
 	// HeartbeatInterval is the time between heartbeats.
 	HeartbeatInterval = time.Second
-	// usesInterval is the time between reports of customers near their limit.
+	// usesInterval is the time between reports of customers near their limit and of full upstreams.
 	usesInterval = 150 * time.Millisecond
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
 	// maxUses bounds the counts in one datagram, so that it fits into one packet.
 	maxUses = 16
+	// maxLoads bounds the loads in one datagram.
+	maxLoads = 16
 	// maxNotices bounds the notices in one datagram.
 	maxNotices = 24
 	macBytes   = 16
@@ -48,6 +51,8 @@
 	Uses          []quota.Use
 	// Retries counts the use of retry budgets; Customer holds the name of the service.
 	Retries []quota.Use
+	// Loads are the upstreams that the sender has found to be full.
+	Loads []placement.Report
 	// RegistryDigest tells which upstreams the sender has read from the store, RegistryAge how long ago. 0 without a read.
 	RegistryDigest uint64
 	RegistryAge    time.Duration
@@ -87,6 +92,7 @@
 
 	mu      sync.Mutex
 	notices []breaker.Notice
+	loads   map[settings.UpstreamID]float64
 
 	sent     atomic.Int64
 	rejected atomic.Int64
@@ -95,6 +101,7 @@
 // New returns a Node that knows no other host.
 func New(options Options) *Node {
 	n := &Node{options: options, wake: make(chan struct{}, 1)}
+	n.loads = make(map[settings.UpstreamID]float64)
 	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
 	n.table.hosts = make(map[string]*Host)
 	return n
@@ -120,6 +127,25 @@
 	n.poke()
 }
 
+// TellLoad sends the load of an upstream to all hosts with the next datagram, within usesInterval.
+func (n *Node) TellLoad(report placement.Report) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads[report.Upstream] = report.Load
+}
+
+// takeLoads returns the loads to tell.
+func (n *Node) takeLoads() []placement.Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	reports := make([]placement.Report, 0, len(n.loads))
+	for id, load := range n.loads {
+		reports = append(reports, placement.Report{Upstream: id, Load: load})
+	}
+	clear(n.loads)
+	return reports
+}
+
 // Announce sends a heartbeat soon.
 func (n *Node) Announce() { n.poke() }
 
@@ -153,7 +179,7 @@
 		case <-heartbeat.C:
 			n.broadcast(n.collect(false))
 		case <-uses.C:
-			if c := n.collect(true); len(c.uses)+len(c.retries) > 0 {
+			if c := n.collect(true); !c.empty() {
 				n.broadcast(c)
 			}
 		case <-n.wake:
@@ -176,13 +202,20 @@
 	notices []breaker.Notice
 	uses    []quota.Use
 	retries []quota.Use
+	loads   []placement.Report
+}
+
+func (c *content) empty() bool {
+	return len(c.notices)+len(c.uses)+len(c.retries)+len(c.loads) == 0
 }
 
 // collect returns the counts to report. Notices that wait go with them.
 func (n *Node) collect(onlyNear bool) content {
 	now := time.Now()
-	c := content{uses: n.options.Uses(now, onlyNear), retries: n.options.Retries(now, onlyNear)}
-	if !onlyNear || len(c.uses)+len(c.retries) > 0 {
+	c := content{
+		uses: n.options.Uses(now, onlyNear), retries: n.options.Retries(now, onlyNear), loads: n.takeLoads(),
+	}
+	if !onlyNear || !c.empty() {
 		c.notices = n.take()
 	}
 	return c
@@ -195,8 +228,9 @@
 		first.notices, c.notices = split(c.notices, maxNotices)
 		first.uses, c.uses = split(c.uses, maxUses)
 		first.retries, c.retries = split(c.retries, maxUses)
+		first.loads, c.loads = split(c.loads, maxLoads)
 		n.send(first)
-		if len(c.notices)+len(c.uses)+len(c.retries) == 0 {
+		if c.empty() {
 			return
 		}
 	}
@@ -224,6 +258,9 @@
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
 		})
 	}
+	for _, report := range c.loads {
+		m.Loads = append(m.Loads, &gossippb.Load{Upstream: string(report.Upstream), Percent: uint32(100 * report.Load)})
+	}
 	m.Uses, m.Retries = encodeUses(c.uses), encodeUses(c.retries)
 	body, err := proto.Marshal(m)
 	if err != nil {
@@ -309,6 +346,11 @@
 			Sample: breaker.Sample(notice.GetSample()),
 		})
 	}
+	for _, load := range m.GetLoads() {
+		message.Loads = append(message.Loads, placement.Report{
+			Upstream: settings.UpstreamID(load.GetUpstream()), Load: float64(load.GetPercent()) / 100,
+		})
+	}
 	message.Uses, message.Retries = decodeUses(m.GetUses()), decodeUses(m.GetRetries())
 	return message
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -88,7 +88,7 @@
 
 // Breakers states the circuit breaker of an upstream.
 type Breakers interface {
-	State(now time.Time, id settings.UpstreamID) breaker.State
+	State(now time.Time, id settings.UpstreamID, repeatable bool) breaker.State
 	Strikes(now time.Time, id settings.UpstreamID) float64
 	MayTryEarly(now time.Time, id settings.UpstreamID) bool
 }
@@ -107,7 +107,7 @@
 func (p *Pool) Pick(now time.Time, upstreams []settings.Upstream, request Request, breakers Breakers) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	view := p.sort(now, upstreams, request.Exclude, breakers)
+	view := p.sort(now, upstreams, request, breakers)
 	if view.due != nil && !request.Again {
 		return p.take(Choice{Upstream: *view.due.upstream, Trial: true, Candidates: view.usable}, view.due.state), true
 	}
@@ -143,7 +143,7 @@
 	open       []candidate
 }
 
-func (p *Pool) sort(now time.Time, upstreams []settings.Upstream, exclude []settings.UpstreamID, breakers Breakers) sorted {
+func (p *Pool) sort(now time.Time, upstreams []settings.Upstream, request Request, breakers Breakers) sorted {
 	var view sorted
 	for i := range upstreams {
 		u := &upstreams[i]
@@ -151,11 +151,11 @@
 			continue
 		}
 		view.usable++
-		state := breakers.State(now, u.ID)
+		state := breakers.State(now, u.ID, request.Repeatable)
 		if state == breaker.Closed {
 			view.closed++
 		}
-		if slices.Contains(exclude, u.ID) {
+		if slices.Contains(request.Exclude, u.ID) {
 			continue
 		}
 		c := candidate{upstream: u, state: p.state(u.ID)}
@@ -276,7 +276,7 @@
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	if outcome.Load != nil {
-		s.load = float64(outcome.Load.Running+outcome.Load.Waiting) / float64(max(1, outcome.Load.Slots))
+		s.load = outcome.Load.share()
 		s.loadAt = now
 	}
 	if outcome.Shed {
@@ -304,6 +304,35 @@
 // typicalSamples is the number of answers from which the mean duration of a service is known.
 const typicalSamples = 5
 
+// Report is the load of an upstream as another host has learned it.
+type Report struct {
+	Upstream settings.UpstreamID
+	// Load is the share of the slots in use, above 1 if requests wait.
+	Load float64
+}
+
+// Hear takes a report of another host.
+func (p *Pool) Hear(now time.Time, report Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(report.Upstream)
+	s.load, s.loadAt = report.Load, now
+}
+
+// toldLoad is the load from which other hosts are told.
+const toldLoad = 1.0
+
+// Told returns what other hosts should know of a load.
+func Told(id settings.UpstreamID, load *Load) (Report, bool) {
+	if load == nil || load.share() < toldLoad {
+		return Report{}, false
+	}
+	return Report{Upstream: id, Load: load.share()}, true
+}
+
+// share is the share of the slots in use, above 1 if requests wait.
+func (l *Load) share() float64 { return float64(l.Running+l.Waiting) / float64(max(1, l.Slots)) }
+
 // Typical is the mean duration of the service's good answers; 0 if too few are known.
 func (p *Pool) Typical() time.Duration {
 	p.mu.Lock()
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -53,6 +53,12 @@
 	return ok
 }
 
+// ServiceOf returns the service of an upstream.
+func (v *View) ServiceOf(id settings.UpstreamID) (settings.ServiceName, bool) {
+	entry, ok := v.known[id]
+	return entry.Service, ok
+}
+
 // Len is the number of upstreams.
 func (v *View) Len() int { return len(v.known) }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -74,8 +74,10 @@
 	retries    *quota.Limiter
 	bounds     func() Bounds
 	// tell sends notices to the other hosts, and opened logs a breaker that opened.
-	tell   func([]breaker.Notice)
-	opened func(settings.UpstreamID, breaker.Sample, string)
+	tell func([]breaker.Notice)
+	// tellLoad tells the other hosts that an upstream is full.
+	tellLoad func(placement.Report)
+	opened   func(settings.UpstreamID, breaker.Sample, string)
 
 	mu       sync.Mutex
 	hosts    int
@@ -158,6 +160,9 @@
 		outcome.Took = result.Took
 	}
 	s.pool.Done(time.Now(), id, outcome)
+	if report, ok := placement.Told(id, result.Load); ok {
+		r.tellLoad(report)
+	}
 	switch result.Outcome {
 	case relay.Answered:
 		r.report(id, breaker.Good)
@@ -195,6 +200,13 @@
 	}
 }
 
+// hearLoad takes a report of another host.
+func (r *router) hearLoad(now time.Time, report placement.Report) {
+	if service, ok := r.registry.View().ServiceOf(report.Upstream); ok {
+		r.service(service).pool.Hear(now, report)
+	}
+}
+
 // HangsAfter implements relay.Upstreams.
 func (r *router) HangsAfter(service settings.ServiceName) time.Duration {
 	return r.hangTime(r.service(service))
