--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -169,7 +169,7 @@
 	b := l.buckets[id]
 	if b == nil {
 		l.sweep(now)
-		b = &bucket{limit: limit, tokens: limit.capacity(), share: 1, filledAt: now, remotes: make(map[string]*remote)}
+		b = &bucket{limit: limit, tokens: limit.capacity(), share: max(1, limit.capacity()/float64(l.hosts)), filledAt: now, remotes: make(map[string]*remote)}
 		b.own.Customer = id
 		l.buckets[id] = b
 	}
