--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -46,7 +46,7 @@
 	strikesAfterTrial = 0.5
 	// firstHold is how long a breaker stays open at first. A trial may cost a request that cannot be repeated, and an
 	// upstream that is missed for some seconds costs little.
-	firstHold = 5 * time.Second
+	firstHold = 6 * time.Second
 	// repeatableHold is the time after the last bad sample or trial from which a request that can be sent again makes a
 	// trial. Its failure costs little.
 	repeatableHold = 1500 * time.Millisecond
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -26,8 +26,6 @@
 	latencyWeight = 0.25
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
 	slowCost = 0.4
-	// scarceShare is the share of a service's upstreams with closed breakers below which the others are tried early.
-	scarceShare = 0.5
 	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early.
 	fullLoad = 0.9
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
@@ -111,10 +109,9 @@
 	if view.due != nil && !request.Again {
 		return p.take(Choice{Upstream: *view.due.upstream, Trial: true, Candidates: view.usable}, view.due.state), true
 	}
-	early := float64(view.closed) < scarceShare*float64(view.usable)
 	if len(view.candidates) > 0 {
 		chosen, load := p.choose(now, view.candidates)
-		if request.Again || (load < fullLoad && !early) {
+		if request.Again || load < fullLoad {
 			return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
 		}
 		if trial, ok := earlyTrial(now, view.open, breakers); ok {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -24,7 +24,7 @@
 	unknownHang  = 2500 * time.Millisecond
 	// budgetShare is the share of the retry budget that the hosts use. The rest is for what they do before they have heard of
 	// each other.
-	budgetShare = 0.75
+	budgetShare = 0.92
 	// leastRetries is the rate of retries of a service without requests, per second. A limit of 0 would be none.
 	leastRetries = 0.1
 	// arrivalHalfLife is the time in which the rate of a service's requests follows a change by half.
