--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -22,6 +22,8 @@
 	// shedCost is the load that an upstream counts more after it has refused a request, until shedFor has passed.
 	shedCost = 1.0
 	shedFor  = 700 * time.Millisecond
+	// busyFor is how long a report of a full upstream explains late answers.
+	busyFor = 3 * time.Second
 	// latencyWeight is the weight of a new sample in the mean duration of an upstream's answers.
 	latencyWeight = 0.25
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
@@ -316,6 +318,14 @@
 	s.load, s.loadAt = report.Load, now
 }
 
+// Busy reports whether the upstream was full lately, so that a late answer says nothing about its health.
+func (p *Pool) Busy(now time.Time, id settings.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[id]
+	return s != nil && s.load >= 1 && now.Sub(s.loadAt) < busyFor
+}
+
 // toldLoad is the load from which other hosts are told.
 const toldLoad = 1.0
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -135,7 +135,13 @@
 	if choice.Trial {
 		r.tell(r.breakers.BeginTrial(now, id))
 	}
-	hung := time.AfterFunc(r.hangTime(s), func() { r.report(id, breaker.Hung) })
+	// A full upstream answers late without being sick.
+	hangTime := time.Duration(float64(r.hangTime(s)) * max(1, choice.Load))
+	hung := time.AfterFunc(hangTime, func() {
+		if !s.pool.Busy(time.Now(), id) {
+			r.report(id, breaker.Hung)
+		}
+	})
 	done := func(result relay.Result) {
 		hung.Stop()
 		r.done(s, id, result)
