--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +29,8 @@
 	slowCost = 0.4
 	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early.
 	fullLoad = 0.9
+	// overfullLoad is the load from which a repeatable request waits too long at the chosen upstream.
+	overfullLoad = 3.0
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
 	slowHalfLife = 3 * time.Second
 )
@@ -119,6 +120,11 @@
 		if trial, ok := earlyTrial(now, view.open, breakers); ok {
 			return p.take(Choice{Upstream: *trial.upstream, Trial: true, Load: load, Candidates: view.usable}, trial.state), true
 		}
+		if request.Repeatable && load >= overfullLoad && len(view.open) > 0 {
+			// A sick upstream answers some requests, and what fails there can be sent again; a full one refuses.
+			other := p.leastStruck(view.open)
+			return p.take(Choice{Upstream: *other.upstream, Load: load, Candidates: view.usable}, other.state), true
+		}
 		return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
 	}
 	// Where every upstream seems sick the evidence may be at fault. Else only a request that can be sent again is risked.
@@ -128,10 +134,20 @@
 	if len(view.open) == 0 || (view.closed > 0 && !request.Repeatable) {
 		return Choice{}, false
 	}
-	best := slices.MinFunc(view.open, func(a, b candidate) int { return cmp.Compare(a.strikes, b.strikes) })
+	best := p.leastStruck(view.open)
 	return p.take(Choice{Upstream: *best.upstream, Candidates: len(view.open)}, best.state), true
 }
 
+// leastStruck returns the better of two random candidates by their strikes.
+func (p *Pool) leastStruck(candidates []candidate) candidate {
+	first := candidates[p.random.IntN(len(candidates))]
+	second := candidates[p.random.IntN(len(candidates))]
+	if second.strikes < first.strikes {
+		return second
+	}
+	return first
+}
+
 // sorted holds the upstreams of a service by what they can be used for.
 type sorted struct {
 	// usable and closed count upstreams that stay, and those of them with a closed breaker, tried or not.
