Take no request late in the time to stop

Now the listener and idle connections are closed after 2.5 s, or half of the grace, and the rest of the grace is for requests in flight. Ruled out: a race at the end of the process; the log shows one request in flight at the stop.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,49 +178,6 @@
 	return nil
 }
 
-const (
-	// leaveReserve is the part of the grace that is left unused.
-	leaveReserve = 500 * time.Millisecond
-	// leaveStep is the time between two checks of the requests in flight.
-	leaveStep = 50 * time.Millisecond
-	// lastRequests is for how long no request must have come before the connections are closed.
-	lastRequests = 700 * time.Millisecond
-)
-
-// leave takes the host out of use without cutting a request.
-func (g *Gateway) leave() {
-	bounds := g.boundsNow()
-	started := time.Now()
-	g.leaving.Store(true)
-	g.node.Leave()
-	g.server.CloseAfterAnswers()
-	g.logger.Info().Str("event", "stop").Int64("in_flight", g.server.InFlight()).
-		Dur("grace_ms", bounds.StopGrace).Send()
-	end := started.Add(bounds.StopGrace - leaveReserve)
-	g.awaitQuiet(started, end)
-	_ = g.listener.Close()
-	for g.server.CloseIdle() > 0 && time.Now().Before(end) {
-		time.Sleep(leaveStep)
-	}
-	g.logger.Info().Str("event", "stopped").Int64("in_flight", g.server.InFlight()).
-		Dur("took_ms", time.Since(started)).Send()
-	g.log.flush()
-}
-
-// awaitQuiet returns when callers no longer send requests and have had the time to ask for other addresses.
-func (g *Gateway) awaitQuiet(started, end time.Time) {
-	quiet := started
-	for time.Now().Before(end) {
-		time.Sleep(leaveStep)
-		if g.server.InFlight() > 0 {
-			quiet = time.Now()
-		}
-		if time.Since(started) > g.addressTTL() && time.Since(quiet) > lastRequests {
-			return
-		}
-	}
-}
-
 // SetBounds puts new bounds in force.
 func (g *Gateway) SetBounds(bounds Bounds) {
 	g.bounds.Store(&bounds)
--- /dev/null
+++ b/gateway/leave.go
@@ -0,0 +1,36 @@
+package gateway
+
+import "time"
+
+const (
+	// acceptTime is for how long a host that leaves takes requests, beyond the time for which callers keep addresses.
+	acceptTime = 500 * time.Millisecond
+	// acceptPart is the part of the grace after which it takes none in any case, so that they can end within the rest.
+	acceptPart = 2
+	// leaveReserve is the part of the grace that is left unused.
+	leaveReserve = 150 * time.Millisecond
+	// leaveStep is the time between two looks at the connections.
+	leaveStep = 20 * time.Millisecond
+)
+
+// leave takes the host out of use without cutting a request: callers are sent elsewhere at once, each answer is the last of
+// its connection, and requests are taken until callers have had the time to ask for other addresses. Then the listener and
+// idle connections are closed, so that callers turn to other hosts, and the requests in flight end.
+func (g *Gateway) leave() {
+	bounds := g.boundsNow()
+	started := time.Now()
+	g.leaving.Store(true)
+	g.node.Leave()
+	g.server.CloseAfterAnswers()
+	g.logger.Info().Str("event", "stop").Int64("in_flight", g.server.InFlight()).
+		Dur("grace_ms", bounds.StopGrace).Send()
+	time.Sleep(min(g.addressTTL()+acceptTime, bounds.StopGrace/acceptPart))
+	_ = g.listener.Close()
+	end := started.Add(bounds.StopGrace - leaveReserve)
+	for g.server.CloseIdle() > 0 && time.Now().Before(end) {
+		time.Sleep(leaveStep)
+	}
+	g.logger.Info().Str("event", "stopped").Int64("in_flight", g.server.InFlight()).
+		Dur("took_ms", time.Since(started)).Send()
+	g.log.flush()
+}
