--- /dev/null
+++ b/gateway/breaker/breaker_test.go
@@ -0,0 +1,146 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func expectState(t *testing.T, s *Set, seconds float64, want State) {
+	t.Helper()
+	if got := s.State(at(seconds), "u", false); got != want {
+		t.Errorf("at %v s the state is %v, want %v", seconds, got, want)
+	}
+}
+
+// Guards against further losses after the first: one broken answer opens the breaker on this host and on those that hear.
+func TestBrokenAnswerOpensEverywhere(t *testing.T) {
+	a, b := New("a"), New("b")
+	notices, opened := a.Report(at(0), "u", Broken)
+	if !opened || len(notices) != 1 {
+		t.Fatalf("opened %v, notices %v", opened, notices)
+	}
+	if !b.Hear(at(0.01), notices[0]) {
+		t.Error("the breaker did not open at the host that heard")
+	}
+	expectState(t, a, 0.1, Open)
+	expectState(t, b, 0.1, Open)
+}
+
+// Guards against opening for what healthy upstreams do now and then: one error status, one late answer.
+func TestSingleWeakSampleKeepsClosed(t *testing.T) {
+	for _, sample := range []Sample{ErrorStatus, Hung} {
+		s := New("a")
+		if _, opened := s.Report(at(0), "u", sample); opened {
+			t.Errorf("%v opened the breaker", sample)
+		}
+		if _, opened := s.Report(at(0.2), "u", ErrorStatus); !opened {
+			t.Errorf("an error status right after %v did not open the breaker", sample)
+		}
+	}
+	s := New("a")
+	s.Report(at(0), "u", ErrorStatus)
+	if _, opened := s.Report(at(8), "u", ErrorStatus); opened {
+		t.Error("two error statuses 8 s apart opened the breaker")
+	}
+}
+
+// Guards against a path between one host and an upstream that shuts the upstream out for all.
+func TestUnreachableFromOneHostKeepsOthers(t *testing.T) {
+	a, b := New("a"), New("b")
+	notices, opened := a.Report(at(0), "u", Unreachable)
+	if !opened {
+		t.Error("the breaker of the host itself stays closed")
+	}
+	if b.Hear(at(0), notices[0]) {
+		t.Error("one host's failed connection opened the breaker of another")
+	}
+	notices, _ = New("c").Report(at(0.1), "u", Unreachable)
+	b.Hear(at(0.1), notices[0])
+	notices, _ = New("d").Report(at(0.2), "u", Unreachable)
+	if !b.Hear(at(0.2), notices[0]) {
+		t.Error("failed connections of three hosts did not open the breaker")
+	}
+}
+
+// Guards against trials by all hosts at once: each costs a request.
+func TestOneHostMakesTheTrial(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d"}
+	sets := make([]*Set, len(hosts))
+	for i, host := range hosts {
+		sets[i] = New(host)
+		sets[i].SetHosts(hosts)
+		sets[i].Hear(at(0), Notice{Kind: NoticeSample, Upstream: "u", Sample: Broken})
+	}
+	due := 0
+	for _, s := range sets {
+		if s.State(at(6.01), "u", false) == TrialDue {
+			due++
+			for _, notice := range s.BeginTrial(at(6.01), "u") {
+				for _, other := range sets {
+					if other != s {
+						other.Hear(at(6.02), notice)
+					}
+				}
+			}
+		}
+	}
+	if due != 1 {
+		t.Errorf("%d hosts make the first trial", due)
+	}
+	for _, s := range sets {
+		expectState(t, s, 7, Open)
+	}
+}
+
+// Guards against an upstream that stays out of use after it has recovered, and one that comes back without a trial.
+func TestTrialDecides(t *testing.T) {
+	s := New("a")
+	s.Report(at(0), "u", Broken)
+	expectState(t, s, 5.9, Open)
+	expectState(t, s, 6.1, TrialDue)
+	s.BeginTrial(at(6.1), "u")
+	s.Report(at(6.2), "u", Broken)
+	expectState(t, s, 12, Open)
+	expectState(t, s, 13.5, TrialDue)
+	s.BeginTrial(at(13.5), "u")
+	notices, _ := s.Report(at(13.6), "u", Good)
+	expectState(t, s, 13.7, Closed)
+	other := New("b")
+	other.Report(at(13), "u", Broken)
+	for _, notice := range notices {
+		other.Hear(at(13.65), notice)
+	}
+	expectState(t, other, 13.7, Closed)
+	if _, opened := s.Report(at(14), "u", ErrorStatus); !opened {
+		t.Error("an error status right after a trial did not open the breaker")
+	}
+}
+
+// Guards against answers to requests from before the failure that close a breaker.
+func TestGoodAnswerWithoutTrialKeepsOpen(t *testing.T) {
+	s := New("a")
+	s.Report(at(0), "u", Broken)
+	s.Report(at(0.1), "u", Good)
+	expectState(t, s, 0.2, Open)
+}
+
+// Guards the load pattern "half of a service is sick under a rush": trials come early, and sooner for requests that can be
+// sent again.
+func TestEarlyTrials(t *testing.T) {
+	s := New("a")
+	s.Report(at(0), "u", Broken)
+	if s.MayTryEarly(at(0.9), "u") || !s.MayTryEarly(at(1.1), "u") {
+		t.Error("an early trial may start 1 s after the last bad sample, not before")
+	}
+	if got := s.State(at(1.6), "u", true); got != TrialDue {
+		t.Errorf("after 1.6 s a repeatable request finds state %v", got)
+	}
+	s.BeginTrial(at(1.6), "u")
+	if s.MayTryEarly(at(2), "u") {
+		t.Error("a second trial may start beside the first")
+	}
+}
--- /dev/null
+++ b/gateway/placement/placement_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/breaker"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func pool() *Pool { return New("north", rand.New(rand.NewPCG(1, 2))) }
+
+func upstream(id, dataCentre string) settings.Upstream {
+	return settings.Upstream{ID: settings.UpstreamID(id), Address: id, DataCentre: dataCentre, Slots: 4}
+}
+
+// states are breakers whose states do not change. An upstream that is not listed is closed.
+type states struct {
+	of      map[settings.UpstreamID]breaker.State
+	strikes map[settings.UpstreamID]float64
+	early   bool
+}
+
+func (s states) State(_ time.Time, id settings.UpstreamID, _ bool) breaker.State { return s.of[id] }
+func (s states) Strikes(_ time.Time, id settings.UpstreamID) float64             { return s.strikes[id] }
+func (s states) MayTryEarly(time.Time, settings.UpstreamID) bool                 { return s.early }
+
+// spread counts which upstreams n requests go to; each ends before the next begins if done.
+func spread(p *Pool, upstreams []settings.Upstream, r Request, b Breakers, n int, done bool) (map[settings.UpstreamID]int, int) {
+	counts, refused := make(map[settings.UpstreamID]int), 0
+	for range n {
+		choice, ok := p.Pick(now, upstreams, r, b)
+		if !ok {
+			refused++
+			continue
+		}
+		counts[choice.Upstream.ID]++
+		if done {
+			p.Done(now, choice.Upstream.ID, Outcome{})
+		}
+	}
+	return counts, refused
+}
+
+// Guards against traffic between data centres in steady load.
+func TestOwnDataCentreFirst(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("near", "north"), upstream("far", "south")}
+	counts, _ := spread(pool(), upstreams, Request{}, states{}, 100, true)
+	if counts["far"] != 0 {
+		t.Errorf("%d of 100 requests went far without need", counts["far"])
+	}
+}
+
+// Guards the load pattern "rush at one data centre": requests spill over when the near upstream fills.
+func TestRushSpillsOver(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("near", "north"), upstream("far", "south")}
+	counts, _ := spread(pool(), upstreams, Request{}, states{}, 12, false)
+	if counts["far"] < 4 || counts["near"] < 4 {
+		t.Errorf("12 requests in flight went %v", counts)
+	}
+}
+
+// Guards against requests to an upstream that others have found to be full.
+func TestReportedLoadIsAvoided(t *testing.T) {
+	p := pool()
+	upstreams := []settings.Upstream{upstream("full", "north"), upstream("free", "north")}
+	p.Hear(now, Report{Upstream: "full", Load: 2})
+	counts, _ := spread(p, upstreams, Request{}, states{}, 50, true)
+	if counts["full"] != 0 {
+		t.Errorf("%d of 50 requests went to the full upstream", counts["full"])
+	}
+	later := now.Add(10 * time.Second)
+	if load := p.load(later, candidate{upstream: &upstreams[0], state: p.states["full"]}); load > 0.01 {
+		t.Errorf("a report of 10 s ago still counts %v", load)
+	}
+}
+
+// Guards bookings: they go to no upstream that is likely sick while one is well, not even when that one has refused.
+func TestUnrepeatableRequestsAvoidOpenBreakers(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("sick", "north"), upstream("well", "south")}
+	breakers := states{of: map[settings.UpstreamID]breaker.State{"sick": breaker.Open}}
+	counts, _ := spread(pool(), upstreams, Request{}, breakers, 40, false)
+	if counts["sick"] != 0 {
+		t.Errorf("%d bookings went to the sick upstream", counts["sick"])
+	}
+	tried := Request{Exclude: []settings.UpstreamID{"well"}, Again: true}
+	if counts, refused := spread(pool(), upstreams, tried, breakers, 5, true); refused != 5 {
+		t.Errorf("bookings that the well upstream refused went %v", counts)
+	}
+}
+
+// Guards the load pattern of the daan incident "one upstream is well and overfull, the others answer some requests": what
+// can be sent again is spread over the sick ones.
+func TestOverfullUpstreamSendsRepeatableRequestsElsewhere(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("sick", "north"), upstream("well", "north")}
+	breakers := states{of: map[settings.UpstreamID]breaker.State{"sick": breaker.Open}}
+	counts, _ := spread(pool(), upstreams, Request{Repeatable: true}, breakers, 40, false)
+	if counts["sick"] < 20 || counts["well"] < 10 {
+		t.Errorf("40 repeatable requests in flight went %v", counts)
+	}
+}
+
+// Guards the load pattern "rush on few upstreams": an open breaker is tried early, one request at a time.
+func TestFullUpstreamsMakeEarlyTrials(t *testing.T) {
+	p := pool()
+	upstreams := []settings.Upstream{upstream("sick", "north"), upstream("well", "north")}
+	breakers := states{of: map[settings.UpstreamID]breaker.State{"sick": breaker.Open}, early: true}
+	for i := range 8 {
+		choice, ok := p.Pick(now, upstreams, Request{}, breakers)
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		if choice.Trial != (i >= 4) {
+			t.Errorf("request %d is a trial: %v", i, choice.Trial)
+		}
+	}
+}
+
+// Guards against a refusal of everything when the evidence is at fault, for example after resets on this host.
+func TestAllBreakersOpen(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("a", "north"), upstream("b", "north")}
+	breakers := states{
+		of:      map[settings.UpstreamID]breaker.State{"a": breaker.Open, "b": breaker.Open},
+		strikes: map[settings.UpstreamID]float64{"a": 5, "b": 1},
+	}
+	counts, refused := spread(pool(), upstreams, Request{}, breakers, 40, true)
+	if refused != 0 || counts["b"] <= counts["a"] {
+		t.Errorf("went %v, %d refused", counts, refused)
+	}
+}
+
+// Guards retries: after a failure the next attempt goes to an upstream that is known to be well.
+func TestRetriesMakeNoTrial(t *testing.T) {
+	upstreams := []settings.Upstream{upstream("due", "north"), upstream("well", "north")}
+	breakers := states{of: map[settings.UpstreamID]breaker.State{"due": breaker.TrialDue}}
+	if choice, ok := pool().Pick(now, upstreams, Request{}, breakers); !ok || !choice.Trial {
+		t.Errorf("the first attempt is no trial: %+v", choice)
+	}
+	if choice, ok := pool().Pick(now, upstreams, Request{Again: true}, breakers); !ok || choice.Upstream.ID != "well" {
+		t.Errorf("a retry went to %q", choice.Upstream.ID)
+	}
+}
+
+// Guards against new work at upstreams that leave, and against too much at those that have just started or are slow.
+func TestLeavingColdAndSlowUpstreams(t *testing.T) {
+	leaving, cold := upstream("leaving", "north"), upstream("cold", "north")
+	leaving.Leaving = true
+	cold.WarmUntil = now.Add(time.Second)
+	upstreams := []settings.Upstream{leaving, cold, upstream("warm", "north")}
+	counts, _ := spread(pool(), upstreams, Request{}, states{}, 50, true)
+	if counts["leaving"] != 0 || counts["cold"] != 0 {
+		t.Errorf("50 requests went %v", counts)
+	}
+	p := pool()
+	both := []settings.Upstream{upstream("slow", "north"), upstream("quick", "north")}
+	p.state("slow")
+	p.state("quick")
+	for range 20 {
+		p.Done(now, "slow", Outcome{Took: 2 * time.Second})
+		p.Done(now, "quick", Outcome{Took: 200 * time.Millisecond})
+	}
+	if counts, _ := spread(p, both, Request{}, states{}, 50, true); counts["slow"] != 0 {
+		t.Errorf("50 requests went %v", counts)
+	}
+}
+
+// Guards against opening breakers for late answers of full upstreams (scale-1 of the mfbb deployment).
+func TestBusyUpstreams(t *testing.T) {
+	p := pool()
+	p.Hear(now, Report{Upstream: "u", Load: 1.5})
+	if !p.Busy(now.Add(time.Second), "u") || p.Busy(now.Add(10*time.Second), "u") || p.Busy(now, "unknown") {
+		t.Error("an upstream is busy for some seconds after it was found full")
+	}
+}
