Keep http.Transport from repeating requests that declare an idempotency key

Verbatim requests now carry that header under a name that http.Transport does not look for. Also tests of datagrams: every field arrives, relays, forged and repeated ones.

--- /dev/null
+++ b/gateway/gossip/gossip_test.go
@@ -0,0 +1,221 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeyard/bronzeyard/gateway/breaker"
+	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
+	"github.com/bronzeyard/bronzeyard/gateway/quota"
+)
+
+// peer is a node on loopback that collects what it hears.
+type peer struct {
+	node *Node
+	conn net.PacketConn
+
+	mu      sync.Mutex
+	heard   []*Message
+	unknown []string
+}
+
+func newPeer(t *testing.T, id, dataCentre string) *peer {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{conn: conn}
+	none := func(time.Time, bool) []quota.Use { return nil }
+	p.node = New(Options{
+		Self: Record{
+			ID: id, Incarnation: 7, Address: conn.LocalAddr().String(), CallerAddress: "127.0.0.1:1", DataCentre: dataCentre,
+			Key: NewKey(),
+		},
+		Conn: conn, Configuration: func() uint64 { return 12 }, Retries: none,
+		Registry: func(time.Time) (uint64, time.Duration, bool) { return 99, 40 * time.Millisecond, true },
+		Uses: func(_ time.Time, onlyNear bool) []quota.Use {
+			if onlyNear {
+				return nil
+			}
+			return []quota.Use{{Customer: "c", Admitted: 5, Asked: 6, Tokens: -3}}
+		},
+		Receive: func(_ time.Time, m *Message) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.heard = append(p.heard, m)
+		},
+		Unknown: func(host string) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.unknown = append(p.unknown, host)
+		},
+		Returned: func(string) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.node.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return p
+}
+
+func (p *peer) from(id string) []*Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var messages []*Message
+	for _, m := range p.heard {
+		if m.Host == id {
+			messages = append(messages, m)
+		}
+	}
+	return messages
+}
+
+func introduce(peers ...*peer) {
+	var records []Record
+	for _, p := range peers {
+		records = append(records, p.node.options.Self)
+	}
+	for _, p := range peers {
+		p.node.Update(time.Now(), records)
+	}
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting until " + what)
+		}
+	}
+}
+
+// Guards against fields that are written and not read (the digest of the upstreams was, for a time).
+func TestEveryFieldArrives(t *testing.T) {
+	a, b := newPeer(t, "a", "north"), newPeer(t, "b", "north")
+	introduce(a, b)
+	a.node.TellLoad(placement.Report{Upstream: "u", Load: 1.5})
+	a.node.Tell([]breaker.Notice{{Kind: breaker.NoticeSample, Upstream: "u", Sample: breaker.Hung}})
+	a.node.Leave()
+	var notices []breaker.Notice
+	var uses []quota.Use
+	var loads []placement.Report
+	eventually(t, "all has arrived", func() bool {
+		notices, uses, loads = nil, nil, nil
+		for _, m := range b.from("a") {
+			notices, uses, loads = append(notices, m.Notices...), append(uses, m.Uses...), append(loads, m.Loads...)
+		}
+		return len(notices) > 0 && len(uses) > 0 && len(loads) > 0
+	})
+	last := b.from("a")[len(b.from("a"))-1]
+	if last.Configuration != 12 || last.RegistryDigest != 99 || last.RegistryAge < 40*time.Millisecond || !last.RegistrySettled || !last.Leaving {
+		t.Errorf("the state of the host arrived as %+v", last)
+	}
+	if want := (quota.Use{Customer: "c", Admitted: 5, Asked: 6, Tokens: -3}); uses[0] != want {
+		t.Errorf("a use arrived as %+v", uses[0])
+	}
+	if want := (breaker.Notice{Kind: breaker.NoticeSample, Upstream: "u", Sample: breaker.Hung}); notices[0] != want {
+		t.Errorf("a notice arrived as %+v", notices[0])
+	}
+	if want := (placement.Report{Upstream: "u", Load: 1.5}); !reflect.DeepEqual(loads[0], want) {
+		t.Errorf("a load arrived as %+v", loads[0])
+	}
+	if hosts := b.node.Hosts(time.Now()); len(hosts) != 1 || !hosts[0].Leaving {
+		t.Errorf("hosts are %+v", hosts)
+	}
+}
+
+// Guards against bytes between data centres: a datagram crosses to one host of each and is passed on there, once to each.
+func TestDatagramsArePassedOnWithinADataCentre(t *testing.T) {
+	a := newPeer(t, "a", "north")
+	b, c, d := newPeer(t, "b", "south"), newPeer(t, "c", "south"), newPeer(t, "d", "south")
+	introduce(a, b, c, d)
+	a.node.Tell([]breaker.Notice{{Kind: breaker.NoticeTrial, Upstream: "u"}})
+	for _, p := range []*peer{b, c, d} {
+		eventually(t, "a notice has reached all hosts", func() bool {
+			for _, m := range p.from("a") {
+				if len(m.Notices) > 0 {
+					return true
+				}
+			}
+			return false
+		})
+		sequences := make(map[uint64]bool)
+		for _, m := range p.from("a") {
+			if sequences[m.Sequence] {
+				t.Errorf("datagram %d was taken twice", m.Sequence)
+			}
+			sequences[m.Sequence] = true
+		}
+	}
+}
+
+// Guards against forged, changed, repeated and unreadable datagrams.
+func TestUnverifiedDatagramsAreDropped(t *testing.T) {
+	a, b := newPeer(t, "a", "north"), newPeer(t, "b", "north")
+	introduce(a, b)
+	eventually(t, "the hosts know each other", func() bool { return len(b.from("a")) > 0 })
+	body, err := proto.Marshal(&gossippb.Datagram{Host: "a", Incarnation: 7, Sequence: 1 << 40, Leaving: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := a.node.options.Self.Key
+	good := append(mac(key, body), body...)
+	changed := append([]byte(nil), good...)
+	changed[len(changed)-1] ^= 1
+	for name, packet := range map[string][]byte{
+		"another key": append(mac(NewKey(), body), body...), "changed": changed, "short": good[:10], "empty": {},
+		"unreadable": append(mac(key, []byte{0xff}), 0xff),
+	} {
+		b.node.deliver(packet)
+		if hosts := b.node.Hosts(time.Now()); hosts[0].Leaving {
+			t.Errorf("%s: the datagram was taken", name)
+		}
+	}
+	b.node.deliver(good)
+	b.node.deliver(good)
+	taken := 0
+	for _, m := range b.from("a") {
+		if m.Sequence == 1<<40 {
+			taken++
+		}
+	}
+	if taken != 1 {
+		t.Errorf("a datagram that came twice was taken %d times", taken)
+	}
+}
+
+// Guards against a host that restarts and is not heard, because its key has changed: its record is read again.
+func TestUnknownIncarnationIsReported(t *testing.T) {
+	b := newPeer(t, "b", "north")
+	body, err := proto.Marshal(&gossippb.Datagram{Host: "a", Incarnation: 8, Sequence: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.node.deliver(append(mac(NewKey(), body), body...))
+	if len(b.unknown) != 1 || b.unknown[0] != "a" {
+		t.Errorf("unknown hosts are %v", b.unknown)
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"id":"a","incarnation":1,"address":"127.0.0.1:1","caller_address":"127.0.0.1:2","data_centre":"n","key":"AAAAAAAAAAAAAAAAAAAAAA=="}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := DecodeRecord(data); err == nil && (r.ID == "" || len(r.Key) < keyBytes) {
+			t.Errorf("accepted %+v", r)
+		}
+	})
+}
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -176,6 +177,9 @@
 		left := max(1, time.Until(deadline).Milliseconds())
 		header[names.Timeout] = []string{strconv.FormatInt(left, 10)}
 	}
+	if q.Verbatim {
+		hideIdempotencyKeys(header)
+	}
 	for name, value := range target.Header {
 		header[name] = []string{value}
 	}
@@ -187,6 +191,17 @@
 	return request.WithContext(httptrace.WithClientTrace(a.ctx, trace))
 }
 
+// hideIdempotencyKeys keeps http.Transport from sending a request without a body again by itself because of a header that
+// declares it idempotent. Names of headers are not case-sensitive; http.Transport looks for the canonical ones.
+func hideIdempotencyKeys(header http.Header) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := header[name]; ok {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
+	}
+}
+
 func (a *attempt) setBody(request *http.Request, q *Request) {
 	request.Trailer = q.Trailer
 	if q.Stream != nil {
@@ -198,7 +213,7 @@
 		return
 	}
 	if len(q.Buffered) == 0 && len(q.Trailer) == 0 {
-		if q.Verbatim && !q.Replayable && isReplayedMethod(q.Method) {
+		if q.Verbatim && isReplayedMethod(q.Method) {
 			// A body without GetBody keeps http.Transport from sending the request again by itself. It is found to be empty
 			// before anything is sent.
 			request.Body = io.NopCloser(bytes.NewReader(nil))
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -34,8 +34,6 @@
 	Pooled bool
 	// Verbatim requests are sent once by each attempt, with its id unchanged.
 	Verbatim bool
-	// Replayable allows http.Transport to send a verbatim request again when a pooled connection breaks. Default false.
-	Replayable bool
 	// RequestTarget replaces Path and RawQuery if it is not empty. It begins with a slash.
 	RequestTarget string
 }
