--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -30,7 +30,7 @@
 	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early.
 	fullLoad = 0.9
 	// overfullLoad is the load from which a repeatable request waits too long at the chosen upstream.
-	overfullLoad = 3.0
+	overfullLoad = 1.75
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
 	slowHalfLife = 3 * time.Second
 )
