Log breakers that close; metrics of attempts and of what a host knows

Cause: the decision log told when an upstream goes out of use, not when it comes back, and the metrics had no histogram of attempts and no ages.

--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -234,8 +234,8 @@
 	return nil
 }
 
-// Hear takes a notice of another host. opened is true if it opened the breaker.
-func (s *Set) Hear(now time.Time, notice Notice) (opened bool) {
+// Hear takes a notice of another host. changed is true if it opened or closed the breaker.
+func (s *Set) Hear(now time.Time, notice Notice) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch notice.Kind {
@@ -252,6 +252,7 @@
 	case NoticeClosed:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open {
 			c.close(now)
+			return true
 		}
 	}
 	return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,7 @@
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
 	g.router.tell, g.router.tellLoad = g.node.Tell, g.node.TellLoad
-	g.router.opened = g.log.breakerOpened
+	g.router.changed = g.log.breakerChanged
 	return nil
 }
 
@@ -189,6 +189,43 @@
 // Ready reports whether callers may be sent to this host.
 func (g *Gateway) Ready() bool { return g.current.Load() != nil && !g.leaving.Load() }
 
+// Status is the state of a host, for metrics.
+type Status struct {
+	Ready                bool
+	ConfigurationVersion uint64
+	ConfigurationAge     time.Duration
+	Upstreams            int
+	RegistryAge          time.Duration
+	HostsHeard           int
+	Hosts                int
+	InFlight             int64
+	Connections          int64
+	DatagramsSent        int64
+	DatagramsRejected    int64
+	LogLinesSkipped      int64
+}
+
+// Status returns the state of the host.
+func (g *Gateway) Status() Status {
+	now := time.Now()
+	view, hosts := g.router.registry.View(), g.node.Hosts(now)
+	status := Status{
+		Ready: g.Ready(), ConfigurationVersion: g.version(), ConfigurationAge: g.settingsAge(), Upstreams: view.Len(),
+		Hosts: len(hosts) + 1, InFlight: g.server.InFlight(), Connections: g.server.Connections(),
+		LogLinesSkipped: g.log.skipped.Load(),
+	}
+	if !view.ReadAt.IsZero() {
+		status.RegistryAge = now.Sub(view.ReadAt)
+	}
+	for i := range hosts {
+		if hosts[i].Alive(now) {
+			status.HostsHeard++
+		}
+	}
+	status.DatagramsSent, status.DatagramsRejected = g.node.Counters()
+	return status
+}
+
 func (g *Gateway) snapshot() *settings.Snapshot {
 	if current := g.current.Load(); current != nil {
 		return current.Snapshot
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -10,7 +10,6 @@
 
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
-	"github.com/bronzeyard/bronzeyard/settings"
 )
 
 // Lines per second that a host may log about requests. Failures and refusals have a budget of their own, so that
@@ -95,9 +94,14 @@
 	}
 }
 
-// breakerOpened logs that an upstream is out of use. from is the host that saw the sample, empty for this one.
-func (d *decisionLog) breakerOpened(id settings.UpstreamID, sample breaker.Sample, from string) {
-	line := d.logger.Info().Str("event", "breaker_open").Str("upstream", string(id)).Str("sample", sample.String())
+// breakerChanged logs that an upstream goes out of use or comes back. from is the host that saw why, empty for this one.
+func (d *decisionLog) breakerChanged(notice breaker.Notice, from string) {
+	line := d.logger.Info().Str("upstream", string(notice.Upstream))
+	if notice.Kind == breaker.NoticeClosed {
+		line = line.Str("event", "breaker_closed")
+	} else {
+		line = line.Str("event", "breaker_open").Str("sample", notice.Sample.String())
+	}
 	if from != "" {
 		line = line.Str("from", from)
 	}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -73,11 +73,12 @@
 	breakers   *breaker.Set
 	retries    *quota.Limiter
 	bounds     func() Bounds
-	// tell sends notices to the other hosts, and opened logs a breaker that opened.
+	// tell sends notices to the other hosts, and changed logs a breaker that opened or closed; from is the host that saw why,
+	// empty for this one.
 	tell func([]breaker.Notice)
 	// tellLoad tells the other hosts that an upstream is full.
 	tellLoad func(placement.Report)
-	opened   func(settings.UpstreamID, breaker.Sample, string)
+	changed  func(notice breaker.Notice, from string)
 
 	mu       sync.Mutex
 	hosts    int
@@ -191,8 +192,10 @@
 func (r *router) report(id settings.UpstreamID, sample breaker.Sample) {
 	notices, opened := r.breakers.Report(time.Now(), id, sample)
 	r.tell(notices)
-	if opened {
-		r.opened(id, sample, "")
+	for _, notice := range notices {
+		if opened || notice.Kind == breaker.NoticeClosed {
+			r.changed(notice, "")
+		}
 	}
 }
 
@@ -202,7 +205,7 @@
 		return
 	}
 	if r.breakers.Hear(now, notice) {
-		r.opened(notice.Upstream, notice.Sample, from)
+		r.changed(notice, from)
 	}
 }
 
--- a/host/metrics/metrics.go
+++ b/host/metrics/metrics.go
@@ -35,6 +35,7 @@
 	provider *sdk.MeterProvider
 	requests metric.Int64Counter
 	duration metric.Float64Histogram
+	attempt  metric.Float64Histogram
 	inFlight metric.Int64UpDownCounter
 }
 
@@ -66,6 +67,12 @@
 	if err != nil {
 		return err
 	}
+	m.attempt, err = m.meter.Float64Histogram("bronzeyard.attempt.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time of an attempt at an upstream, by its outcome."),
+		metric.WithExplicitBucketBoundaries(durationBounds...))
+	if err != nil {
+		return err
+	}
 	m.inFlight, err = m.meter.Int64UpDownCounter("bronzeyard.requests.in_flight",
 		metric.WithDescription("Requests that are being served."))
 	return err
@@ -103,6 +110,11 @@
 	m.duration.Record(ctx, took.Seconds())
 }
 
+// Attempt counts an attempt at an upstream.
+func (m *Metrics) Attempt(outcome string, took time.Duration) {
+	m.attempt.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Middleware counts the requests that next serves.
 func (m *Metrics) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
