Invite a body only after the answers to earlier requests

Cause: found by reading: '100 Continue' was written to the connection at once, between answers that were still to come, and could have cut one in two. Test: TestContinueComesAfterEarlierAnswers.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -82,7 +82,7 @@
 	defer close(c.pending)
 	var last *exchange
 	for {
-		e, request := c.next()
+		e, request := c.next(last)
 		if e == nil {
 			c.cancel()
 			return
@@ -139,8 +139,9 @@
 	e.answer <- c.server.options.Handler(c.ctx, request)
 }
 
-// next reads one request. It returns no exchange if the connection has ended, and no request if the request is refused.
-func (c *conn) next() (*exchange, *Request) {
+// next reads one request behind the last one. It returns no exchange if the connection has ended, and no request if the
+// request is refused.
+func (c *conn) next(last *exchange) (*exchange, *Request) {
 	limits := c.server.options.Limits()
 	c.idle(limits.IdleTimeout)
 	c.source.left = math.MaxInt64
@@ -155,7 +156,7 @@
 	}
 	c.source.left = math.MaxInt64
 	request := &Request{HTTP: parsed, ReadAt: time.Now()}
-	if refusal := c.readBody(request, limits.BodyBytes); refusal != 0 {
+	if refusal := c.readBody(request, limits.BodyBytes, last); refusal != 0 {
 		return c.refuse(refusal)
 	}
 	e := newExchange()
@@ -246,7 +247,7 @@
 }
 
 // readBody reads the whole body within the limit.
-func (c *conn) readBody(request *Request, limit int64) Refusal {
+func (c *conn) readBody(request *Request, limit int64, last *exchange) Refusal {
 	body := request.HTTP.Body
 	request.HTTP.Body = http.NoBody
 	length := request.HTTP.ContentLength
@@ -256,10 +257,8 @@
 	if length > limit {
 		return BodyTooLarge
 	}
-	if request.HTTP.Header.Get("Expect") == "100-continue" {
-		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return BodyTimedOut
-		}
+	if request.HTTP.Header.Get("Expect") == "100-continue" && !c.invite(last) {
+		return BodyTimedOut
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTimeout))
 	size := length
@@ -269,6 +268,19 @@
 	return c.fill(request, body, size, limit)
 }
 
+// invite asks the caller for the body, after the answers to all requests before: on the wire it must not come between them.
+func (c *conn) invite(last *exchange) bool {
+	if last != nil {
+		select {
+		case <-last.written:
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+	_, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err == nil
+}
+
 // fill reads a body into a buffer of the given first size, which grows up to the limit. One byte of room beyond the limit
 // shows whether the body ends there.
 func (c *conn) fill(request *Request, body io.Reader, size, limit int64) Refusal {
--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -238,6 +238,28 @@
 	}
 }
 
+// Guards against an invitation to send a body that comes between the answers to requests before.
+func TestContinueComesAfterEarlierAnswers(t *testing.T) {
+	h := newHarness(t)
+	conn, reader := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/wait")+"POST /p HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	h.await(t, "the first request to start", func() bool { return h.started.Load() == 1 })
+	close(h.release)
+	if _, body := receive(t, reader); body != "GET /wait 0" {
+		t.Errorf("first answer %q", body)
+	}
+	if line, err := reader.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Errorf("got %q, %v; want the invitation", line, err)
+	}
+	if line, err := reader.ReadString('\n'); err != nil || line != "\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	sendText(t, conn, "hi")
+	if _, body := receive(t, reader); body != "POST /p 2" {
+		t.Errorf("second answer %q", body)
+	}
+}
+
 // Guards against bodies that arrive changed.
 func TestChunkedBody(t *testing.T) {
 	h := newHarness(t)
