--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,8 @@
 	budget := forward.NewBufferBudget(buffers)
 	g.forwarder = forward.New(forward.Options{
 		Names:              forward.Names{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
-		ToleratesUnbounded: true, ConnectTimeout: connectTimeout, PooledIdle: pooledIdle, BufferedAnswer: bufferedAnswer, Budget: budget,
+		ToleratesUnbounded: true, ConnectTimeout: connectTimeout, PooledIdle: pooledIdle,
+		BufferedAnswer: bufferedAnswer, Budget: budget,
 	})
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
@@ -145,7 +146,8 @@
 			ID: g.options.HostID, Incarnation: g.incarnation, Address: address.String(),
 			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: gossip.NewKey(),
 		},
-		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses, Retries: g.router.retries.Uses, Receive: g.receive,
+		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
+		Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown:  func(string) { poke(g.rereadHosts) },
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -109,33 +109,44 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view := p.sort(now, upstreams, request, breakers)
-	if view.due != nil && !request.Again {
-		return p.take(Choice{Upstream: *view.due.upstream, Trial: true, Candidates: view.usable}, view.due.state), true
+	switch {
+	case view.due != nil && !request.Again:
+		return take(*view.due, Choice{Trial: true, Candidates: view.usable}), true
+	case len(view.candidates) > 0:
+		return p.pickWell(now, &view, request, breakers), true
+	default:
+		return p.pickSick(&view, request)
 	}
-	if len(view.candidates) > 0 {
-		chosen, load := p.choose(now, view.candidates)
-		if request.Again || load < fullLoad {
-			return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
-		}
-		if trial, ok := earlyTrial(now, view.open, breakers); ok {
-			return p.take(Choice{Upstream: *trial.upstream, Trial: true, Load: load, Candidates: view.usable}, trial.state), true
-		}
-		if request.Repeatable && load >= overfullLoad && len(view.open) > 0 {
-			// A sick upstream answers some requests, and what fails there can be sent again; a full one refuses.
-			other := p.leastStruck(view.open)
-			return p.take(Choice{Upstream: *other.upstream, Load: load, Candidates: view.usable}, other.state), true
-		}
-		return p.take(Choice{Upstream: *chosen.upstream, Load: load, Candidates: len(view.candidates)}, chosen.state), true
+}
+
+// pickWell chooses among upstreams with closed breakers, or tries another one if the best of them is full.
+func (p *Pool) pickWell(now time.Time, view *sorted, request Request, breakers Breakers) Choice {
+	chosen, load := p.choose(now, view.candidates)
+	choice := Choice{Load: load, Candidates: len(view.candidates)}
+	if request.Again || load < fullLoad {
+		return take(chosen, choice)
 	}
-	// Where every upstream seems sick the evidence may be at fault. Else only a request that can be sent again is risked.
+	if trial, ok := earlyTrial(now, view.open, breakers); ok {
+		return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
+	}
+	if request.Repeatable && load >= overfullLoad && len(view.open) > 0 {
+		// A sick upstream answers some requests, and what fails there can be sent again; a full one refuses.
+		return take(p.leastStruck(view.open), Choice{Load: load, Candidates: view.usable})
+	}
+	return take(chosen, choice)
+}
+
+// pickSick chooses where no upstream with a closed breaker is left. Where every upstream seems sick the evidence may be at
+// fault; else only a request that can be sent again is risked.
+func (p *Pool) pickSick(view *sorted, request Request) (Choice, bool) {
+	open := view.open
 	if view.due != nil {
-		view.open = append(view.open, *view.due)
+		open = append(open, *view.due)
 	}
-	if len(view.open) == 0 || (view.closed > 0 && !request.Repeatable) {
+	if len(open) == 0 || (view.closed > 0 && !request.Repeatable) {
 		return Choice{}, false
 	}
-	best := p.leastStruck(view.open)
-	return p.take(Choice{Upstream: *best.upstream, Candidates: len(view.open)}, best.state), true
+	return take(p.leastStruck(open), Choice{Candidates: len(open)}), true
 }
 
 // leastStruck returns the better of two random candidates by their strikes.
@@ -196,8 +207,10 @@
 	return s
 }
 
-func (p *Pool) take(choice Choice, s *state) Choice {
-	s.inFlight++
+// take counts an attempt at the candidate as in flight.
+func take(c candidate, choice Choice) Choice {
+	choice.Upstream = *c.upstream
+	c.state.inFlight++
 	return choice
 }
 
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -169,8 +169,10 @@
 	b := l.buckets[id]
 	if b == nil {
 		l.sweep(now)
-		b = &bucket{limit: limit, tokens: limit.capacity(), share: max(1, limit.capacity()/float64(l.hosts)), filledAt: now, remotes: make(map[string]*remote)}
-		b.own.Customer = id
+		b = &bucket{
+			limit: limit, tokens: limit.capacity(), share: max(1, limit.capacity()/float64(l.hosts)), filledAt: now,
+			own: Use{Customer: id}, remotes: make(map[string]*remote),
+		}
 		l.buckets[id] = b
 	}
 	b.limit = limit
