Limits: no second burst after a kill of all hosts; reports cost the same with many hosts

New buckets of a young process now hold half of it. Found by reading: a host that was silent kept its part of the rate for customers that it no longer served.

--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -36,6 +35,12 @@
 	usualSilences = 3
 	// leastUnreported is the number of admitted requests from which a host reports a customer soon.
 	leastUnreported = 2
+	// youngFor is the time after the first request in which new buckets hold startShare of their tokens: the process may be
+	// one of many that were killed together, and what they admitted before is not known.
+	youngFor   = 5 * time.Second
+	startShare = 0.5
+	// checkInterval is the time between two looks for hosts that have fallen silent.
+	checkInterval = 100 * time.Millisecond
 	// forgetAfter is the time without use after which a customer's state is dropped.
 	forgetAfter = time.Minute
 )
@@ -97,10 +102,19 @@
 type remote struct {
 	admitted, asked uint64
 	at              time.Time
-	// perSecond is the rate at which it admitted between its last reports, and predicted what it is taken to have admitted
-	// since the last one.
+	// perSecond is the rate at which it is taken to admit since settledAt, and predicted what it was taken to have admitted
+	// from its last report until then.
 	perSecond float64
 	predicted float64
+	settledAt time.Time
+}
+
+// settle adds what was predicted until now.
+func (r *remote) settle(now time.Time) {
+	if !r.settledAt.IsZero() {
+		r.predicted += r.perSecond * now.Sub(r.settledAt).Seconds()
+	}
+	r.settledAt = now
 }
 
 type bucket struct {
@@ -114,6 +128,25 @@
 	mine     demand
 	all      demand
 	remotes  map[string]*remote
+	// perSecond is the sum of the remotes' rates.
+	perSecond float64
+}
+
+// setRate changes the rate at which a host is taken to go on.
+func (b *bucket) setRate(now time.Time, r *remote, perSecond float64) {
+	r.settle(now)
+	b.perSecond = max(0, b.perSecond+perSecond-r.perSecond)
+	r.perSecond = perSecond
+}
+
+// remote returns what is known of a host.
+func (b *bucket) remote(host string) *remote {
+	r := b.remotes[host]
+	if r == nil {
+		r = &remote{}
+		b.remotes[host] = r
+	}
+	return r
 }
 
 // Limiter holds the buckets of one host. It is safe for concurrent use.
@@ -122,13 +155,19 @@
 	buckets map[settings.CustomerID]*bucket
 	heard   map[string]time.Time
 	heardAt time.Time // of any host
-	hosts   int
-	swept   time.Time
+	// silent are the hosts in heard that were not heard for SilentAfter, as of checkedAt.
+	silent    map[string]bool
+	checkedAt time.Time
+	startedAt time.Time // first request or report
+	hosts     int
+	swept     time.Time
 }
 
 // New returns a Limiter that knows of no other host.
 func New() *Limiter {
-	return &Limiter{buckets: make(map[settings.CustomerID]*bucket), heard: make(map[string]time.Time), hosts: 1}
+	return &Limiter{
+		buckets: make(map[settings.CustomerID]*bucket), heard: make(map[string]time.Time), silent: make(map[string]bool), hosts: 1,
+	}
 }
 
 // Admit decides on one request of a customer. Limits without a rate admit everything.
@@ -144,7 +183,7 @@
 	b.own.Asked++
 	b.mine.add(now, 1)
 	b.all.add(now, 1)
-	decision := Decision{Tokens: b.tokens, Hosts: l.live(now) + 1}
+	decision := Decision{Tokens: b.tokens, Hosts: l.live() + 1}
 	guard := b.guard(now)
 	if (b.tokens < 1+guard || l.isolated(now)) && (b.share < 1 || b.tokens < -limit.Rate*shareDepth) {
 		decision.RetryAfter = b.due(now)
@@ -169,10 +208,20 @@
 	b := l.buckets[id]
 	if b == nil {
 		l.sweep(now)
+		if l.startedAt.IsZero() {
+			l.startedAt = now
+		}
+		tokens := limit.capacity()
+		if now.Sub(l.startedAt) < youngFor {
+			tokens *= startShare
+		}
 		b = &bucket{
-			limit: limit, tokens: limit.capacity(), share: max(1, limit.capacity()/float64(l.hosts)), filledAt: now,
+			limit: limit, tokens: tokens, share: max(1, limit.capacity()/float64(l.hosts)), filledAt: now,
 			own: Use{Customer: id}, remotes: make(map[string]*remote),
 		}
+		for host := range l.silent {
+			b.setRate(now, b.remote(host), limit.Rate/float64(l.hosts))
+		}
 		l.buckets[id] = b
 	}
 	b.limit = limit
@@ -214,18 +263,22 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// fill adds the tokens of the time since the last call and takes what other hosts are predicted to have admitted.
+// fill adds the tokens of the time since the last call and takes what other hosts are predicted to have admitted: those that
+// were heard go on as between their last reports, and those that are silent for long use an equal part of the rate.
 func (l *Limiter) fill(now time.Time, b *bucket) {
+	l.checkSilence(now)
 	passed := now.Sub(b.filledAt).Seconds()
 	if passed <= 0 {
 		return
 	}
 	b.filledAt = now
-	silent := float64(max(0, l.hosts-1-l.live(now)))
 	equalPart := 1 / float64(l.hosts)
+	silent := float64(max(0, l.hosts-1-l.live()))
 	capacity := max(1, b.limit.capacity()*(1-silent*equalPart))
-	taken := l.predict(now, b, passed, b.limit.Rate*equalPart)
-	b.tokens = clamp(b.tokens+b.limit.Rate*passed-taken, -b.limit.Rate*deepest, capacity)
+	// Hosts that were never heard have no counts to compare with later.
+	unheard := float64(max(0, l.hosts-1-len(l.heard)))
+	rate := b.limit.Rate*(1-unheard*equalPart) - b.perSecond
+	b.tokens = clamp(b.tokens+rate*passed, -b.limit.Rate*deepest, capacity)
 	part := b.part(now)
 	if l.isolated(now) {
 		part = min(part, equalPart)
@@ -233,42 +286,25 @@
 	b.share = min(b.share+b.limit.Rate*part*passed, max(1, capacity*part))
 }
 
-// predict returns what the other hosts are taken to have admitted in the time that has passed: those that were heard go on
-// as between their last reports, and those that are silent for long use an equal part of the rate.
-func (l *Limiter) predict(now time.Time, b *bucket, passed, equalPart float64) float64 {
-	sum := 0.0
-	for host, heardAt := range l.heard {
-		r := b.remotes[host]
-		if now.Sub(heardAt) <= SilentAfter {
-			if r != nil {
-				r.predicted += r.perSecond * passed
-				sum += r.perSecond * passed
-			}
+// checkSilence finds hosts that have fallen silent. It looks at most once in checkInterval, because it looks at all hosts.
+func (l *Limiter) checkSilence(now time.Time) {
+	if now.Sub(l.checkedAt) < checkInterval {
+		return
+	}
+	l.checkedAt = now
+	for host, at := range l.heard {
+		if l.silent[host] || now.Sub(at) <= SilentAfter {
 			continue
 		}
-		if r == nil {
-			r = &remote{}
-			b.remotes[host] = r
+		l.silent[host] = true
+		for _, b := range l.buckets {
+			b.setRate(now, b.remote(host), b.limit.Rate/float64(l.hosts))
 		}
-		r.perSecond = equalPart
-		r.predicted += equalPart * passed
-		sum += equalPart * passed
 	}
-	// Hosts that were never heard have no counts to compare with later.
-	unheard := max(0, l.hosts-1-len(l.heard))
-	return sum + float64(unheard)*equalPart*passed
 }
 
 // live counts the other hosts that were heard lately.
-func (l *Limiter) live(now time.Time) int {
-	n := 0
-	for _, at := range l.heard {
-		if now.Sub(at) <= SilentAfter {
-			n++
-		}
-	}
-	return min(n, l.hosts-1)
-}
+func (l *Limiter) live() int { return min(len(l.heard)-len(l.silent), l.hosts-1) }
 
 // Heard takes the reports of another host. limitOf returns a customer's limit.
 func (l *Limiter) Heard(
@@ -278,6 +314,7 @@
 	defer l.mu.Unlock()
 	_, known := l.heard[host]
 	l.heard[host], l.heardAt = now, now
+	l.returned(now, host)
 	for _, use := range uses {
 		limit, ok := limitOf(use.Customer)
 		if !ok || limit.Rate <= 0 {
@@ -287,29 +324,39 @@
 		l.fill(now, b)
 		if !known && b.remotes[host] == nil {
 			// What a host admitted before this one had heard of it is past.
-			b.remotes[host] = &remote{admitted: use.Admitted, asked: use.Asked, at: now}
+			b.remotes[host] = &remote{admitted: use.Admitted, asked: use.Asked, at: now, settledAt: now}
 			continue
 		}
 		b.take(now, host, use)
 	}
 }
 
+// returned ends the time in which a host that was silent had an equal part. What it was taken to have used stays, until its
+// counts say what it was.
+func (l *Limiter) returned(now time.Time, host string) {
+	if !l.silent[host] {
+		return
+	}
+	delete(l.silent, host)
+	for _, b := range l.buckets {
+		l.fill(now, b)
+		b.setRate(now, b.remote(host), 0)
+	}
+}
+
 // take subtracts what a host admitted since its last report beyond what was predicted. A count that falls arrived late.
 func (b *bucket) take(now time.Time, host string, use Use) {
-	r := b.remotes[host]
-	if r == nil {
-		r = &remote{}
-		b.remotes[host] = r
-	}
+	r := b.remote(host)
 	if use.Admitted < r.admitted || use.Asked < r.asked {
 		return
 	}
+	r.settle(now)
 	admitted := float64(use.Admitted - r.admitted)
 	b.tokens = max(b.tokens+r.predicted-admitted, -b.limit.Rate*deepest)
 	b.all.add(now, float64(use.Asked-r.asked))
 	if !r.at.IsZero() {
 		interval := max(now.Sub(r.at).Seconds(), shortestInterval)
-		r.perSecond += (1 - math.Exp2(-interval/rateHalfLife)) * (admitted/interval - r.perSecond)
+		b.setRate(now, r, r.perSecond+(1-math.Exp2(-interval/rateHalfLife))*(admitted/interval-r.perSecond))
 	}
 	r.admitted, r.asked, r.at, r.predicted = use.Admitted, use.Asked, now, 0
 	// Views that have drifted apart, for example while hosts were cut off, would stay so as long as a customer uses all.
@@ -332,9 +379,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts = len(others) + 1
-	maps.DeleteFunc(l.heard, func(host string, _ time.Time) bool { return !slices.Contains(others, host) })
+	for host := range l.heard {
+		if !slices.Contains(others, host) {
+			l.drop(host)
+		}
+	}
+}
+
+// drop forgets a host that is no longer a part of the fleet.
+func (l *Limiter) drop(host string) {
+	delete(l.heard, host)
+	delete(l.silent, host)
 	for _, b := range l.buckets {
-		maps.DeleteFunc(b.remotes, func(host string, _ *remote) bool { return !slices.Contains(others, host) })
+		if r := b.remotes[host]; r != nil {
+			b.perSecond = max(0, b.perSecond-r.perSecond)
+			delete(b.remotes, host)
+		}
 	}
 }
 
