--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -196,11 +196,15 @@
 	return decision
 }
 
-// isolated reports whether no host has been heard for so long that this one may be cut off.
+// isolated reports whether this host may be cut off: it has heard nobody for long, or hears less than half of the others,
+// as in the first moments after a start.
 func (l *Limiter) isolated(now time.Time) bool {
 	if l.hosts <= 1 {
 		return false
 	}
+	if 2*l.live() < l.hosts-1 {
+		return true
+	}
 	return now.Sub(l.heardAt) > max(isolatedAfter, usualSilences*heartbeat/time.Duration(l.hosts-1))
 }
 
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -240,6 +240,27 @@
 	f.expectBound()
 }
 
+// Guards against a host that spends the whole bucket when it has heard only a few of the others, as after a restart of all:
+// the same day of the variant, where hosts that had heard 1 to 4 of 15 admitted 133 requests in half a second.
+func TestFewHostsHeardMeansOwnPartOnly(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limitOf := func(settings.CustomerID) (Limit, bool) { return usual, true }
+	l := New()
+	l.SetHosts(others(0, 16))
+	for i := range 3 {
+		l.Heard(now, fmt.Sprint("host", i+1), nil, limitOf)
+	}
+	admitted := 0
+	for range 30 {
+		if l.Admit(now, customer, usual).Allowed {
+			admitted++
+		}
+	}
+	if admitted > 2 {
+		t.Errorf("%d requests were admitted at once, the own part is %.1f", admitted, startShare*usual.capacity()/16)
+	}
+}
+
 // Guards against a part of the rate that stays with a host for good after it was silent, although it serves the customer no
 // more.
 func TestReturnedHostGivesItsPartBack(t *testing.T) {
