A host is ready when it has read the upstreams; ports of test hosts do not collide

A host said it was ready before its first read of the upstreams and refused the first requests (test TestRepeatableRequestsSurviveOneUpstream); readiness and address answers now wait for it. A port that was found free was given to another listener before the host started (bind: address already in use); test hosts now use ports that the system gives to nobody.

--- a/cmd/internal/dev/platform.go
+++ b/cmd/internal/dev/platform.go
@@ -58,10 +58,7 @@
 	ended := make(chan error, options.Hosts)
 	var first platformtest.HostFile
 	for i := range options.Hosts {
-		file, err := platformtest.NewHostFile(fmt.Sprintf("edge-%d", i), platformZone, store)
-		if err != nil {
-			return err
-		}
+		file := platformtest.NewHostFile(fmt.Sprintf("edge-%d", i), platformZone, store)
 		if i == 0 {
 			first = file
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,8 +192,11 @@
 
 func (g *Gateway) boundsNow() Bounds { return *g.bounds.Load() }
 
-// Ready reports whether callers may be sent to this host.
-func (g *Gateway) Ready() bool { return g.snapshot() != nil && !g.leaving.Load() }
+// Ready reports whether callers may be sent to this host: it knows its settings, the other hosts and the upstreams, and does
+// not leave.
+func (g *Gateway) Ready() bool {
+	return g.snapshot() != nil && !g.router.registry.View().ReadAt.IsZero() && !g.leaving.Load()
+}
 
 // Status is the state of a host, for metrics.
 type Status struct {
