Limits: young hosts count each other, paused hosts tell no view

Cause: after a restart of all hosts each new process left out what the others had admitted before it first heard of them, so the hosts together could spend the start's tokens more than once (QUOTA on killed-twice of a variant, KNOWN-RED). A second cause was found by the new test in fake time: a host that had been frozen for seconds filled its bucket for that time and spread the full view to the others before it had read their reports (seed 1087).

--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -360,6 +360,7 @@
 	for i, use := range uses {
 		encoded[i] = &gossippb.Use{
 			Customer: string(use.Customer), Admitted: use.Admitted, Asked: use.Asked, Tokens: use.Tokens,
+			Settled: use.Settled,
 		}
 	}
 	return encoded
@@ -370,7 +371,7 @@
 	for i, use := range encoded {
 		uses[i] = quota.Use{
 			Customer: settings.CustomerID(use.GetCustomer()), Admitted: use.GetAdmitted(), Asked: use.GetAsked(),
-			Tokens: use.GetTokens(),
+			Tokens: use.GetTokens(), Settled: use.GetSettled(),
 		}
 	}
 	return uses
--- a/gateway/quota/doc.go
+++ b/gateway/quota/doc.go
@@ -6,8 +6,11 @@
 // which is its part of the demand of all hosts. Near the limit hosts report often (Near tells which customers).
 //
 // A host that hears nobody for some tenths of a second admits its part only, at once: each of several hosts that are cut
-// off would otherwise spend the whole burst. A host that has not been heard for SilentAfter counts as using an equal part of the rate. A host that hears nobody thus
-// admits its equal part, and all parts together never exceed the rate.
+// off would otherwise spend the whole burst. A host that has not been heard for SilentAfter counts as using an equal part
+// of the rate. A host that hears nobody thus admits its equal part, and all parts together never exceed the rate.
+//
+// A process that started or was paused lately does not know what the others have admitted. It starts with a part of the
+// tokens, takes over the views of hosts that have run for longer, and does not tell its own.
 //
 // The package does no I/O and takes the time as an argument.
 package quota
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -39,6 +39,10 @@
 	// one of many that were killed together, and what they admitted before is not known.
 	youngFor   = 5 * time.Second
 	startShare = 0.4
+	// pause is the time without any call that shows that the process did not run, and settleTime the time after it in which
+	// this host's view is not valid: reports of the time of the pause are still to be read.
+	pause      = 500 * time.Millisecond
+	settleTime = time.Second
 	// checkInterval is the time between two looks for hosts that have fallen silent.
 	checkInterval = 100 * time.Millisecond
 	// forgetAfter is the time without use after which a customer's state is dropped.
@@ -61,8 +65,10 @@
 	Customer settings.CustomerID
 	Admitted uint64
 	Asked    uint64
-	// Tokens is the host's own view of the bucket of all hosts, rounded.
+	// Tokens is the host's own view of the bucket of all hosts, rounded. It is valid if Settled.
 	Tokens int64
+	// Settled is false for a host that started or was paused lately: it does not know what the others have admitted.
+	Settled bool
 }
 
 // Decision is the answer to one request.
@@ -159,8 +165,10 @@
 	silent    map[string]bool
 	checkedAt time.Time
 	startedAt time.Time // first request or report
-	hosts     int
-	swept     time.Time
+	// calledAt is the last call, and pausedAt the end of the last pause.
+	calledAt, pausedAt time.Time
+	hosts              int
+	swept              time.Time
 }
 
 // New returns a Limiter that knows of no other host.
@@ -177,6 +185,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.called(now)
 	b := l.bucket(now, id, limit)
 	l.fill(now, b)
 	b.usedAt = now
@@ -316,6 +325,7 @@
 ) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.called(now)
 	_, known := l.heard[host]
 	l.heard[host], l.heardAt = now, now
 	l.returned(now, host)
@@ -327,14 +337,38 @@
 		b := l.bucket(now, use.Customer, limit)
 		l.fill(now, b)
 		if !known && b.remotes[host] == nil {
-			// What a host admitted before this one had heard of it is past.
-			b.remotes[host] = &remote{admitted: use.Admitted, asked: use.Asked, at: now, settledAt: now}
+			b.meet(now, host, use)
 			continue
 		}
 		b.take(now, host, use)
 	}
 }
 
+// meet takes the first report of a host. If it has run for long, its counts are of times past, and its view of the bucket is
+// better than that of a process that has just started. If it started lately, both began with the same tokens.
+func (b *bucket) meet(now time.Time, host string, use Use) {
+	b.remotes[host] = &remote{admitted: use.Admitted, asked: use.Asked, at: now, settledAt: now}
+	if use.Settled {
+		b.tokens = min(b.tokens, float64(use.Tokens))
+		return
+	}
+	b.tokens = max(b.tokens-float64(use.Admitted), -b.limit.Rate*deepest)
+	b.all.add(now, float64(use.Asked))
+}
+
+// called notes a call, and the end of a pause if there was one.
+func (l *Limiter) called(now time.Time) {
+	if !l.calledAt.IsZero() && now.Sub(l.calledAt) > pause {
+		l.pausedAt = now
+	}
+	l.calledAt = now
+}
+
+// settled reports whether this host's view of the buckets is valid.
+func (l *Limiter) settled(now time.Time) bool {
+	return !l.startedAt.IsZero() && now.Sub(l.startedAt) >= youngFor && now.Sub(l.pausedAt) >= settleTime
+}
+
 // returned ends the time in which a host that was silent had an equal part. What it was taken to have used stays, until its
 // counts say what it was.
 func (l *Limiter) returned(now time.Time, host string) {
@@ -364,7 +398,9 @@
 	}
 	r.admitted, r.asked, r.at, r.predicted = use.Admitted, use.Asked, now, 0
 	// Views that have drifted apart, for example while hosts were cut off, would stay so as long as a customer uses all.
-	b.tokens += (float64(use.Tokens) - b.tokens) * agreement
+	if use.Settled {
+		b.tokens += (float64(use.Tokens) - b.tokens) * agreement
+	}
 }
 
 // Restarted makes the counts of a host begin at zero, before the reports of its next process.
@@ -406,6 +442,8 @@
 func (l *Limiter) Uses(now time.Time, onlyNear bool) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.called(now)
+	settled := l.settled(now)
 	var uses []Use
 	for _, b := range l.buckets {
 		if now.Sub(b.usedAt) > forgetAfter/2 || (onlyNear && !b.near(now, l.hosts)) {
@@ -413,7 +451,7 @@
 		}
 		l.fill(now, b)
 		b.reported = b.own.Admitted
-		b.own.Tokens = int64(math.Round(b.tokens))
+		b.own.Tokens, b.own.Settled = int64(math.Round(b.tokens)), settled
 		uses = append(uses, b.own)
 	}
 	return uses
