bronzeyardctl trace and report: a request's causes, and a page with plots, from the hosts' logs

On-call engineers had grep only. gateway/decisionlog reads the hosts' lines; trace prints a request's lines with the beliefs behind them (breakers and entries of the upstreams that were tried, configuration in force, process, dependencies); report makes one HTML page with plots and latency histograms.

--- a/cmd/bronzeyardctl/main.go
+++ b/cmd/bronzeyardctl/main.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeyard/bronzeyard/cmd/internal/bench"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/ctl"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/dev"
+	"github.com/bronzeyard/bronzeyard/cmd/internal/logs"
 )
 
 func main() { os.Exit(run()) }
@@ -21,6 +22,7 @@
 	parser.Description = "operate a bronzeyard fleet"
 	development := dev.Attach(parser, os.Stdout, os.Stderr)
 	experiments := bench.Attach(parser, os.Stdout, os.Stderr)
+	explanations := logs.Attach(parser, logs.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr})
 	commands := ctl.Attach(parser, ctl.Environment{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, ReadFile: os.ReadFile,
 	})
@@ -35,6 +37,9 @@
 	if code, found := experiments.Run(ctx); found {
 		return code
 	}
+	if code, found := explanations.Run(); found {
+		return code
+	}
 	code, found := commands.Run(ctx)
 	if !found {
 		parser.ShowHelpAndExit("no command")
