--- a/cmd/bronzeyard/main.go
+++ b/cmd/bronzeyard/main.go
@@ -32,11 +32,14 @@
 	serveCommand := flaggy.NewSubcommand("serve")
 	serveCommand.Description = "serve until SIGTERM, then leave the fleet without cutting a request"
 	checkCommand := flaggy.NewSubcommand("check")
-	checkCommand.Description = "check static settings and name each fault by its path"
+	checkCommand.Description = "check settings files and name each fault by its path"
 	for _, command := range []*flaggy.Subcommand{serveCommand, checkCommand} {
 		command.String(&path, "s", "settings", "file with the static settings of the host (JSON)")
 		parser.AttachSubcommand(command, 1)
 	}
+	var platformFile, deployment string
+	checkCommand.String(&platformFile, "", "platform", "settings file of a process on the operations platform (TOML)")
+	checkCommand.String(&deployment, "", "deployment", "deploy file of the operations platform (TOML)")
 	var metricsPort int
 	gatewayCommand := flaggy.NewSubcommand("gateway")
 	gatewayCommand.Description = "serve on the operations platform, with the settings file that the platform names"
@@ -48,21 +51,51 @@
 	if gatewayCommand.Used {
 		return runGateway(metricsPort)
 	}
+	if checkCommand.Used {
+		code := check(path, platformFile, deployment)
+		if code == exitOK {
+			fmt.Println("the settings are valid")
+		}
+		return code
+	}
 	if path == "" {
 		fmt.Fprintln(os.Stderr, "bronzeyard: name a command and its settings, for example: bronzeyard serve --settings host.json")
 		return exitInvalid
 	}
-	if _, err := config.Load(path); err != nil {
-		fmt.Fprintf(os.Stderr, "bronzeyard: the settings are not valid:\n%v\n", err)
-		return exitInvalid
-	}
-	if checkCommand.Used {
-		fmt.Println("the settings are valid")
-		return exitOK
+	if code := check(path, "", ""); code != exitOK {
+		return code
 	}
 	return untilSignal(func(ctx context.Context) error { return serve.Run(ctx, path, os.Stdout) })
 }
 
+// check checks the files that are named.
+func check(settings, platformSettings, deployment string) int {
+	checks := []struct {
+		path string
+		load func(string) error
+	}{
+		{settings, func(path string) error { _, err := config.Load(path); return err }},
+		{platformSettings, platform.CheckSettings},
+		{deployment, platform.CheckDeployment},
+	}
+	code, named := exitOK, false
+	for _, c := range checks {
+		if c.path == "" {
+			continue
+		}
+		named = true
+		if err := c.load(c.path); err != nil {
+			fmt.Fprintf(os.Stderr, "bronzeyard: %s is not valid:\n%v\n", c.path, err)
+			code = exitInvalid
+		}
+	}
+	if !named {
+		fmt.Fprintln(os.Stderr, "bronzeyard: name a file to check: --settings, --platform or --deployment")
+		return exitInvalid
+	}
+	return code
+}
+
 func runGateway(metricsPort int) int {
 	return untilSignal(func(ctx context.Context) error {
 		return platform.Run(ctx, platform.Options{Output: os.Stdout, MetricsPort: metricsPort})
