--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -24,6 +24,9 @@
 	gone    atomic.Int64
 }
 
+// harnessConnections is the number of connections that a harness accepts at a time.
+const harnessConnections = 8
+
 func newHarness(t *testing.T) *harness {
 	t.Helper()
 	h := &harness{release: make(chan struct{})}
@@ -35,7 +38,7 @@
 		Refuse: func(r Refusal) *Response {
 			return &Response{Status: 400 + int(r), Header: http.Header{}, Body: []byte("refused")}
 		},
-		Budget: forward.NewBufferBudget(1 << 20),
+		Budget: forward.NewBufferBudget(1 << 20), MaxConnections: harnessConnections,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
