--- a/cmd/bronzeyard/main.go
+++ b/cmd/bronzeyard/main.go
@@ -25,6 +25,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// A platform may ask for a reload right after the start, or while a host leaves. Without a handler the signal would end
+	// the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var path string
 	parser := flaggy.NewParser("bronzeyard")
 	parser.Description = "run one host of a bronzeyard fleet"
@@ -49,8 +53,9 @@
 		parser.ShowHelpAndExit(err.Error())
 	}
 	if gatewayCommand.Used {
-		return runGateway(metricsPort)
+		return runGateway(metricsPort, reload)
 	}
+	signal.Reset(syscall.SIGHUP) // other commands have nothing to reload
 	if checkCommand.Used {
 		code := check(path, platformFile, deployment)
 		if code == exitOK {
@@ -96,9 +101,9 @@
 	return code
 }
 
-func runGateway(metricsPort int) int {
+func runGateway(metricsPort int, reload <-chan os.Signal) int {
 	return untilSignal(func(ctx context.Context) error {
-		return platform.Run(ctx, platform.Options{Output: os.Stdout, MetricsPort: metricsPort})
+		return platform.Run(ctx, platform.Options{Output: os.Stdout, MetricsPort: metricsPort, Reload: reload})
 	})
 }
 
--- a/cmd/bronzeyardctl/main.go
+++ b/cmd/bronzeyardctl/main.go
@@ -13,6 +13,7 @@
 	"github.com/bronzeyard/bronzeyard/cmd/internal/ctl"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/dev"
 	"github.com/bronzeyard/bronzeyard/cmd/internal/logs"
+	"github.com/bronzeyard/bronzeyard/cmd/internal/soak"
 )
 
 func main() { os.Exit(run()) }
@@ -22,6 +23,7 @@
 	parser.Description = "operate a bronzeyard fleet"
 	development := dev.Attach(parser, os.Stdout, os.Stderr)
 	experiments := bench.Attach(parser, os.Stdout, os.Stderr)
+	faults := soak.Attach(parser, os.Stdout)
 	explanations := logs.Attach(parser, logs.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr})
 	commands := ctl.Attach(parser, ctl.Environment{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, ReadFile: os.ReadFile,
@@ -37,6 +39,9 @@
 	if code, found := experiments.Run(ctx); found {
 		return code
 	}
+	if code, found := faults.Run(ctx); found {
+		return code
+	}
 	if code, found := explanations.Run(); found {
 		return code
 	}
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -34,11 +33,13 @@
 	cancel  context.CancelFunc
 	pending chan *exchange
 
-	outstanding atomic.Int64
-	// ended is set before the last answer counts as written. No request may start after it: the caller takes requests
-	// behind that answer as not read and sends them again.
-	ended   atomic.Bool
-	mu      sync.Mutex
+	mu sync.Mutex
+	// outstanding counts the requests that were read and are not answered, and unsent those of them whose answers are not yet
+	// being sent.
+	outstanding, unsent int
+	// ended is set before the last answer is written. No request may start after it: the caller takes requests behind that
+	// answer as not read and sends them again.
+	ended   bool
 	reading bool // a request has begun to arrive, so the idle timeout does not apply
 	dropped bool // the connection was closed while it was idle; no request may start
 }
@@ -87,7 +88,12 @@
 			c.cancel()
 			return
 		}
-		if !c.await(last, request) || c.ended.Load() {
+		if !e.counted {
+			c.forget(e, request)
+			c.watch()
+			return
+		}
+		if !c.await(last, request) || c.hasEnded() {
 			c.forget(e, request)
 			c.watch()
 			return
@@ -161,10 +167,7 @@
 	}
 	e := newExchange()
 	e.method, e.close, e.barrier = parsed.Method, parsed.Close, !isSafe(parsed.Method)
-	if !c.count(e) {
-		c.server.options.Budget.Release(int64(cap(request.Body)))
-		return nil, nil
-	}
+	c.count(e)
 	return e, request
 }
 
@@ -172,26 +175,43 @@
 	return &exchange{answer: make(chan *Response, 1), written: make(chan struct{})}
 }
 
-// count makes a request count as in flight. It reports false if the connection was dropped.
-func (c *conn) count(e *exchange) bool {
+// count makes a request count as in flight, so that it may start. It does not where the connection is about to end: requests
+// before this one are then still answered, and the caller sends it again.
+func (c *conn) count(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dropped {
-		return false
+	c.reading = false
+	if c.dropped || c.ended || (c.unsent > 0 && c.server.closing.Load()) {
+		return
 	}
 	e.counted = true
 	c.server.requests.Add(1)
-	c.outstanding.Add(1)
-	c.reading = false
+	c.outstanding++
+	c.unsent++
 	_ = c.net.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
-	return true
+}
+
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// isLast decides whether an answer is the last of its connection: if either side wants so, or if the server closes its
+// connections and no later request has started.
+func (c *conn) isLast(e *exchange, answer *Response) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent--
+	c.ended = answer.Close || e.close || (c.server.closing.Load() && c.unsent == 0)
+	return c.ended
 }
 
 // drop closes the connection if it is idle. It reports false if a request is in flight or arriving.
 func (c *conn) drop() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding.Load() > 0 || c.reading {
+	if c.outstanding > 0 || c.reading {
 		return false
 	}
 	c.dropped = true
@@ -203,7 +223,7 @@
 func (c *conn) idle(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding.Load() == 0 && !c.reading {
+	if c.outstanding == 0 && !c.reading {
 		_ = c.net.SetReadDeadline(time.Now().Add(timeout))
 	}
 }
@@ -225,9 +245,7 @@
 	answer := c.server.options.Refuse(refusal)
 	answer.Close = true
 	e.answer <- answer
-	if !c.count(e) {
-		return nil, nil
-	}
+	c.count(e)
 	return e, nil
 }
 
@@ -331,8 +349,7 @@
 			c.finish(e)
 			return false
 		}
-		last := answer.Close || e.close || c.server.closing.Load()
-		c.ended.Store(last)
+		last := c.isLast(e, answer)
 		err := send(c.net, writer, e.method, answer, last)
 		c.finish(e)
 		if err != nil {
@@ -373,7 +390,8 @@
 	c.server.requests.Add(-1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding.Add(-1) == 0 && !c.reading {
+	c.outstanding--
+	if c.outstanding == 0 && !c.reading {
 		_ = c.net.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	}
 }
