--- /dev/null
+++ b/gateway/placement/subset_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+const subsetHosts = 43
+
+func manyUpstreams(n int) []settings.Upstream {
+	upstreams := make([]settings.Upstream, n)
+	for i := range upstreams {
+		zone := [...]string{"north", "south", "east"}[i%3]
+		upstreams[i] = settings.Upstream{ID: settings.UpstreamID(fmt.Sprint("i-", i)), DataCentre: zone}
+	}
+	return upstreams
+}
+
+func subsets(upstreams []settings.Upstream, hosts int) [][]settings.Upstream {
+	var all [][]settings.Upstream
+	for h := range hosts {
+		zone := [...]string{"north", "south", "east"}[h%3]
+		all = append(all, NewSubset(fmt.Sprint("edge-", h), zone).Of(upstreams, hosts))
+	}
+	return all
+}
+
+// Guards against upstreams of a large service that no host uses, or that far too many use: with 43 hosts and with 4.
+func TestSubsetsUseEveryUpstream(t *testing.T) {
+	for _, c := range []struct{ hosts, upstreams int }{{subsetHosts, 143}, {4, 143}, {300, 2600}} {
+		users := make(map[settings.UpstreamID]int)
+		for _, chosen := range subsets(manyUpstreams(c.upstreams), c.hosts) {
+			for _, u := range chosen {
+				users[u.ID]++
+			}
+		}
+		least, most := c.hosts, 0
+		for _, u := range manyUpstreams(c.upstreams) {
+			least, most = min(least, users[u.ID]), max(most, users[u.ID])
+		}
+		t.Logf("%d hosts, %d upstreams: used by %d to %d hosts", c.hosts, c.upstreams, least, most)
+		if least == 0 {
+			t.Errorf("%d hosts, %d upstreams: some upstream has no user", c.hosts, c.upstreams)
+		}
+	}
+}
+
+// Guards against connections that are all made anew because one upstream came or went.
+func TestSubsetChangesLittle(t *testing.T) {
+	upstreams := manyUpstreams(143)
+	before := subsets(upstreams, subsetHosts)
+	after := subsets(slices.Delete(slices.Clone(upstreams), 7, 8), subsetHosts)
+	for h := range before {
+		changed := 0
+		for _, u := range after[h] {
+			if !slices.ContainsFunc(before[h], func(v settings.Upstream) bool { return v.ID == u.ID }) {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Errorf("host %d has %d new upstreams after one left", h, changed)
+		}
+	}
+}
+
+// Guards against small services that lose upstreams to the choice, and against leaving ones that take places.
+func TestSubsetOfSmallServicesAndLeavingUpstreams(t *testing.T) {
+	small := manyUpstreams(leastPlaces)
+	if got := NewSubset("a", "north").Of(small, subsetHosts); len(got) != leastPlaces {
+		t.Errorf("%d of %d upstreams are used", len(got), leastPlaces)
+	}
+	large := manyUpstreams(90)
+	for i := range 45 {
+		large[i].Leaving = true
+	}
+	got := NewSubset("a", "north").Of(large, subsetHosts)
+	if len(got) != leastPlaces || slices.ContainsFunc(got, func(u settings.Upstream) bool { return u.Leaving }) {
+		t.Errorf("%d upstreams are used, some of them leaving", len(got))
+	}
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -36,7 +36,8 @@
 
 // routedService is what a host keeps for one service.
 type routedService struct {
-	pool *placement.Pool
+	pool   *placement.Pool
+	subset *placement.Subset
 
 	mu sync.Mutex
 	// arrivals is a decaying count of this host's requests, as of arrivedAt.
@@ -68,6 +69,7 @@
 
 // router joins the registry, breakers, placement and retry budgets. It implements relay.Upstreams.
 type router struct {
+	self       string
 	dataCentre string
 	registry   *registry.Registry
 	breakers   *breaker.Set
@@ -87,7 +89,7 @@
 
 func newRouter(dataCentre string, bounds func() Bounds, self string) *router {
 	return &router{
-		dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
+		self: self, dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
 		retries:  quota.New(),
 		services: make(map[settings.ServiceName]*routedService),
 	}
@@ -98,7 +100,10 @@
 	defer r.mu.Unlock()
 	s := r.services[name]
 	if s == nil {
-		s = &routedService{pool: placement.New(r.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+		s = &routedService{
+			pool:   placement.New(r.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+			subset: placement.NewSubset(r.self, r.dataCentre),
+		}
 		r.services[name] = s
 	}
 	return s
@@ -113,6 +118,13 @@
 	r.hosts = len(others) + 1
 }
 
+// hostCount is the number of hosts that count as a part of the fleet, this one included.
+func (r *router) hostCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts
+}
+
 // keep drops what is known of upstreams that are gone.
 func (r *router) keep(view *registry.View) {
 	r.breakers.Keep(view.Has)
@@ -128,7 +140,7 @@
 	now := time.Now()
 	view := r.registry.View()
 	s := r.service(service)
-	choice, ok := s.pool.Pick(now, view.Upstreams(service), request, r.breakers)
+	choice, ok := s.pool.Pick(now, s.subset.Of(view.Upstreams(service), r.hostCount()), request, r.breakers)
 	if !ok {
 		return relay.Attempt{}, false
 	}
@@ -237,10 +249,7 @@
 // Callers reach hosts at random, so the requests of all hosts are about those of this one times their number.
 func (r *router) retryLimit(service settings.CustomerID) (quota.Limit, bool) {
 	bounds := r.bounds()
-	r.mu.Lock()
-	hosts := float64(r.hosts)
-	r.mu.Unlock()
-	requests := r.service(settings.ServiceName(service)).perSecond(time.Now()) * hosts
+	requests := r.service(settings.ServiceName(service)).perSecond(time.Now()) * float64(r.hostCount())
 	return quota.Limit{
 		Rate: budgetShare*bounds.RetryRatio*requests + leastRetries, Burst: budgetShare * bounds.RetrySlack,
 	}, true
