Registry: a host that reads tells the others what has changed

The host that reads now adds the difference to its read before to its datagrams for a second; a host whose view is of that earlier read takes it if the result has the digest that was found, any other reads. Only own reads are told, as before.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
 )
 
 const (
@@ -19,28 +22,35 @@
 	recentRead = 1500 * time.Millisecond
 	// readSpread spreads the reads of hosts that learn of a change at the same time.
 	readSpread = 60 * time.Millisecond
+	// deltaTold is the age up to which a read is told with its difference to the one before.
+	deltaTold = time.Second
 )
 
 // registryNews tells what another host has read of the upstreams.
 type registryNews struct {
+	gossip.RegistryState
+	from   string
 	readAt time.Time
-	digest uint64
-	// settled is true if no living upstream can be missing in what the host has read.
-	settled bool
 }
 
 // registryState returns what this host tells the others of its own reads of the upstreams.
-func (g *Gateway) registryState(now time.Time) (digest uint64, age time.Duration, settled bool) {
+func (g *Gateway) registryState(now time.Time) gossip.RegistryState {
 	own, ok := g.router.registry.OwnRead()
 	if !ok {
-		return 0, 0, false
+		return gossip.RegistryState{}
+	}
+	state := gossip.RegistryState{
+		Digest: own.Digest, Age: max(0, now.Sub(own.At)), Settled: g.router.registry.Settled(now),
 	}
-	return own.Digest, max(0, now.Sub(own.At)), g.router.registry.Settled(now)
+	if state.Age < deltaTold {
+		state.Version, state.Delta = own.Version, own.Delta
+	}
+	return state
 }
 
 // hearRegistry passes on news that are newer than this host's view, or that end the time for which entries are kept.
 func (g *Gateway) hearRegistry(news registryNews) {
-	ends := news.settled && !g.router.registry.Settled(time.Now()) && time.Since(news.readAt) < recentRead
+	ends := news.Settled && !g.router.registry.Settled(time.Now()) && time.Since(news.readAt) < recentRead
 	if !ends && !news.readAt.After(g.router.registry.View().ReadAt) {
 		return
 	}
@@ -51,8 +61,8 @@
 }
 
 // upstreams follows the entries of upstreams. One host at a time reads the store and tells the others the digest of what
-// it found; a host whose view has the same digest takes that as a read of its own, any other reads too. A host that hears
-// of no read in time reads by itself, so a host that fails to read, or to be heard, delays the others by its turn only.
+// it found, with what has changed since its read before; a host whose view has the same digest, or gets it by that change,
+// takes that as a read of its own, any other reads too. A host that hears of no read in time reads by itself, so a host that fails to read, or to be heard, delays the others by its turn only.
 func (f *followers) upstreams(ctx context.Context) {
 	dependency := f.dependency("upstreams")
 	for ctx.Err() == nil {
@@ -77,11 +87,7 @@
 	if err != nil {
 		return err
 	}
-	for _, change := range f.router.registry.Update(started, version, entries) {
-		f.logger.Info().Str("event", "upstream").Str("upstream", string(change.Upstream)).
-			Str("service", string(change.Service)).Str("change", change.What).Uint64("store_version", version).Send()
-	}
-	f.router.keep(f.router.registry.View())
+	f.registryChanged(f.router.registry.Update(started, version, entries), version, "")
 	return nil
 }
 
@@ -100,11 +106,11 @@
 		case <-timer.C:
 			return
 		case news := <-f.registryNews:
-			if news.settled && time.Since(news.readAt) < recentRead && f.router.registry.EndKept() {
+			if news.Settled && time.Since(news.readAt) < recentRead && f.router.registry.EndKept() {
 				timer.Stop()
 				return
 			}
-			if !f.router.registry.Confirm(news.readAt, news.digest) {
+			if !f.router.registry.Confirm(news.readAt, news.Digest) && !f.applyDelta(news) {
 				f.sleep(ctx, time.Duration(rand.Int64N(int64(readSpread))))
 				timer.Stop()
 				return
@@ -114,6 +120,31 @@
 	}
 }
 
+// applyDelta takes what another host has found by the difference to its read before. It reports false if this host must
+// read by itself.
+func (f *followers) applyDelta(news registryNews) bool {
+	changes, ok := f.router.registry.Apply(news.readAt, news.Version, news.Digest, news.Delta)
+	if !ok {
+		return false
+	}
+	f.registryChanged(changes, news.Version, news.from)
+	return true
+}
+
+// registryChanged logs changes of the upstreams in use, and drops what is known of those that are gone. from is the host that
+// has read them, empty for this one.
+func (f *followers) registryChanged(changes []registry.Change, version uint64, from string) {
+	for _, change := range changes {
+		line := f.logger.Info().Str("event", "upstream").Str("upstream", string(change.Upstream)).
+			Str("service", string(change.Service)).Str("change", change.What).Uint64("store_version", version)
+		if from != "" {
+			line = line.Str("from", from)
+		}
+		line.Send()
+	}
+	f.router.keep(f.router.registry.View())
+}
+
 // untilTurn is the time until this host reads the upstreams if no other does: earlier if entries that are kept end before.
 func (f *followers) untilTurn() time.Duration {
 	fresh := time.Duration(freshPart * float64(f.boundsNow().StopLeaving))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -292,10 +292,8 @@
 	if m.Configuration > g.version() {
 		poke(g.rereadConfiguration)
 	}
-	if m.RegistryDigest != 0 {
-		g.hearRegistry(registryNews{
-			readAt: now.Add(-m.RegistryAge), digest: m.RegistryDigest, settled: m.RegistrySettled,
-		})
+	if m.Registry.Digest != 0 {
+		g.hearRegistry(registryNews{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
 	}
 	for _, notice := range m.Notices {
 		g.router.hear(now, m.Host, notice)
--- /dev/null
+++ b/gateway/gossip/codec.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
+	"github.com/bronzeyard/bronzeyard/gateway/quota"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+func encodeUses(uses []quota.Use) []*gossippb.Use {
+	encoded := make([]*gossippb.Use, len(uses))
+	for i, use := range uses {
+		encoded[i] = &gossippb.Use{
+			Customer: string(use.Customer), Admitted: use.Admitted, Asked: use.Asked, Tokens: use.Tokens,
+			Settled: use.Settled,
+		}
+	}
+	return encoded
+}
+
+func decodeUses(encoded []*gossippb.Use) []quota.Use {
+	uses := make([]quota.Use, len(encoded))
+	for i, use := range encoded {
+		uses[i] = quota.Use{
+			Customer: settings.CustomerID(use.GetCustomer()), Admitted: use.GetAdmitted(), Asked: use.GetAsked(),
+			Tokens: use.GetTokens(), Settled: use.GetSettled(),
+		}
+	}
+	return uses
+}
+
+func encodeRegistry(m *gossippb.Datagram, state RegistryState) {
+	m.RegistryDigest, m.RegistrySettled = state.Digest, state.Settled
+	m.RegistryAgeMs = uint32((state.Age + transit).Milliseconds())
+	if state.Delta == nil {
+		return
+	}
+	delta := &gossippb.RegistryDelta{Base: state.Delta.Base, Version: state.Version}
+	readAt := time.Now().Add(-state.Age)
+	for i := range state.Delta.Put {
+		entry := &state.Delta.Put[i]
+		u := &entry.Upstream
+		delta.Put = append(delta.Put, &gossippb.Upstream{
+			Id: string(u.ID), Service: string(entry.Service), Address: u.Address, DataCentre: u.DataCentre,
+			Slots: uint32(max(0, u.Slots)), Leaving: u.Leaving, WarmMs: uint32(max(0, u.WarmUntil.Sub(readAt)).Milliseconds()),
+		})
+	}
+	for _, id := range state.Delta.Removed {
+		delta.Removed = append(delta.Removed, string(id))
+	}
+	m.RegistryDelta = delta
+}
+
+func decodeRegistry(m *gossippb.Datagram) RegistryState {
+	state := RegistryState{
+		Digest: m.GetRegistryDigest(), Age: time.Duration(m.GetRegistryAgeMs()) * time.Millisecond,
+		Settled: m.GetRegistrySettled(), Version: m.GetRegistryDelta().GetVersion(),
+	}
+	if m.GetRegistryDelta() == nil {
+		return state
+	}
+	state.Delta = &registry.Delta{Base: m.GetRegistryDelta().GetBase()}
+	readAt := time.Now().Add(-state.Age)
+	for _, put := range m.GetRegistryDelta().GetPut() {
+		u := settings.Upstream{
+			ID: settings.UpstreamID(put.GetId()), Address: put.GetAddress(), DataCentre: put.GetDataCentre(),
+			Slots: int(put.GetSlots()), Leaving: put.GetLeaving(),
+		}
+		if warm := put.GetWarmMs(); warm > 0 {
+			u.WarmUntil = readAt.Add(time.Duration(warm) * time.Millisecond)
+		}
+		state.Delta.Put = append(state.Delta.Put, registry.Entry{Service: settings.ServiceName(put.GetService()), Upstream: u})
+	}
+	for _, id := range m.GetRegistryDelta().GetRemoved() {
+		state.Delta.Removed = append(state.Delta.Removed, settings.UpstreamID(id))
+	}
+	return state
+}
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -14,6 +14,8 @@
 	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
+	"github.com/bronzeyard/bronzeyard/settings"
 )
 
 // peer is a node on loopback that collects what it hears.
@@ -40,7 +42,17 @@
 			Key: NewKey(),
 		},
 		Conn: conn, Configuration: func() uint64 { return 12 }, Retries: none,
-		Registry: func(time.Time) (uint64, time.Duration, bool) { return 99, 40 * time.Millisecond, true },
+		Registry: func(time.Time) RegistryState {
+			return RegistryState{
+				Digest: 99, Age: 40 * time.Millisecond, Settled: true, Version: 5,
+				Delta: &registry.Delta{
+					Base: 98, Removed: []settings.UpstreamID{"gone"},
+					Put: []registry.Entry{{Service: "desk", Upstream: settings.Upstream{
+						ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true,
+					}}},
+				},
+			}
+		},
 		Uses: func(_ time.Time, onlyNear bool) []quota.Use {
 			if onlyNear {
 				return nil
@@ -121,9 +133,16 @@
 		return len(notices) > 0 && len(uses) > 0 && len(loads) > 0
 	})
 	last := b.from("a")[len(b.from("a"))-1]
-	if last.Configuration != 12 || last.RegistryDigest != 99 || last.RegistryAge < 40*time.Millisecond || !last.RegistrySettled || !last.Leaving {
+	if last.Configuration != 12 || last.Registry.Digest != 99 || last.Registry.Age < 40*time.Millisecond || !last.Registry.Settled || !last.Leaving {
 		t.Errorf("the state of the host arrived as %+v", last)
 	}
+	if delta := last.Registry.Delta; delta == nil || delta.Base != 98 || last.Registry.Version != 5 ||
+		!reflect.DeepEqual(delta.Removed, []settings.UpstreamID{"gone"}) || len(delta.Put) != 1 ||
+		delta.Put[0] != (registry.Entry{Service: "desk", Upstream: settings.Upstream{
+			ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true,
+		}}) {
+		t.Errorf("the difference between two reads arrived as %+v", delta)
+	}
 	if want := (quota.Use{Customer: "c", Admitted: 5, Asked: 6, Tokens: -3}); uses[0] != want {
 		t.Errorf("a use arrived as %+v", uses[0])
 	}
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -17,6 +17,7 @@
 	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -53,11 +54,21 @@
 	Retries []quota.Use
 	// Loads are the upstreams that the sender has found to be full.
 	Loads []placement.Report
-	// RegistryDigest tells which upstreams the sender has read from the store, RegistryAge how long ago. 0 without a read.
-	RegistryDigest uint64
-	RegistryAge    time.Duration
-	// RegistrySettled is true if no living upstream can be missing in the sender's reads.
-	RegistrySettled bool
+	// Registry is the sender's newest read of the upstreams. Its Digest is 0 without a read.
+	Registry RegistryState
+}
+
+// RegistryState tells what a host has read of the upstreams.
+type RegistryState struct {
+	Digest uint64
+	// Age is how long ago the read was started.
+	Age time.Duration
+	// Settled is true if no living upstream can be missing.
+	Settled bool
+	// Version is that of the store, and Delta the difference to the read before. Delta is nil if nothing or much has
+	// changed, and Version is then 0.
+	Version uint64
+	Delta   *registry.Delta
 }
 
 // Options configure a Node.
@@ -67,9 +78,8 @@
 	Conn net.PacketConn
 	// Configuration returns the version in force at this host. Required.
 	Configuration func() uint64
-	// Registry returns the digest and the age of the newest read of the upstreams, and whether no living upstream can be
-	// missing in it. Required.
-	Registry func(now time.Time) (digest uint64, age time.Duration, settled bool)
+	// Registry returns this host's own newest read of the upstreams. Required.
+	Registry func(now time.Time) RegistryState
 	// Uses returns the counts to report. Required.
 	Uses func(now time.Time, onlyNear bool) []quota.Use
 	// Retries returns the use of retry budgets. Required.
@@ -250,9 +260,7 @@
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
 	}
 	now := time.Now()
-	digest, age, settled := n.options.Registry(now)
-	m.RegistryDigest, m.RegistryAgeMs = digest, uint32((age + transit).Milliseconds())
-	m.RegistrySettled = settled
+	encodeRegistry(m, n.options.Registry(now))
 	for _, notice := range c.notices {
 		m.Notices = append(m.Notices, &gossippb.Notice{
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
@@ -337,8 +345,7 @@
 func decode(m *gossippb.Datagram) *Message {
 	message := &Message{
 		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
-		RegistryDigest: m.GetRegistryDigest(), RegistryAge: time.Duration(m.GetRegistryAgeMs()) * time.Millisecond,
-		RegistrySettled: m.GetRegistrySettled(),
+		Registry: decodeRegistry(m),
 	}
 	for _, notice := range m.GetNotices() {
 		message.Notices = append(message.Notices, breaker.Notice{
@@ -355,27 +362,5 @@
 	return message
 }
 
-func encodeUses(uses []quota.Use) []*gossippb.Use {
-	encoded := make([]*gossippb.Use, len(uses))
-	for i, use := range uses {
-		encoded[i] = &gossippb.Use{
-			Customer: string(use.Customer), Admitted: use.Admitted, Asked: use.Asked, Tokens: use.Tokens,
-			Settled: use.Settled,
-		}
-	}
-	return encoded
-}
-
-func decodeUses(encoded []*gossippb.Use) []quota.Use {
-	uses := make([]quota.Use, len(encoded))
-	for i, use := range encoded {
-		uses[i] = quota.Use{
-			Customer: settings.CustomerID(use.GetCustomer()), Admitted: use.GetAdmitted(), Asked: use.GetAsked(),
-			Tokens: use.GetTokens(), Settled: use.GetSettled(),
-		}
-	}
-	return uses
-}
-
 // Record returns the stored form of this host's record.
 func (n *Node) Record() ([]byte, error) { return n.options.Self.Encode() }
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -35,7 +35,9 @@
 	// Upstreams are sorted by id.
 	upstreams map[settings.ServiceName][]settings.Upstream
 	known     map[settings.UpstreamID]Entry
-	// digest covers what the store held at the read, without entries that are kept.
+	// stored is what the store held at the read: without entries that are kept, and with those that were found to be gone.
+	stored map[settings.UpstreamID]Entry
+	// digest covers stored.
 	digest uint64
 }
 
@@ -84,8 +86,11 @@
 
 // OwnRead is a read of the store that this host has made itself.
 type OwnRead struct {
-	At     time.Time
-	Digest uint64
+	At      time.Time
+	Version uint64
+	Digest  uint64
+	// Delta is the difference to the view before; nil if there is none, or if it is large.
+	Delta *Delta
 }
 
 // OwnRead returns this host's newest read; false before the first. Only this may be told to other hosts: each way adds a
@@ -110,6 +115,17 @@
 
 // Update takes a complete read of the entries. startedAt is when the read was started.
 func (r *Registry) Update(startedAt time.Time, version uint64, entries []Entry) []Change {
+	stored := make(map[settings.UpstreamID]Entry, len(entries))
+	for _, entry := range entries {
+		stored[entry.Upstream.ID] = entry
+	}
+	digest := digestOf(stored)
+	r.own.Store(&OwnRead{At: startedAt, Version: version, Digest: digest, Delta: deltaOf(r.view.Load(), stored)})
+	return r.replace(startedAt, version, stored, digest)
+}
+
+// replace puts what a read has found in force, with the entries that are kept.
+func (r *Registry) replace(startedAt time.Time, version uint64, stored map[settings.UpstreamID]Entry, digest uint64) []Change {
 	before := r.view.Load()
 	gap := !before.ReadAt.IsZero() && startedAt.Sub(before.ReadAt) > gapAfter
 	if gap || before.ReadAt.IsZero() {
@@ -118,13 +134,10 @@
 	if gap {
 		r.kept, r.keptUntil = make(map[settings.UpstreamID]bool), startedAt.Add(returnGrace)
 	}
-	known := make(map[settings.UpstreamID]Entry, len(entries))
-	for _, entry := range entries {
-		known[entry.Upstream.ID] = entry
-		delete(r.kept, entry.Upstream.ID)
+	known := maps.Clone(stored)
+	for id := range stored {
+		delete(r.kept, id)
 	}
-	digest := digestOf(known)
-	r.own.Store(&OwnRead{At: startedAt, Digest: digest})
 	if !startedAt.Before(r.keptUntil) {
 		r.kept = nil
 	}
@@ -152,7 +165,7 @@
 			changes = append(changes, Change{Upstream: id, Service: entry.Service, What: "leaving"})
 		}
 	}
-	r.view.Store(newView(startedAt, version, known, digest))
+	r.view.Store(newView(startedAt, version, known, stored, digest))
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(string(a.Upstream), string(b.Upstream)) })
 	return changes
 }
@@ -195,7 +208,7 @@
 	}
 	known := maps.Clone(before.known)
 	delete(known, id)
-	r.view.CompareAndSwap(before, newView(before.ReadAt, before.Version, known, before.digest))
+	r.view.CompareAndSwap(before, newView(before.ReadAt, before.Version, known, before.stored, before.digest))
 }
 
 // Confirm takes a read of another host that found the entries with the digest. It reports whether they are those of this
@@ -225,9 +238,9 @@
 	return hash.Sum64()
 }
 
-func newView(readAt time.Time, version uint64, known map[settings.UpstreamID]Entry, digest uint64) *View {
+func newView(readAt time.Time, version uint64, known, stored map[settings.UpstreamID]Entry, digest uint64) *View {
 	view := &View{
-		ReadAt: readAt, Version: version, known: known, digest: digest,
+		ReadAt: readAt, Version: version, known: known, stored: stored, digest: digest,
 		upstreams: make(map[settings.ServiceName][]settings.Upstream),
 	}
 	for _, id := range slices.Sorted(maps.Keys(known)) {
