Breaker: trials by repeatable requests come within two seconds, also in large fleets

Now the hold of 1.4 s counts from the opening or the start of the last trial, and all turns of such requests fit into 0.3 s; turns with other requests keep 150 ms up to 16 hosts and fit into 2.4 s beyond. Ruled out: fewer strikes, which would open later and not shorten the gap.

--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -48,9 +48,9 @@
 	// firstHold is how long a breaker stays open at first. A trial may cost a request that cannot be repeated, and an
 	// upstream that is missed for some seconds costs little.
 	firstHold = 6 * time.Second
-	// repeatableHold is the time after the last bad sample or trial from which a request that can be sent again makes a
-	// trial. Its failure costs little.
-	repeatableHold = 1500 * time.Millisecond
+	// repeatableHold is the time from the opening or the start of the last trial, after which a request that can be sent again
+	// makes a trial. Its failure costs little, and users count an upstream that works again and gets nothing for 2 s as unused.
+	repeatableHold = 1400 * time.Millisecond
 	// holdGrowth is the factor between the holds of breakers that open again after a trial.
 	holdGrowth = 1.2
 	// longestHold bounds the hold.
@@ -62,8 +62,11 @@
 	// earlyAfter is the time after the last bad sample from which a trial may come before the hold ends, if the other
 	// upstreams are full.
 	earlyAfter = time.Second
-	// rankDelay is the time between the turns of two hosts for a trial.
-	rankDelay = 150 * time.Millisecond
+	// rankDelay is the time between the turns of two hosts for a trial, and turns and repeatableTurns bound the time from the
+	// first to the last turn of all hosts, with requests that cannot be sent again and with others.
+	rankDelay       = 150 * time.Millisecond
+	turns           = 16 * rankDelay
+	repeatableTurns = 300 * time.Millisecond
 )
 
 // NoticeKind says what happened to a breaker.
@@ -102,6 +105,7 @@
 	strikes   float64
 	strikesAt time.Time
 	badAt     time.Time
+	openedAt  time.Time
 	open      bool
 	until     time.Time
 	triedAt   time.Time // of the last trial of any host
@@ -157,16 +161,22 @@
 	if c == nil || !c.open {
 		return Closed
 	}
-	due := c.until
+	rank := time.Duration(s.rank(id, c))
+	due := c.until.Add(rank * s.turn(turns))
 	if repeatable {
-		due = earlier(due, later(c.badAt, c.triedAt).Add(repeatableHold))
+		due = earlier(due, later(c.openedAt, c.triedAt).Add(repeatableHold+rank*s.turn(repeatableTurns)))
 	}
-	if now.Before(due.Add(time.Duration(s.rank(id, c)) * rankDelay)) {
+	if now.Before(due) {
 		return Open
 	}
 	return TrialDue
 }
 
+// turn is the time between the turns of two hosts, if all must have had theirs within a time.
+func (s *Set) turn(all time.Duration) time.Duration {
+	return min(rankDelay, all/time.Duration(max(1, len(s.hosts))))
+}
+
 // Strikes returns the strikes against an upstream.
 func (s *Set) Strikes(now time.Time, id settings.UpstreamID) float64 {
 	s.mu.Lock()
@@ -316,7 +326,7 @@
 }
 
 func (c *circuit) openFor(now time.Time) {
-	c.open = true
+	c.open, c.openedAt = true, now
 	if c.hold == 0 || now.Sub(c.closedAt) > forgetHold {
 		c.hold = firstHold
 	} else {
