--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -6,9 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
+	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -66,3 +70,37 @@
 		limiter.Heard(now, others[n%len(others)], uses, limitOf)
 	}
 }
+
+// byteCounter counts what is written.
+type byteCounter struct{ n int }
+
+func (c *byteCounter) Write(p []byte) (int, error) {
+	c.n += len(p)
+	return len(p), nil
+}
+
+// Measures what a line about a served request with one attempt costs, and one that is left out because the budget of lines
+// is used up.
+func BenchmarkDecisionLog(b *testing.B) {
+	event := &relay.Event{
+		RequestID: "9c41d07be2a35f68", Method: "POST", Route: "r-tappkzy", Service: "nyle42b", Customer: "tilo262", Status: 200,
+		Limit: 2500 * time.Millisecond, Total: 480 * time.Millisecond, Settings: 12, SettingsAge: 7690 * time.Millisecond,
+		Tokens: 23.4, HostsHeard: 14,
+		Attempts: []relay.AttemptEvent{{
+			Upstream: "i-4e28191d9e", Outcome: relay.Answered, Status: 200, Took: 478 * time.Millisecond, Load: 0.67,
+			Age: 783 * time.Millisecond, Reused: true,
+		}},
+	}
+	for name, lines := range map[string]rate.Limit{"written": rate.Inf, "left out": 0} {
+		b.Run(name, func(b *testing.B) {
+			output := &byteCounter{}
+			log := newDecisionLog(zerolog.New(output).With().Timestamp().Str("host", "edge-luzon-a-4").Logger())
+			log.good.SetLimit(lines)
+			b.ReportAllocs()
+			for b.Loop() {
+				log.request(event)
+			}
+			b.ReportMetric(float64(output.n)/float64(b.N), "bytes/line")
+		})
+	}
+}
