--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -62,7 +62,8 @@
 
 // upstreams follows the entries of upstreams. One host at a time reads the store and tells the others the digest of what
 // it found, with what has changed since its read before; a host whose view has the same digest, or gets it by that change,
-// takes that as a read of its own, any other reads too. A host that hears of no read in time reads by itself, so a host that fails to read, or to be heard, delays the others by its turn only.
+// takes that as a read of its own, any other reads too. A host that hears of no read in time reads by itself, so a host that
+// fails to read, or to be heard, delays the others by its turn only.
 func (f *followers) upstreams(ctx context.Context) {
 	dependency := f.dependency("upstreams")
 	for ctx.Err() == nil {
