--- a/traffic/proxy/proxy_test.go
+++ b/traffic/proxy/proxy_test.go
@@ -226,7 +226,11 @@
 		<-r.Context().Done()
 		cancelled <- struct{}{}
 	})
-	quick := upstreamServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	// Without the wait its answer may come before the first attempt was sent, which then has nothing to cancel.
+	quick := upstreamServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-arrived
+		_, _ = io.WriteString(w, "ok")
+	})
 
 	w := newWorld(t, forward.Options{}, time.Minute, slow)
 	ctx, leave := context.WithCancel(context.Background())
