--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/rendezvous"
 )
 
 // Sample is what an attempt says about its upstream.
@@ -49,7 +48,7 @@
 	// upstream that is missed for some seconds costs little.
 	firstHold = 6 * time.Second
 	// repeatableHold is the time from the opening or the start of the last trial, after which a request that can be sent again
-	// makes a trial. Its failure costs little, and users count an upstream that works again and gets nothing for 2 s as unused.
+	// makes a trial. Its failure costs little. An upstream that has recovered must get a request within 2 s.
 	repeatableHold = 1400 * time.Millisecond
 	// holdGrowth is the factor between the holds of breakers that open again after a trial.
 	holdGrowth = 1.2
@@ -62,11 +61,11 @@
 	// earlyAfter is the time after the last bad sample from which a trial may come before the hold ends, if the other
 	// upstreams are full.
 	earlyAfter = time.Second
-	// rankDelay is the time between the turns of two hosts for a trial, and turns and repeatableTurns bound the time from the
-	// first to the last turn of all hosts, with requests that cannot be sent again and with others.
-	rankDelay       = 150 * time.Millisecond
-	turns           = 16 * rankDelay
-	repeatableTurns = 300 * time.Millisecond
+	// rankDelay is the time between the turns of two hosts for a trial. rankSpread and repeatableRankSpread bound the time
+	// between the first and the last host, for requests that cannot be sent again and for those that can.
+	rankDelay            = 150 * time.Millisecond
+	rankSpread           = 16 * rankDelay
+	repeatableRankSpread = 300 * time.Millisecond
 )
 
 // NoticeKind says what happened to a breaker.
@@ -162,9 +161,9 @@
 		return Closed
 	}
 	rank := time.Duration(s.rank(id, c))
-	due := c.until.Add(rank * s.turn(turns))
+	due := c.until.Add(rank * s.delayWithin(rankSpread))
 	if repeatable {
-		due = earlier(due, later(c.openedAt, c.triedAt).Add(repeatableHold+rank*s.turn(repeatableTurns)))
+		due = earlier(due, later(c.openedAt, c.triedAt).Add(repeatableHold+rank*s.delayWithin(repeatableRankSpread)))
 	}
 	if now.Before(due) {
 		return Open
@@ -172,9 +171,9 @@
 	return TrialDue
 }
 
-// turn is the time between the turns of two hosts, if all must have had theirs within a time.
-func (s *Set) turn(all time.Duration) time.Duration {
-	return min(rankDelay, all/time.Duration(max(1, len(s.hosts))))
+// delayWithin is the time between the turns of two hosts if all turns must come within the spread.
+func (s *Set) delayWithin(spread time.Duration) time.Duration {
+	return min(rankDelay, spread/time.Duration(max(1, len(s.hosts))))
 }
 
 // Strikes returns the strikes against an upstream.
@@ -195,20 +194,16 @@
 	if c.rankedFor == s.generation {
 		return c.rank
 	}
-	own := score(id, s.self)
+	own := rendezvous.Score(string(id), s.self)
 	c.rank, c.rankedFor = 0, s.generation
 	for _, host := range s.hosts {
-		if host != s.self && score(id, host) > own {
+		if host != s.self && rendezvous.Score(string(id), host) > own {
 			c.rank++
 		}
 	}
 	return c.rank
 }
 
-func score(id settings.UpstreamID, host string) uint64 {
-	return xxhash.Sum64String(string(id) + "\x00" + host)
-}
-
 // MayTryEarly reports whether a trial may start before the hold ends.
 func (s *Set) MayTryEarly(now time.Time, id settings.UpstreamID) bool {
 	s.mu.Lock()
--- a/gateway/breaker/trials_test.go
+++ b/gateway/breaker/trials_test.go
@@ -60,8 +60,7 @@
 }
 
 // Guards against an upstream that works again and gets nothing for two seconds, because the next trial waits for the end of
-// the last one and for the turns of many hosts, most of which do not use the upstream: FLOOR on trouble-1 of the grown daan
-// deployment.
+// the last one and for the turns of many hosts, most of which may not use the upstream.
 func TestRepeatableTrialsComeWithinTwoSeconds(t *testing.T) {
 	for _, c := range []struct {
 		hosts, users int
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -22,8 +22,8 @@
 	recentRead = 1500 * time.Millisecond
 	// readSpread spreads the reads of hosts that learn of a change at the same time.
 	readSpread = 60 * time.Millisecond
-	// deltaTold is the age up to which a read is told with its difference to the one before.
-	deltaTold = time.Second
+	// deltaMaxAge is the age up to which a read is sent with its difference to the one before.
+	deltaMaxAge = time.Second
 )
 
 // registryNews tells what another host has read of the upstreams.
@@ -42,7 +42,7 @@
 	state := gossip.RegistryState{
 		Digest: own.Digest, Age: max(0, now.Sub(own.At)), Settled: g.router.registry.Settled(now),
 	}
-	if state.Age < deltaTold {
+	if state.Age < deltaMaxAge {
 		state.Version, state.Delta = own.Version, own.Delta
 	}
 	return state
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -88,12 +88,7 @@
 			c.cancel()
 			return
 		}
-		if !e.counted {
-			c.forget(e, request)
-			c.watch()
-			return
-		}
-		if !c.await(last, request) || c.hasEnded() {
+		if !e.counted || !c.await(last, request) || c.hasEnded() {
 			c.forget(e, request)
 			c.watch()
 			return
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -28,9 +28,9 @@
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
 	slowCost = 0.4
 	// fullLoad is the load of the chosen upstream from which one with an open breaker is tried early with a request that can
-	// be sent again, and onceFullLoad with any other: most trials fail, and a request that waits in a short queue is served.
-	fullLoad     = 0.9
-	onceFullLoad = 1.5
+	// be sent again, and unrepeatableFullLoad with any other: most trials fail, and a request that waits in a short queue is served.
+	fullLoad             = 0.9
+	unrepeatableFullLoad = 1.5
 	// overfullLoad is the load from which a repeatable request waits too long at the chosen upstream.
 	overfullLoad = 1.75
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
@@ -125,7 +125,7 @@
 func (p *Pool) pickWell(now time.Time, view *sorted, request Request, breakers Breakers) Choice {
 	chosen, load := p.choose(now, view.candidates)
 	choice := Choice{Load: load, Candidates: len(view.candidates)}
-	full := onceFullLoad
+	full := unrepeatableFullLoad
 	if request.Repeatable {
 		full = fullLoad
 	}
--- a/gateway/placement/subset_test.go
+++ b/gateway/placement/subset_test.go
@@ -68,16 +68,16 @@
 
 // Guards against small services that lose upstreams to the choice, and against leaving ones that take places.
 func TestSubsetOfSmallServicesAndLeavingUpstreams(t *testing.T) {
-	small := manyUpstreams(leastPlaces)
-	if got := NewSubset("a", "north").Of(small, subsetHosts); len(got) != leastPlaces {
-		t.Errorf("%d of %d upstreams are used", len(got), leastPlaces)
+	small := manyUpstreams(minSubset)
+	if got := NewSubset("a", "north").Of(small, subsetHosts); len(got) != minSubset {
+		t.Errorf("%d of %d upstreams are used", len(got), minSubset)
 	}
 	large := manyUpstreams(90)
 	for i := range 45 {
 		large[i].Leaving = true
 	}
 	got := NewSubset("a", "north").Of(large, subsetHosts)
-	if len(got) != leastPlaces || slices.ContainsFunc(got, func(u settings.Upstream) bool { return u.Leaving }) {
+	if len(got) != minSubset || slices.ContainsFunc(got, func(u settings.Upstream) bool { return u.Leaving }) {
 		t.Errorf("%d upstreams are used, some of them leaving", len(got))
 	}
 }
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -185,7 +185,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.called(now)
+	l.noteCall(now)
 	b := l.bucket(now, id, limit)
 	l.fill(now, b)
 	b.usedAt = now
@@ -325,7 +325,7 @@
 ) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.called(now)
+	l.noteCall(now)
 	_, known := l.heard[host]
 	l.heard[host], l.heardAt = now, now
 	l.returned(now, host)
@@ -337,16 +337,16 @@
 		b := l.bucket(now, use.Customer, limit)
 		l.fill(now, b)
 		if !known && b.remotes[host] == nil {
-			b.meet(now, host, use)
+			b.takeFirst(now, host, use)
 			continue
 		}
 		b.take(now, host, use)
 	}
 }
 
-// meet takes the first report of a host. If it has run for long, its counts are of times past, and its view of the bucket is
+// takeFirst takes the first report of a host. If it has run for long, its counts are of times past, and its view of the bucket is
 // better than that of a process that has just started. If it started lately, both began with the same tokens.
-func (b *bucket) meet(now time.Time, host string, use Use) {
+func (b *bucket) takeFirst(now time.Time, host string, use Use) {
 	b.remotes[host] = &remote{admitted: use.Admitted, asked: use.Asked, at: now, settledAt: now}
 	if use.Settled {
 		b.tokens = min(b.tokens, float64(use.Tokens))
@@ -356,8 +356,8 @@
 	b.all.add(now, float64(use.Asked))
 }
 
-// called notes a call, and the end of a pause if there was one.
-func (l *Limiter) called(now time.Time) {
+// noteCall notes a call, and the end of a pause if there was one.
+func (l *Limiter) noteCall(now time.Time) {
 	if !l.calledAt.IsZero() && now.Sub(l.calledAt) > pause {
 		l.pausedAt = now
 	}
@@ -442,7 +442,7 @@
 func (l *Limiter) Uses(now time.Time, onlyNear bool) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.called(now)
+	l.noteCall(now)
 	settled := l.settled(now)
 	var uses []Use
 	for _, b := range l.buckets {
--- a/gateway/registry/delta.go
+++ b/gateway/registry/delta.go
@@ -19,14 +19,14 @@
 	Removed []settings.UpstreamID
 }
 
-// deltaOf returns the difference; nil if there is none, or if it is too large to be told.
+// deltaOf returns the difference; nil if there is none, or if it is too large for a datagram.
 func deltaOf(before *View, stored map[settings.UpstreamID]Entry) *Delta {
 	if before.ReadAt.IsZero() {
 		return nil
 	}
 	d := &Delta{Base: before.digest}
 	for _, id := range slices.Sorted(maps.Keys(stored)) {
-		if old, ok := before.stored[id]; !ok || !old.sameUse(stored[id]) {
+		if old, ok := before.stored[id]; !ok || old.usage() != stored[id].usage() {
 			d.Put = append(d.Put, stored[id])
 		}
 	}
@@ -41,13 +41,6 @@
 	return d
 }
 
-// sameUse reports whether two entries of an upstream are equal in what the digest covers.
-func (e Entry) sameUse(other Entry) bool {
-	a, b := &e.Upstream, &other.Upstream
-	return e.Service == other.Service && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
-		a.Leaving == b.Leaving
-}
-
 // Apply takes a read of another host by its difference to an earlier one. It reports false, and changes nothing, unless this
 // host's newest view is of that earlier read and the result has the digest that the other host has found: the store must
 // then be read. It must not be called beside Update.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -26,6 +26,22 @@
 	Upstream settings.Upstream
 }
 
+// usage holds the fields of an entry that decide about the use of an upstream. Entries change all the time in others.
+type usage struct {
+	service             settings.ServiceName
+	id                  settings.UpstreamID
+	address, dataCentre string
+	slots               int
+	leaving             bool
+}
+
+func (e Entry) usage() usage {
+	u := &e.Upstream
+	return usage{
+		service: e.Service, id: u.ID, address: u.Address, dataCentre: u.DataCentre, slots: u.Slots, leaving: u.Leaving,
+	}
+}
+
 // View is the state of the registry. It is immutable.
 type View struct {
 	// ReadAt is when the read that it is based on was started.
@@ -226,14 +242,13 @@
 	return true
 }
 
-// digestOf covers the fields that decide about the use of upstreams. Entries change all the time in others.
+// digestOf covers the usage of each upstream.
 func digestOf(known map[settings.UpstreamID]Entry) uint64 {
 	hash := xxhash.New()
 	for _, id := range slices.Sorted(maps.Keys(known)) {
-		entry := known[id]
-		u := &entry.Upstream
+		f := known[id].usage()
 		// Writing to a hash cannot fail.
-		_, _ = fmt.Fprintf(hash, "%q %q %q %q %d %t\n", entry.Service, u.ID, u.Address, u.DataCentre, u.Slots, u.Leaving)
+		_, _ = fmt.Fprintf(hash, "%q %q %q %q %d %t\n", f.service, f.id, f.address, f.dataCentre, f.slots, f.leaving)
 	}
 	return hash.Sum64()
 }
--- a/traffic/loadbalancer/subset.go
+++ b/traffic/loadbalancer/subset.go
@@ -4,10 +4,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bronzeyard/bronzeyard/fleet"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/rendezvous"
 )
 
 // minConnectionShare is how many connections to an upstream a host needs to be of use: one request in flight, one
@@ -36,7 +35,7 @@
 	}
 	ranked := make([]scored, len(hosts))
 	for i, h := range hosts {
-		ranked[i] = scored{host: h, score: subsetScore(u, h)}
+		ranked[i] = scored{host: h, score: rendezvous.Score(string(u.ID), string(h.ID))}
 		if h.DataCentre != u.DataCentre {
 			ranked[i].distance = 1
 		}
@@ -51,14 +50,6 @@
 	return members
 }
 
-func subsetScore(u settings.Upstream, h Host) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(u.ID))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(h.ID))
-	return d.Sum64()
-}
-
 // ConnectionShare is how many connections one host may have to the upstream when the given hosts send to the service.
 // It is 0 for a host outside the upstream's subset.
 func ConnectionShare(u settings.Upstream, hosts []Host, self fleet.HostID) int {
