--- a/gateway/decisionlog/decisionlog_test.go
+++ b/gateway/decisionlog/decisionlog_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// Guards against a trace that shows a belief which a later line had replaced, one of another host or upstream, or none.
-func TestTraceShowsTheBeliefsBehindARequest(t *testing.T) {
+// Guards against a trace that shows state that a later line had replaced, one of another host or upstream, or none.
+func TestTraceShowsTheStateBehindARequest(t *testing.T) {
 	trace := read(t).Trace("r1")
 	var got []string
 	for _, step := range trace.Steps {
--- a/gateway/decisionlog/line.go
+++ b/gateway/decisionlog/line.go
@@ -57,7 +57,7 @@
 	CallerGone         bool      `json:"caller_gone"`
 	Attempts           []Attempt `json:"attempts"`
 
-	// Of beliefs.
+	// Of changes of state.
 	Upstream     string  `json:"upstream"`
 	Sample       string  `json:"sample"`
 	From         string  `json:"from"`
--- a/gateway/decisionlog/trace.go
+++ b/gateway/decisionlog/trace.go
@@ -14,7 +14,7 @@
 // The relations of lines to a request.
 const (
 	OwnLine         Relation = "request"
-	UpstreamBelief  Relation = "upstream"
+	UpstreamState   Relation = "upstream"
 	SettingsInForce Relation = "settings"
 	HostState       Relation = "host"
 	DependencyState Relation = "dependency"
@@ -36,7 +36,7 @@
 	Skipped int64
 }
 
-// Trace collects the lines of the request and the beliefs behind it.
+// Trace collects the lines of the request and the state of its host.
 func (l *Log) Trace(id string) Trace {
 	t := Trace{ID: id}
 	chosen := make(map[int]Relation)
@@ -49,7 +49,7 @@
 			if line.ID == id {
 				t.Found++
 				chosen[i] = OwnLine
-				l.beliefs(line, chosen)
+				l.addState(line, chosen)
 			}
 		default:
 		}
@@ -65,13 +65,13 @@
 	return t
 }
 
-// beliefs chooses the lines of the request's host that state what it believed at the time of the request.
-func (l *Log) beliefs(request *Line, chosen map[int]Relation) {
+// addState chooses the lines that tell what the request's host knew at the time of the request.
+func (l *Log) addState(request *Line, chosen map[int]Relation) {
 	upstreams := make(map[string]bool)
 	for i := range request.Attempts {
 		upstreams[request.Attempts[i].Upstream] = true
 	}
-	last := make(map[string]int) // the newest line of each belief before the request
+	last := make(map[string]int) // the newest line about each subject before the request
 	for i := range l.Lines {
 		line := &l.Lines[i]
 		if line.Time.After(request.Time) {
@@ -87,7 +87,7 @@
 				continue
 			}
 			if during {
-				chosen[i] = UpstreamBelief
+				chosen[i] = UpstreamState
 			}
 			kind := "breaker "
 			if line.Event == EventUpstream {
@@ -115,7 +115,7 @@
 func relation(event Event) Relation {
 	switch event {
 	case EventBreakerOpen, EventBreakerClosed, EventUpstream:
-		return UpstreamBelief
+		return UpstreamState
 	case EventConfiguration:
 		return SettingsInForce
 	case EventDependencyLost, EventDependencyRegained:
