--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -210,6 +210,7 @@
 	first, second *testUpstream
 	choice        *inOrder
 	limiter       *quota.Limiter
+	limit         quota.Limit
 	events        []Event
 	bookings      []booking
 	sent          int
@@ -234,7 +235,7 @@
 		Snapshot: func() *settings.Snapshot { return snapshot }, SettingsAge: func() time.Duration { return 0 },
 		Upstreams: r.choice, Limiter: r.limiter, Forwarder: forwarder, Headers: testHeaders,
 		Observe: func(e *Event) { r.events = append(r.events, *e) },
-		LimitOf: func(*settings.Customer) quota.Limit { return quota.Limit{} }, Draw: func() float64 { return 0 },
+		LimitOf: func(*settings.Customer) quota.Limit { return r.limit }, Draw: func() float64 { return 0 },
 	})
 	return r
 }
@@ -403,3 +404,25 @@
 		t.Errorf("the answer took %v", took)
 	}
 }
+
+// Guards against requests over their customer's limit that are passed on, and against refusals that do not say when to come
+// back.
+func TestRequestsOverTheLimitAreRefused(t *testing.T) {
+	r := newRig(t)
+	r.limit = quota.Limit{Rate: 0.5, Burst: 10}
+	passed := 0
+	for range 30 {
+		response, id := r.send(http.MethodPost)
+		r.expect("request over the limit", false, response, id)
+		if response.Status == http.StatusOK {
+			passed++
+			continue
+		}
+		if response.Status != http.StatusTooManyRequests || response.Header.Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q", response.Status, response.Header.Get("Retry-After"))
+		}
+	}
+	if passed == 0 || passed > 11 {
+		t.Errorf("%d of 30 requests passed, the burst is 10", passed)
+	}
+}
