--- a/cmd/internal/logs/trace.go
+++ b/cmd/internal/logs/trace.go
@@ -56,7 +56,15 @@
 	case decisionlog.EventUpstream:
 		return fmt.Sprintf("upstream %s of %s %s at version %d of the store", step.Upstream, step.Service, step.Change, step.StoreVersion)
 	case decisionlog.EventConfiguration:
-		return fmt.Sprintf("configuration %d came into force after %d", step.Version, step.Before)
+		text := fmt.Sprintf("configuration %d came into force after %d", step.Version, step.Before)
+		if step.BehindMS > 0 {
+			text += fmt.Sprintf(", %.0f ms after another host had a newer one", step.BehindMS)
+		}
+		return text
+	case decisionlog.EventConfigurationHeard:
+		return fmt.Sprintf("configuration %d is in force at %s, not yet here", step.Version, step.From)
+	case decisionlog.EventAnswerLate:
+		return fmt.Sprintf("the answer was written %.0f ms after it was there", step.AfterMS)
 	case decisionlog.EventDependencyLost:
 		return fmt.Sprintf("reads of %s fail: %s", step.Dependency, step.Error)
 	case decisionlog.EventDependencyRegained:
--- a/gateway/decisionlog/decisionlog_test.go
+++ b/gateway/decisionlog/decisionlog_test.go
@@ -66,6 +66,29 @@
 	}
 }
 
+// Guards against a trace of a request on an old route or key that hides the newer version its host had heard of, and against
+// one that hides the time for which the answer waited.
+func TestTraceShowsNewerSettingsAndLateAnswers(t *testing.T) {
+	log := &Log{}
+	err := log.Read(strings.NewReader(`{"host":"a","event":"configuration","version":7,"time":"2026-01-01T00:00:01Z"}
+{"host":"a","event":"configuration_heard","version":6,"from":"b","time":"2026-01-01T00:00:01Z"}
+{"host":"a","event":"configuration_heard","version":9,"from":"b","time":"2026-01-01T00:00:02Z"}
+{"host":"a","event":"request","id":"r","configuration":7,"time":"2026-01-01T00:00:03Z"}
+{"host":"a","event":"answer_late","id":"other","after_ms":200,"time":"2026-01-01T00:00:03.1Z"}
+{"host":"a","event":"answer_late","id":"r","after_ms":300,"time":"2026-01-01T00:00:03.3Z"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, step := range log.Trace("r").Steps {
+		got = append(got, string(step.Relation)+" "+string(step.Event))
+	}
+	want := "settings configuration; settings configuration_heard; request request; request answer_late"
+	if strings.Join(got, "; ") != want {
+		t.Errorf("steps %q, want %q", got, want)
+	}
+}
+
 // Guards against requests that are counted in the wrong group or lost at the end of the time.
 func TestSummaryCountsEveryRequest(t *testing.T) {
 	s := read(t).Summarize()
--- a/gateway/decisionlog/line.go
+++ b/gateway/decisionlog/line.go
@@ -20,6 +20,8 @@
 	EventBreakerClosed      Event = "breaker_closed"
 	EventUpstream           Event = "upstream"
 	EventConfiguration      Event = "configuration"
+	EventConfigurationHeard Event = "configuration_heard"
+	EventAnswerLate         Event = "answer_late"
 	EventHistoryGone        Event = "history_gone"
 	EventHostHeard          Event = "host_heard"
 	EventDependencyLost     Event = "dependency_lost"
@@ -67,6 +69,8 @@
 	Before       uint64  `json:"before"`
 	Dependency   string  `json:"dependency"`
 	AwayMS       float64 `json:"away_ms"`
+	BehindMS     float64 `json:"behind_ms"`
+	AfterMS      float64 `json:"after_ms"`
 	HostID       string  `json:"host_id"`
 	InFlight     int64   `json:"in_flight"`
 	Count        int64   `json:"count"`
--- a/gateway/decisionlog/trace.go
+++ b/gateway/decisionlog/trace.go
@@ -45,6 +45,10 @@
 		switch line.Event {
 		case EventSkipped, EventDropped:
 			t.Skipped += line.Count
+		case EventAnswerLate:
+			if line.ID == id {
+				chosen[i] = OwnLine
+			}
 		case EventRequest:
 			if line.ID == id {
 				t.Found++
@@ -98,6 +102,10 @@
 			if line.Version == request.Configuration {
 				last["settings"] = i
 			}
+		case EventConfigurationHeard:
+			if line.Version > request.Configuration {
+				last["newer settings"] = i
+			}
 		case EventStart, EventStop, EventReload:
 			last["host"] = i
 		case EventDependencyLost, EventDependencyRegained:
@@ -116,7 +124,7 @@
 	switch event {
 	case EventBreakerOpen, EventBreakerClosed, EventUpstream:
 		return UpstreamState
-	case EventConfiguration:
+	case EventConfiguration, EventConfigurationHeard:
 		return SettingsInForce
 	case EventDependencyLost, EventDependencyRegained:
 		return DependencyState
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -84,7 +84,7 @@
 	var position Position
 	known := false
 	for ctx.Err() == nil {
-		next, at, err := f.readConfiguration(ctx, position, known)
+		next, at, source, err := f.readConfiguration(ctx, position, known)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(position)).Send()
@@ -95,18 +95,45 @@
 		case err == nil:
 			dependency.worked()
 			position, known = at, true
-			f.apply(next)
+			f.apply(next, source)
 		}
 	}
 }
 
+// configurationSource is the kind of read that brought a configuration.
+type configurationSource int
+
+const (
+	// wholeRead is a read of the newest configuration, at the start or after the feed has failed.
+	wholeRead configurationSource = iota + 1
+	// feedRead is a read that waited for a change.
+	feedRead
+	// hintedRead is a whole read because another host has a newer version.
+	hintedRead
+)
+
+// String implements fmt.Stringer.
+func (s configurationSource) String() string {
+	switch s {
+	case wholeRead:
+		return "read"
+	case feedRead:
+		return "feed"
+	case hintedRead:
+		return "hint"
+	default:
+		return "invalid"
+	}
+}
+
 // readConfiguration reads the newest configuration, or waits for the next one. A hint that another host has a newer one
 // ends the wait.
-func (f *followers) readConfiguration(ctx context.Context, after Position, known bool) (*Configuration, Position, error) {
+func (f *followers) readConfiguration(
+	ctx context.Context, after Position, known bool,
+) (*Configuration, Position, configurationSource, error) {
 	if !known {
-		reading, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		return f.options.Configurations.Configuration(reading)
+		next, at, err := f.readWhole(ctx)
+		return next, at, wholeRead, err
 	}
 	waiting, cancel := context.WithTimeout(ctx, configurationWait+answerSlack)
 	defer cancel()
@@ -125,17 +152,23 @@
 	select {
 	case <-hinted:
 		if err != nil && ctx.Err() == nil {
-			reading, cancelRead := context.WithTimeout(ctx, readTimeout)
-			defer cancelRead()
-			return f.options.Configurations.Configuration(reading)
+			next, at, err = f.readWhole(ctx)
+			return next, at, hintedRead, err
 		}
 	default:
 	}
-	return next, at, err
+	return next, at, feedRead, err
+}
+
+// readWhole reads the newest configuration.
+func (f *followers) readWhole(ctx context.Context) (*Configuration, Position, error) {
+	reading, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.options.Configurations.Configuration(reading)
 }
 
 // apply puts a configuration in force unless the one in force is as new. nil confirms the one in force.
-func (f *followers) apply(next *Configuration) {
+func (f *followers) apply(next *Configuration, source configurationSource) {
 	current := f.current.Load()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
 		if current != nil {
@@ -143,20 +176,12 @@
 		}
 		return
 	}
-	fresh := &inForce{Configuration: next, since: time.Now()}
-	if current != nil {
-		fresh.since = current.since
-	}
-	fresh.confirmed.Store(time.Now().UnixNano())
+	now := time.Now()
+	fresh, added, removed := newInForce(now, next, current)
 	f.current.Store(fresh)
-	f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current)).Send()
-}
-
-func versionOf(c *inForce) uint64 {
-	if c == nil {
-		return 0
-	}
-	return c.Version()
+	f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current)).
+		Str("source", source.String()).Dur("behind_ms", f.newer.reached(now, next.Version())).Int("bytes", next.Bytes).
+		Int("routes", len(next.Routes)).Int("added", added).Int("removed", removed).Send()
 }
 
 // hosts writes this host's record and follows those of the others.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	incarnation uint64
 	bounds      atomic.Pointer[Bounds]
 	current     atomic.Pointer[inForce]
+	newer       newerVersion
 	leaving     atomic.Bool
 	// hostsKnown is set when the records of the other hosts were read first.
 	hostsKnown atomic.Bool
@@ -70,14 +71,6 @@
 	registryNews chan registryNews
 }
 
-// inForce is the configuration in force and when it was last confirmed by the store.
-type inForce struct {
-	*Configuration
-	// since is when this process had its first configuration.
-	since     time.Time
-	confirmed atomic.Int64 // unix nanoseconds
-}
-
 // defaultLimits hold for connections that arrive before there is a configuration.
 var defaultLimits = pipeline.Limits{
 	HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
@@ -125,6 +118,7 @@
 	})
 	g.server = pipeline.New(pipeline.Options{
 		Handler: handler.Serve, Limits: g.limits, Refuse: refuse, Budget: budget, MaxConnections: options.Connections,
+		Written: g.answerWritten,
 	})
 	return g, g.listen(ctx)
 }
@@ -153,6 +147,7 @@
 		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
 		Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown:  func(string) { poke(g.rereadHosts) },
+		Late:     g.log.processLate,
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
 	g.router.tell, g.router.tellLoad = g.node.Tell, g.node.TellLoad
@@ -289,7 +284,8 @@
 
 // receive takes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
-	if m.Configuration > g.version() {
+	if version := g.version(); m.Configuration > version {
+		g.newer.heard(g.logger, now, m.Host, m.Configuration, version)
 		poke(g.rereadConfiguration)
 	}
 	if m.Registry.Digest != 0 {
@@ -328,10 +324,18 @@
 
 // observe logs a finished request.
 func (g *Gateway) observe(event *relay.Event) {
+	if current := g.current.Load(); current != nil {
+		event.RouteSince = current.broughtBy[event.Route]
+	}
 	g.log.request(event)
 	g.options.Observe(event)
 }
 
+// answerWritten logs answers that were written late or not at all.
+func (g *Gateway) answerWritten(request *pipeline.Request, after time.Duration, err error) {
+	g.log.written(request.HTTP.Header.Get(g.options.Headers.RequestID), after, err)
+}
+
 // poke asks a follower to read now; a request that is already waiting is enough.
 func poke(c chan struct{}) {
 	select {
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -26,6 +26,8 @@
 	HeartbeatInterval = time.Second
 	// usesInterval is the time between reports of customers near their limit and of full upstreams.
 	usesInterval = 150 * time.Millisecond
+	// lateFrom is the lateness that is reported: the process was frozen or short of processor time.
+	lateFrom = 250 * time.Millisecond
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
 	// maxUses bounds the counts in one datagram, so that it fits into one packet.
@@ -88,6 +90,8 @@
 	Receive func(now time.Time, m *Message)
 	// Unknown is called when a datagram cannot be verified because its sender's record is not known. Required.
 	Unknown func(host string)
+	// Late is called when the node's loop ran late by more than lateFrom. Default none.
+	Late func(by time.Duration)
 	// Returned is called when a host is heard for the first time or after it was away. Required.
 	Returned func(host string)
 }
@@ -110,6 +114,9 @@
 
 // New returns a Node that knows no other host.
 func New(options Options) *Node {
+	if options.Late == nil {
+		options.Late = func(time.Duration) {}
+	}
 	n := &Node{options: options, wake: make(chan struct{}, 1)}
 	n.loads = make(map[settings.UpstreamID]float64)
 	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
@@ -182,6 +189,7 @@
 	uses := time.NewTicker(usesInterval)
 	defer uses.Stop()
 	n.broadcast(n.collect(false))
+	ticked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,6 +197,11 @@
 		case <-heartbeat.C:
 			n.broadcast(n.collect(false))
 		case <-uses.C:
+			now := time.Now()
+			if late := now.Sub(ticked) - usesInterval; late > lateFrom {
+				n.options.Late(late)
+			}
+			ticked = now
 			if c := n.collect(true); !c.empty() {
 				n.broadcast(c)
 			}
--- /dev/null
+++ b/gateway/inforce.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// inForce is the configuration in force and when it was last confirmed by the store.
+type inForce struct {
+	*Configuration
+	// since is when this process had its first configuration.
+	since     time.Time
+	confirmed atomic.Int64 // unix nanoseconds
+	// broughtBy holds the version that brought each route, as far as this process has seen it.
+	broughtBy map[string]uint64
+}
+
+// newInForce returns what is in force after a configuration, and how many routes it adds and removes.
+func newInForce(now time.Time, next *Configuration, before *inForce) (fresh *inForce, added, removed int) {
+	fresh = &inForce{Configuration: next, since: now, broughtBy: make(map[string]uint64, len(next.Routes))}
+	fresh.confirmed.Store(now.UnixNano())
+	var old map[string]uint64
+	if before != nil {
+		fresh.since, old = before.since, before.broughtBy
+	}
+	kept := 0
+	for _, route := range next.Routes {
+		since, known := old[route]
+		if known {
+			kept++
+		} else {
+			since = next.Version()
+			added++
+		}
+		fresh.broughtBy[route] = since
+	}
+	return fresh, added, len(old) - kept
+}
+
+// versionOf is the version of a configuration, 0 if there is none.
+func versionOf(c *inForce) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version()
+}
+
+// newerVersion is the newest version of the configuration that another host has stated and this host does not have.
+type newerVersion struct {
+	mu      sync.Mutex
+	version uint64
+	// firstAt is when this host heard of the first version that it does not have yet.
+	firstAt time.Time
+}
+
+// heard notes a version that another host has in force, and logs one that is news.
+func (n *newerVersion) heard(logger zerolog.Logger, now time.Time, from string, version, inForce uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if version <= n.version {
+		return
+	}
+	if n.firstAt.IsZero() {
+		n.firstAt = now
+	}
+	n.version = version
+	logger.Info().Str("event", "configuration_heard").Uint64("version", version).Uint64("in_force", inForce).
+		Str("from", from).Send()
+}
+
+// reached notes the version in force. It returns for how long this host has known that it was behind, 0 if it did not.
+func (n *newerVersion) reached(now time.Time, version uint64) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.firstAt.IsZero() {
+		return 0
+	}
+	behind := now.Sub(n.firstAt)
+	if version >= n.version {
+		n.firstAt = time.Time{}
+	} else {
+		n.firstAt = now
+	}
+	return behind
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -48,7 +48,7 @@
 	line := d.logger.Info().Str("event", "request").Str("id", e.RequestID).Str("route", e.Route).
 		Str("service", string(e.Service)).Str("customer", string(e.Customer)).Int("status", e.Status).
 		Dur("total_ms", e.Total).Dur("limit_ms", e.Limit).
-		Uint64("configuration", e.Settings).Dur("configuration_age_ms", e.SettingsAge)
+		Uint64("configuration", e.Settings).Uint64("route_since", e.RouteSince).Dur("configuration_age_ms", e.SettingsAge)
 	if e.Kind != "" {
 		line = line.Str("error", string(e.Kind)).Dur("retry_after_ms", e.RetryAfter)
 	}
@@ -64,6 +64,27 @@
 	line.Array("attempts", attempts(e.Attempts)).Send()
 }
 
+// lateWrite is the time between an answer and its last byte from which it counts as late: the answers before it on its
+// connection, or the connection, held it up.
+const lateWrite = 100 * time.Millisecond
+
+// written logs an answer that was written late, or not at all.
+func (d *decisionLog) written(id string, after time.Duration, err error) {
+	if after < lateWrite && err == nil {
+		return
+	}
+	if !d.bad.Allow() {
+		d.skipped.Add(1)
+		return
+	}
+	d.logger.Info().Str("event", "answer_late").Str("id", id).Dur("after_ms", after).AnErr("error", err).Send()
+}
+
+// processLate logs that the process, or its control loop, did not run for a time.
+func (d *decisionLog) processLate(by time.Duration) {
+	d.logger.Warn().Str("event", "process_late").Dur("late_ms", by).Send()
+}
+
 // attempts logs the attempts of a request.
 type attempts []relay.AttemptEvent
 
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -50,6 +50,8 @@
 	close   bool // the caller wants the connection closed after the answer
 	counted bool // it counts as a request in flight
 	answer  chan *Response
+	request *Request      // nil for a request that was refused
+	readyAt time.Time     // when the answer was there
 	written chan struct{} // closed when the answer was written
 	barrier bool          // no later request may start before the answer
 }
@@ -137,7 +139,10 @@
 
 func (c *conn) handle(e *exchange, request *Request) {
 	defer c.server.options.Budget.Release(int64(cap(request.Body)))
-	e.answer <- c.server.options.Handler(c.ctx, request)
+	answer := c.server.options.Handler(c.ctx, request)
+	request.Body = nil // its share of the budget is given back now
+	e.request, e.readyAt = request, time.Now()
+	e.answer <- answer
 }
 
 // next reads one request behind the last one. It returns no exchange if the connection has ended, and no request if the
@@ -346,6 +351,9 @@
 		}
 		last := c.isLast(e, answer)
 		err := send(c.net, writer, e.method, answer, last)
+		if e.request != nil {
+			c.server.options.Written(e.request, time.Since(e.readyAt), err)
+		}
 		c.finish(e)
 		if err != nil {
 			return false
--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -308,3 +308,33 @@
 		t.Errorf("%d requests were started, want %d: one came after the server began to close", n, count)
 	}
 }
+
+// Guards against answers that wait behind others on their connection without a trace.
+func TestWrittenTellsHowLongAnAnswerWaited(t *testing.T) {
+	h := newHarness(t)
+	type written struct {
+		path  string
+		after time.Duration
+	}
+	all := make(chan written, 2)
+	h.server.options.Written = func(r *Request, after time.Duration, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+		all <- written{r.HTTP.URL.Path, after}
+	}
+	conn, reader := h.dial(t)
+	sendText(t, conn, fmt.Sprintf(get, "/wait")+fmt.Sprintf(get, "/quick"))
+	h.await(t, "the start of both requests", func() bool { return h.started.Load() == 2 })
+	const held = 50 * time.Millisecond
+	time.Sleep(held)
+	close(h.release)
+	receive(t, reader)
+	receive(t, reader)
+	if first := <-all; first.path != "/wait" {
+		t.Errorf("the first answer is that of %s", first.path)
+	}
+	if second := <-all; second.path != "/quick" || second.after < held/2 {
+		t.Errorf("the answer of %s waited for %v, want /quick and %v or more", second.path, second.after, held/2)
+	}
+}
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -70,6 +70,9 @@
 	Refuse func(Refusal) *Response
 	// Budget bounds the memory of bodies. Required.
 	Budget *forward.BufferBudget
+	// Written is called when the answer of a request was written or given up; after is the time since the answer was there.
+	// It must not block. Default none.
+	Written func(r *Request, after time.Duration, err error)
 	// MaxConnections bounds the open connections; further ones are closed at once. Default 4096.
 	MaxConnections int64
 	// MaxPipelined bounds the requests of one connection that are read and not yet answered. Default 16.
@@ -109,6 +112,9 @@
 	if options.MaxPipelined == 0 {
 		options.MaxPipelined = defaultMaxPipelined
 	}
+	if options.Written == nil {
+		options.Written = func(*Request, time.Duration, error) {}
+	}
 	return &Server{options: options, conns: make(map[*conn]struct{})}
 }
 
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -13,8 +13,10 @@
 	RequestID string
 	Method    string
 	Route     string
-	Service   settings.ServiceName
-	Customer  settings.CustomerID
+	// RouteSince is the version of the settings that brought the route, as far as this process has seen it.
+	RouteSince uint64
+	Service    settings.ServiceName
+	Customer   settings.CustomerID
 	// Status is what the caller gets, and Kind the kind of the host's own answer, empty for an upstream's.
 	Status int
 	Kind   errkind.Kind
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -19,6 +19,10 @@
 	Snapshot *settings.Snapshot
 	// Limits bound what callers may send.
 	Limits pipeline.Limits
+	// Routes are the names of the routes. They tell which routes a version has brought.
+	Routes []string
+	// Bytes is the size of the configuration in the store.
+	Bytes int
 }
 
 // Version is the version of the configuration.
