--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// versions is a source of configurations in fake time. A change is transferred for transfer before a read returns it.
+type versions struct {
+	mu      sync.Mutex
+	newest  uint64
+	changed chan struct{}
+	// away makes reads last until their context ends.
+	away     bool
+	transfer time.Duration
+	whole    int // reads of the newest configuration
+}
+
+func newVersions(version uint64) *versions {
+	return &versions{newest: version, changed: make(chan struct{})}
+}
+
+func (v *versions) set(change func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	change()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *versions) wholeReads() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.whole
+}
+
+func (v *versions) state() (version uint64, away bool, changed chan struct{}, transfer time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.newest, v.away, v.changed, v.transfer
+}
+
+func (v *versions) answer(ctx context.Context) (*Configuration, Position, error) {
+	version, away, _, transfer := v.state()
+	arrived := time.After(transfer)
+	if away {
+		arrived = nil
+	}
+	select {
+	case <-arrived:
+		return &Configuration{Snapshot: settings.NewSnapshot(version, nil, nil, nil)}, Position(version), nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+func (v *versions) Configuration(ctx context.Context) (*Configuration, Position, error) {
+	v.mu.Lock()
+	v.whole++
+	v.mu.Unlock()
+	return v.answer(ctx)
+}
+
+func (v *versions) ConfigurationAfter(ctx context.Context, after Position, wait time.Duration) (*Configuration, Position, error) {
+	end := time.After(wait)
+	for {
+		version, away, changed, _ := v.state()
+		if away || Position(version) > after {
+			return v.answer(ctx)
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// follow runs the follower of configurations and returns its gateway.
+func follow(t *testing.T, source ConfigurationSource) *Gateway {
+	t.Helper()
+	g := &Gateway{
+		options: Options{Configurations: source}, logger: zerolog.Nop(), rereadConfiguration: make(chan struct{}, 1),
+		rereadHosts: make(chan struct{}, 1),
+	}
+	g.bounds.Store(&Bounds{ApplyConfiguration: applyBound})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		newFollowers(g).configuration(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return g
+}
+
+// applyBound is the time in which a configuration must be in force, and touchBound the time after the end of a fault from
+// which a host is held to it.
+const (
+	applyBound = 2500 * time.Millisecond
+	touchBound = 3 * time.Second
+)
+
+// hear lets the gateway hear of a version from another host.
+func hear(g *Gateway, version uint64) {
+	if inForce := g.version(); version > inForce {
+		g.newer.heard(g.logger, time.Now(), "b", version, inForce)
+		poke(g.rereadConfiguration)
+	}
+}
+
+// Guards against a read of a new version that is broken off while it arrives, because a host with a faster link has the
+// version already: CONFIG on the grown mfbb site with a large configuration.
+func TestHintDoesNotBreakOffTheReadThatBringsTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		g := follow(t, source)
+		synctest.Wait()
+		before := source.wholeReads()
+		const transfer = 200 * time.Millisecond
+		source.set(func() { source.newest, source.transfer = 2, transfer })
+		time.Sleep(transfer / 4)
+		hear(g, 2)
+		time.Sleep(transfer)
+		synctest.Wait()
+		if g.version() != 2 {
+			t.Errorf("version %d is in force after the time of one transfer, want 2", g.version())
+		}
+		if reads := source.wholeReads() - before; reads != 0 {
+			t.Errorf("%d further reads of the whole configuration", reads)
+		}
+	})
+}
+
+// Guards against a host that stays on an old version after the store has returned, although others tell it of the new one:
+// it must have the version before it counts as in touch, whatever part of its pause between reads the return meets.
+func TestHostThatWasCutOffReadsSoonAfterAHint(t *testing.T) {
+	const step, most = 50 * time.Millisecond, 4 * time.Second
+	for cut := 3 * time.Second; cut < 3*time.Second+most; cut += step {
+		synctest.Test(t, func(t *testing.T) {
+			source := newVersions(1)
+			g := follow(t, source)
+			synctest.Wait()
+			source.set(func() { source.away, source.newest = true, 2 })
+			for end := time.Now().Add(cut); time.Now().Before(end); time.Sleep(step) {
+				hear(g, 2)
+			}
+			source.set(func() { source.away = false })
+			back := time.Now()
+			for g.version() != 2 && time.Since(back) < 2*touchBound {
+				hear(g, 2)
+				time.Sleep(step)
+			}
+			if took := time.Since(back); took > touchBound/2 {
+				t.Errorf("after a cut of %v version 2 came into force %v after the return, want %v at most", cut, took, touchBound/2)
+			}
+		})
+	}
+}
