Reads of the store last as long as their answer goes on arriving

Cause: each read of the store ended after 900 ms, whatever its size. The configuration with 2,800 routes is 630 KB on the wire, which takes 0.5 s of a link with 10 Mbit/s alone and more beside callers and other reads. The logs show reads given up 'after 606133 of 630363 bytes', again and again. Class: a fixed limit on the time of a transfer whose size and rate are not fixed.

The same limit held for the upstreams' entries and the hosts' records, which use the same call.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,10 +14,9 @@
 const (
 	// configurationWait is for how long a read waits for a change of the configuration.
 	configurationWait = 8 * time.Second
-	// answerSlack is added to the time of a call for its way.
-	answerSlack = time.Second
-	// readTimeout bounds a plain read of the store.
-	readTimeout = 900 * time.Millisecond
+	// callTimeout bounds a call of the store beyond the time for which it is to wait. The sources end calls that make no
+	// progress much earlier.
+	callTimeout = 10 * time.Second
 	// hostsInterval is the time between reads of the hosts' records without a reason.
 	hostsInterval = 10 * time.Second
 	// hostsPause is the least time between two reads of the records.
@@ -135,7 +134,7 @@
 		next, at, err := f.readWhole(ctx)
 		return next, at, wholeRead, err
 	}
-	waiting, cancel := context.WithTimeout(ctx, configurationWait+answerSlack)
+	waiting, cancel := context.WithTimeout(ctx, configurationWait+callTimeout)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
@@ -162,7 +161,7 @@
 
 // readWhole reads the newest configuration.
 func (f *followers) readWhole(ctx context.Context) (*Configuration, Position, error) {
-	reading, cancel := context.WithTimeout(ctx, readTimeout)
+	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return f.options.Configurations.Configuration(reading)
 }
@@ -238,7 +237,7 @@
 
 // exchangeRecords writes this host's record once and reads those of the others.
 func (f *followers) exchangeRecords(ctx context.Context, written *bool) error {
-	calling, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !*written {
 		record, err := f.node.Record()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -17,12 +17,15 @@
 	mu      sync.Mutex
 	newest  uint64
 	changed chan struct{}
-	// away makes reads last until their context ends.
+	// away makes reads fail after silence.
 	away     bool
 	transfer time.Duration
 	whole    int // reads of the newest configuration
 }
 
+// silence is the time after which a source gives up a call without progress.
+const silence = 900 * time.Millisecond
+
 func newVersions(version uint64) *versions {
 	return &versions{newest: version, changed: make(chan struct{})}
 }
@@ -49,11 +52,15 @@
 
 func (v *versions) answer(ctx context.Context) (*Configuration, Position, error) {
 	version, away, _, transfer := v.state()
-	arrived := time.After(transfer)
+	var arrived, failed <-chan time.Time
 	if away {
-		arrived = nil
+		failed = time.After(silence)
+	} else {
+		arrived = time.After(transfer)
 	}
 	select {
+	case <-failed:
+		return nil, 0, errAway
 	case <-arrived:
 		return &Configuration{Snapshot: settings.NewSnapshot(version, nil, nil, nil)}, Position(version), nil
 	case <-ctx.Done():
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -82,7 +82,7 @@
 // readUpstreams reads the store.
 func (f *followers) readUpstreams(ctx context.Context) error {
 	started := time.Now()
-	reading, cancel := context.WithTimeout(ctx, readTimeout)
+	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entries, version, err := f.options.Upstreams.Upstreams(reading)
 	if err != nil {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -31,6 +31,9 @@
 // Position is a place in the store's history.
 type Position uint64
 
+// The sources bound the time without progress of their calls to about a second, but not the time of a transfer that goes on:
+// how long it takes depends on its size and on the link of the host.
+
 // ConfigurationSource reads the operator's configuration.
 type ConfigurationSource interface {
 	// Configuration returns the newest configuration, nil if there is none yet, and the position of the read.
