A host that knows of a newer version does not sleep through the store's return

Cause: after a second failed read of the configuration a host waits up to 2 s. Only a read of the upstreams by the host itself ended that wait, and there is none while other hosts' digests confirm its view, as when the store refuses some hosts only. A datagram that states a newer version was ignored. Class: a pause between attempts that outlasts the reason for it.

After a pause of 0.1 to 0.5 s, news that only a read can bring ends the wait. While the store refuses a host that is behind, it calls about twice a second.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -25,7 +25,7 @@
 	// hostsPause is the least time between two reads of the records.
 	hostsPause = 700 * time.Millisecond
 	// shortestBackoff and longestBackoff bound half of the time between calls to a store that fails. Reads of the upstreams
-	// find its return; the other followers wait up to otherBackoff for them.
+	// find its return; the other followers wait up to otherBackoff for them, unless they know that there is news.
 	shortestBackoff = 100 * time.Millisecond
 	longestBackoff  = 250 * time.Millisecond
 	otherBackoff    = 2 * time.Second
@@ -93,7 +93,7 @@
 			known = false
 		case err != nil && ctx.Err() == nil:
 			known = false // a read of all may succeed where the feed fails, and finds what was missed
-			f.awaitReturn(ctx, dependency, err, f.retryConfiguration)
+			f.awaitReturn(ctx, dependency, err, f.retryConfiguration, f.rereadConfiguration)
 		case err == nil:
 			dependency.worked()
 			position, known = at, true
@@ -205,7 +205,7 @@
 	for ctx.Err() == nil {
 		err := f.exchangeRecords(ctx, &written)
 		if err != nil {
-			f.awaitReturn(ctx, dependency, err, f.retryHosts)
+			f.awaitReturn(ctx, dependency, err, f.retryHosts, nil)
 			continue
 		}
 		dependency.worked()
@@ -287,18 +287,28 @@
 	return nil
 }
 
-// awaitReturn waits after a failure: shortly after the first one, then until the store is back.
-func (f *followers) awaitReturn(ctx context.Context, d *dependency, err error, back <-chan struct{}) {
+// awaitReturn waits after a failure: shortly after the first one, then until the store is back, or until there is news that
+// only a read can bring. A host that learns of news while the store refuses it must not sleep through the store's return.
+func (f *followers) awaitReturn(ctx context.Context, d *dependency, err error, back, news <-chan struct{}) {
 	first := d.lostAt.IsZero()
-	wait := d.failed(err)
-	if !first {
-		wait = otherBackoff
+	longest := time.NewTimer(otherBackoff)
+	defer longest.Stop()
+	least := time.NewTimer(d.failed(err))
+	defer least.Stop()
+	select {
+	case <-least.C:
+	case <-back:
+		return
+	case <-ctx.Done():
+		return
+	}
+	if first {
+		return
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-longest.C:
 	case <-back:
+	case <-news:
 	case <-ctx.Done():
 	}
 }
