Limits: hosts report use about which the others are wrong, not all use

Cause: a customer at 0.6 of its rate counted as near its limit, so a host told of each use within 150 ms. And each heartbeat repeated the counts of all customers, unchanged ones too, 16 in a datagram.

The others already predict a host's use from its reports. Heartbeats hold what has changed, and each count once more after 4 s, because a report may be lost. Datagrams are filled to 1,200 bytes, by size instead of by number.

The fake fleet of the tests now sends a heartbeat a host and second at every size.

--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -9,6 +9,20 @@
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
+// encodeContent adds content to a datagram and returns it.
+func encodeContent(m *gossippb.Datagram, c content) *gossippb.Datagram {
+	for _, notice := range c.notices {
+		m.Notices = append(m.Notices, &gossippb.Notice{
+			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
+		})
+	}
+	for _, report := range c.loads {
+		m.Loads = append(m.Loads, &gossippb.Load{Upstream: string(report.Upstream), Percent: uint32(100 * report.Load)})
+	}
+	m.Uses, m.Retries = encodeUses(c.uses), encodeUses(c.retries)
+	return m
+}
+
 func encodeUses(uses []quota.Use) []*gossippb.Use {
 	encoded := make([]*gossippb.Use, len(uses))
 	for i, use := range uses {
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -30,13 +30,7 @@
 	lateFrom = 250 * time.Millisecond
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
-	// maxUses bounds the counts in one datagram, so that it fits into one packet.
-	maxUses = 16
-	// maxLoads bounds the loads in one datagram.
-	maxLoads = 16
-	// maxNotices bounds the notices in one datagram.
-	maxNotices = 24
-	macBytes   = 16
+	macBytes        = 16
 	// transit is added to the ages that are stated, for the way of the datagram.
 	transit   = 5 * time.Millisecond
 	maxPacket = 2048
@@ -220,18 +214,6 @@
 	return notices
 }
 
-// content is what datagrams tell besides the state of the host.
-type content struct {
-	notices []breaker.Notice
-	uses    []quota.Use
-	retries []quota.Use
-	loads   []placement.Report
-}
-
-func (c *content) empty() bool {
-	return len(c.notices)+len(c.uses)+len(c.retries)+len(c.loads) == 0
-}
-
 // collect returns the counts to report. Notices that wait go with them.
 func (n *Node) collect(onlyNear bool) content {
 	now := time.Now()
@@ -247,25 +229,13 @@
 // broadcast sends to all hosts, in as many datagrams as the content needs.
 func (n *Node) broadcast(c content) {
 	for {
-		var first content
-		first.notices, c.notices = split(c.notices, maxNotices)
-		first.uses, c.uses = split(c.uses, maxUses)
-		first.retries, c.retries = split(c.retries, maxUses)
-		first.loads, c.loads = split(c.loads, maxLoads)
-		n.send(first)
+		n.send(c.take())
 		if c.empty() {
 			return
 		}
 	}
 }
 
-func split[T any](all []T, most int) (first, rest []T) {
-	if len(all) <= most {
-		return all, nil
-	}
-	return all[:most], all[most:]
-}
-
 // send writes one datagram to each host. The sequence number is the same for all, so that it is encoded once.
 func (n *Node) send(c content) {
 	m := &gossippb.Datagram{
@@ -274,15 +244,7 @@
 	}
 	now := time.Now()
 	encodeRegistry(m, n.options.Registry(now))
-	for _, notice := range c.notices {
-		m.Notices = append(m.Notices, &gossippb.Notice{
-			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
-		})
-	}
-	for _, report := range c.loads {
-		m.Loads = append(m.Loads, &gossippb.Load{Upstream: string(report.Upstream), Percent: uint32(100 * report.Load)})
-	}
-	m.Uses, m.Retries = encodeUses(c.uses), encodeUses(c.retries)
+	encodeContent(m, c)
 	body, err := proto.Marshal(m)
 	if err != nil {
 		n.rejected.Add(1) // an id that is not UTF-8
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -16,8 +16,12 @@
 	demandHalfLife = time.Second
 	// guardTime is the time of a customer's demand that other hosts may have admitted unheard.
 	guardTime = 400 * time.Millisecond
-	// nearShare is the share of the rate from which a customer's use is reported often.
-	nearShare = 0.6
+	// lowShare is the share of a bucket below which each use is reported soon.
+	lowShare = 0.5
+	// steadyRate is the rate, in requests per second, up to which the others may take this host to go on although it does not.
+	steadyRate = 0.05
+	// refreshAfter is the time after which a report is repeated although nothing has changed, because it may have been lost.
+	refreshAfter = 4 * time.Second
 	// deepest bounds the debt of a bucket, in seconds of the rate.
 	deepest = 3.0
 	// rateHalfLife is the time in which the rate at which a host is taken to go on follows its reports by half, and
@@ -33,8 +37,8 @@
 	isolatedAfter = 200 * time.Millisecond
 	heartbeat     = time.Second
 	usualSilences = 3
-	// leastUnreported is the number of admitted requests from which a host reports a customer soon.
-	leastUnreported = 2
+	// leastOff is the number of requests by which the others must be wrong about this host, so that it reports soon.
+	leastOff = 2
 	// youngFor is the time after the first request in which new buckets hold startShare of their tokens: the process may be
 	// one of many that were killed together, and what they admitted before is not known.
 	youngFor   = 5 * time.Second
@@ -115,6 +119,28 @@
 	settledAt time.Time
 }
 
+// off is how far the count is from what is predicted.
+func (r *remote) off(now time.Time, admitted uint64) float64 {
+	predicted := r.predicted
+	if !r.settledAt.IsZero() {
+		predicted += r.perSecond * now.Sub(r.settledAt).Seconds()
+	}
+	return math.Abs(float64(admitted) - float64(r.admitted) - predicted)
+}
+
+// note takes a report. It returns how many requests it adds to those that were predicted, and the rate that follows from it.
+func (r *remote) note(now time.Time, admitted, asked uint64) (more, perSecond float64) {
+	r.settle(now)
+	added := float64(admitted - r.admitted)
+	more, perSecond = added-r.predicted, r.perSecond
+	if !r.at.IsZero() {
+		interval := max(now.Sub(r.at).Seconds(), shortestInterval)
+		perSecond += (1 - math.Exp2(-interval/rateHalfLife)) * (added/interval - perSecond)
+	}
+	r.admitted, r.asked, r.at, r.predicted = admitted, asked, now, 0
+	return more, perSecond
+}
+
 // settle adds what was predicted until now.
 func (r *remote) settle(now time.Time) {
 	if !r.settledAt.IsZero() {
@@ -130,10 +156,11 @@
 	filledAt time.Time
 	usedAt   time.Time
 	own      Use
-	reported uint64 // of own.Admitted
-	mine     demand
-	all      demand
-	remotes  map[string]*remote
+	// told is what the other hosts take this one to admit, by its reports.
+	told    remote
+	mine    demand
+	all     demand
+	remotes map[string]*remote
 	// perSecond is the sum of the remotes' rates.
 	perSecond float64
 }
@@ -388,15 +415,10 @@
 	if use.Admitted < r.admitted || use.Asked < r.asked {
 		return
 	}
-	r.settle(now)
-	admitted := float64(use.Admitted - r.admitted)
-	b.tokens = max(b.tokens+r.predicted-admitted, -b.limit.Rate*deepest)
 	b.all.add(now, float64(use.Asked-r.asked))
-	if !r.at.IsZero() {
-		interval := max(now.Sub(r.at).Seconds(), shortestInterval)
-		b.setRate(now, r, r.perSecond+(1-math.Exp2(-interval/rateHalfLife))*(admitted/interval-r.perSecond))
-	}
-	r.admitted, r.asked, r.at, r.predicted = use.Admitted, use.Asked, now, 0
+	more, perSecond := r.note(now, use.Admitted, use.Asked)
+	b.tokens = max(b.tokens-more, -b.limit.Rate*deepest)
+	b.setRate(now, r, perSecond)
 	// Views that have drifted apart, for example while hosts were cut off, would stay so as long as a customer uses all.
 	if use.Settled {
 		b.tokens += (float64(use.Tokens) - b.tokens) * agreement
@@ -438,33 +460,40 @@
 	}
 }
 
-// Uses returns this host's counts of the customers that are in use: of all of them, or only of those near their limit.
-func (l *Limiter) Uses(now time.Time, onlyNear bool) []Use {
+// Uses returns this host's counts that the others should know: with onlyUrgent those about which they are wrong by so much
+// that it matters, otherwise those that have changed. It takes them as told.
+func (l *Limiter) Uses(now time.Time, onlyUrgent bool) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noteCall(now)
 	settled := l.settled(now)
 	var uses []Use
 	for _, b := range l.buckets {
-		if now.Sub(b.usedAt) > forgetAfter/2 || (onlyNear && !b.near(now, l.hosts)) {
+		if now.Sub(b.usedAt) > forgetAfter/2 || (onlyUrgent && !b.urgent(now, l.hosts)) || !b.news(now) {
 			continue
 		}
 		l.fill(now, b)
-		b.reported = b.own.Admitted
+		_, b.told.perSecond = b.told.note(now, b.own.Admitted, b.own.Asked)
 		b.own.Tokens, b.own.Settled = int64(math.Round(b.tokens)), settled
 		uses = append(uses, b.own)
 	}
 	return uses
 }
 
-// near reports whether the other hosts should know of this host's use soon: because all hosts together are near the
-// limit, or because what this host alone has admitted since its last report matters if all do the same.
-func (b *bucket) near(now time.Time, hosts int) bool {
-	unreported := float64(b.own.Admitted - b.reported)
-	if unreported >= max(leastUnreported, b.limit.capacity()/float64(4*hosts)) {
+// news reports whether there is something to tell of this host's use: it has changed, the others take it to go on, or the
+// last report is old.
+func (b *bucket) news(now time.Time) bool {
+	return b.own.Asked != b.told.asked || b.told.perSecond > steadyRate || now.Sub(b.told.at) >= refreshAfter
+}
+
+// urgent reports whether the other hosts should know of this host's use soon: because the bucket is low, or because they are
+// wrong about this host by so much that it matters if they are about all.
+func (b *bucket) urgent(now time.Time, hosts int) bool {
+	capacity := b.limit.capacity()
+	if b.told.off(now, b.own.Admitted) >= max(leastOff, capacity/float64(4*hosts)) {
 		return true
 	}
-	return b.mine.now(now) > 0.5 && b.all.perSecond(now) > nearShare*b.limit.Rate
+	return b.tokens < lowShare*capacity && b.own.Asked != b.told.asked
 }
 
 func clamp(x, low, high float64) float64 { return min(max(x, low), high) }
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -20,6 +20,8 @@
 	cut      map[int]bool
 	admitted []time.Time
 	random   *rand.Rand
+	// urgent counts the urgent reports that were sent.
+	urgent int
 }
 
 func newFleet(t *testing.T, hosts int, limit Limit) *fleet {
@@ -57,6 +59,9 @@
 			continue
 		}
 		uses := from.Uses(f.now, onlyNear)
+		if onlyNear && len(uses) > 0 {
+			f.urgent++
+		}
 		if f.cut[i] || (onlyNear && len(uses) == 0) {
 			continue
 		}
@@ -84,8 +89,11 @@
 		if n%15 == 14 {
 			f.exchange(true, allHosts)
 		}
-		if n%6 == 5 { // each of 16 hosts about once a second, in turn
-			f.exchange(false, n/6%len(f.hosts))
+		if n%6 == 5 { // each host about once a second, in turn: of 16 hosts one at a time
+			at := n / 6 * len(f.hosts) / 16
+			for i := at; i < at+max(1, len(f.hosts)/16); i++ {
+				f.exchange(false, i%len(f.hosts))
+			}
 		}
 	}
 	return admitted, asked
