Datagrams from another data centre are passed on once, not by every host

Cause: a datagram goes to one host of each other data centre, which passes it on to the others there. Each of these took it for one that had come from another data centre, as it names its first sender, and passed it on again: 16 x 15 copies in a data centre of 16 hosts in place of 16. In the profile 48 hosts sent 2,226 datagrams and received 986,208. Class: a copy that cannot be told from the original.

A packet now says whether it has been passed on. Two hosts of each other data centre get a datagram in place of one, because the flood had hidden that the one may be away: then all hosts there missed it. Copies are dropped before their MAC is computed, and counted apart from those that cannot be verified.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,6 +206,7 @@
 	Connections          int64
 	DatagramsSent        int64
 	DatagramsRejected    int64
+	DatagramsRepeated    int64
 	LogLinesSkipped      int64
 }
 
@@ -226,7 +227,7 @@
 			status.HostsHeard++
 		}
 	}
-	status.DatagramsSent, status.DatagramsRejected = g.node.Counters()
+	status.DatagramsSent, status.DatagramsRejected, status.DatagramsRepeated = g.node.Counters()
 	return status
 }
 
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -182,6 +184,37 @@
 	}
 }
 
+// Guards against a flood in the other data centre: each host there passed on what had been passed on to it, so a datagram
+// came as often as there are hosts, and with 16 hosts in a data centre this took most of a host's processor time.
+func TestDatagramsArePassedOnOnce(t *testing.T) {
+	const hosts, sends = 8, 20
+	a := newPeer(t, "a", "north")
+	peers := []*peer{a}
+	for i := range hosts {
+		peers = append(peers, newPeer(t, fmt.Sprint("b", i), "south"))
+	}
+	introduce(peers...)
+	for range sends {
+		a.node.Tell([]breaker.Notice{{Kind: breaker.NoticeTrial, Upstream: "u"}})
+		time.Sleep(2 * coalesceNotices)
+	}
+	newest := a.node.sequence.Load()
+	for _, p := range peers[1:] {
+		eventually(t, "the last datagram has reached all hosts", func() bool {
+			return slices.ContainsFunc(p.from("a"), func(m *Message) bool { return m.Sequence >= newest })
+		})
+	}
+	time.Sleep(10 * coalesceNotices) // for the copies of the last one
+	copies := int64(0)
+	for _, p := range peers[1:] {
+		_, _, repeated := p.node.Counters()
+		copies += repeated
+	}
+	if most := int64(a.node.sequence.Load()) * hosts * (relays - 1); copies > most {
+		t.Errorf("%d hosts got %d copies of %d datagrams, want %d at most", hosts, copies, newest, most)
+	}
+}
+
 // Guards against forged, changed, repeated and unreadable datagrams.
 func TestUnverifiedDatagramsAreDropped(t *testing.T) {
 	a, b := newPeer(t, "a", "north"), newPeer(t, "b", "north")
@@ -192,12 +225,12 @@
 		t.Fatal(err)
 	}
 	key := a.node.options.Self.Key
-	good := append(mac(key, body), body...)
+	good := seal(key, body)
 	changed := append([]byte(nil), good...)
 	changed[len(changed)-1] ^= 1
 	for name, packet := range map[string][]byte{
-		"another key": append(mac(NewKey(), body), body...), "changed": changed, "short": good[:10], "empty": {},
-		"unreadable": append(mac(key, []byte{0xff}), 0xff),
+		"another key": seal(NewKey(), body), "changed": changed, "short": good[:10], "empty": {},
+		"unreadable": seal(key, []byte{0xff}),
 	} {
 		b.node.deliver(packet)
 		if hosts := b.node.Hosts(time.Now()); hosts[0].Leaving {
@@ -224,7 +257,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.node.deliver(append(mac(NewKey(), body), body...))
+	b.node.deliver(seal(NewKey(), body))
 	if len(b.unknown) != 1 || b.unknown[0] != "a" {
 		t.Errorf("unknown hosts are %v", b.unknown)
 	}
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -30,7 +30,9 @@
 	lateFrom = 250 * time.Millisecond
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
-	macBytes        = 16
+	// headBytes precede the body of a packet: its passage and the MAC of the body.
+	headBytes = 1 + macBytes
+	macBytes  = 16
 	// transit is added to the ages that are stated, for the way of the datagram.
 	transit   = 5 * time.Millisecond
 	maxPacket = 2048
@@ -104,6 +106,25 @@
 
 	sent     atomic.Int64
 	rejected atomic.Int64
+	repeated atomic.Int64
+}
+
+// passage says how a packet has come. It is not authenticated: it decides only whether the packet is passed on.
+type passage byte
+
+const (
+	// direct packets come from their sender. One of another data centre is passed on to all hosts of the own one.
+	direct passage = iota
+	// passedOn packets come from a host of the own data centre that has passed them on to all others.
+	passedOn
+)
+
+// seal makes a packet.
+func seal(key, body []byte) []byte {
+	packet := make([]byte, 0, headBytes+len(body))
+	packet = append(packet, byte(direct))
+	packet = append(packet, mac(key, body)...)
+	return append(packet, body...)
 }
 
 // New returns a Node that knows no other host.
@@ -124,8 +145,10 @@
 // Hosts returns the other hosts of the fleet.
 func (n *Node) Hosts(now time.Time) []Host { return n.table.list(now) }
 
-// Counters returns the datagrams sent and those that were not accepted.
-func (n *Node) Counters() (sent, rejected int64) { return n.sent.Load(), n.rejected.Load() }
+// Counters returns the datagrams sent, those that could not be verified, and those that were received already or overtaken.
+func (n *Node) Counters() (sent, rejected, repeated int64) {
+	return n.sent.Load(), n.rejected.Load(), n.repeated.Load()
+}
 
 // Tell sends notices to all hosts soon.
 func (n *Node) Tell(notices []breaker.Notice) {
@@ -250,7 +273,7 @@
 		n.rejected.Add(1) // an id that is not UTF-8
 		return
 	}
-	packet := append(mac(n.options.Self.Key, body), body...)
+	packet := seal(n.options.Self.Key, body)
 	for _, to := range n.table.targets(now) {
 		n.write(packet, to)
 	}
@@ -287,17 +310,21 @@
 // deliver verifies one datagram and passes it on.
 func (n *Node) deliver(packet []byte) {
 	var m gossippb.Datagram
-	if len(packet) <= macBytes || proto.Unmarshal(packet[macBytes:], &m) != nil || m.GetHost() == n.options.Self.ID {
+	if len(packet) <= headBytes || proto.Unmarshal(packet[headBytes:], &m) != nil || m.GetHost() == n.options.Self.ID {
 		n.rejected.Add(1)
 		return
 	}
-	key, known := n.table.find(m.GetHost(), m.GetIncarnation())
+	key, newest, known := n.table.find(m.GetHost(), m.GetIncarnation())
 	if !known {
 		n.rejected.Add(1)
 		n.options.Unknown(m.GetHost())
 		return
 	}
-	if !hmac.Equal(packet[:macBytes], mac(key, packet[macBytes:])) {
+	if m.GetSequence() <= newest {
+		n.repeated.Add(1)
+		return
+	}
+	if !hmac.Equal(packet[1:headBytes], mac(key, packet[headBytes:])) {
 		n.rejected.Add(1)
 		return
 	}
@@ -305,11 +332,11 @@
 	message := decode(&m)
 	accepted, returned := n.table.accept(now, message)
 	if !accepted {
-		n.rejected.Add(1)
+		n.repeated.Add(1)
 		return
 	}
-	for _, to := range n.table.relayTargets(message.Host) {
-		n.write(packet, to)
+	if passage(packet[0]) == direct {
+		n.passOn(packet, message.Host)
 	}
 	if returned {
 		n.options.Returned(message.Host)
@@ -317,6 +344,14 @@
 	n.options.Receive(now, message)
 }
 
+// passOn sends a packet of another data centre to the other hosts of the own one.
+func (n *Node) passOn(packet []byte, from string) {
+	packet[0] = byte(passedOn)
+	for _, to := range n.table.relayTargets(from) {
+		n.write(packet, to)
+	}
+}
+
 func decode(m *gossippb.Datagram) *Message {
 	message := &Message{
 		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -58,15 +58,15 @@
 	return changed
 }
 
-// find returns the key of a sender; false if its record is not known.
-func (t *table) find(id string, incarnation uint64) ([]byte, bool) {
+// find returns the key of a sender and its newest sequence number; false if its record is not known.
+func (t *table) find(id string, incarnation uint64) (key []byte, newest uint64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	host := t.hosts[id]
 	if host == nil || host.Incarnation != incarnation {
-		return nil, false
+		return nil, 0, false
 	}
-	return host.Key, true
+	return host.Key, host.sequence, true
 }
 
 // accept notes a verified datagram. It reports false for one that was seen before or is overtaken by too many.
@@ -100,9 +100,13 @@
 // Alive reports whether the host was heard lately.
 func (h *Host) Alive(now time.Time) bool { return now.Sub(h.HeardAt) <= AliveFor }
 
-// targets returns where to send a datagram: to every host of the own data centre, and in each other one to a host drawn
-// at random, which passes it on there. Traffic between data centres is dear, and with a new draw each time a host that is
-// away costs only a part of the datagrams.
+// relays is the number of hosts of each other data centre that get a datagram and pass it on there. One of them may be away
+// without anybody knowing it yet.
+const relays = 2
+
+// targets returns where to send a datagram: to every host of the own data centre, and in each other one to hosts drawn at
+// random, which pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away
+// costs only a part of the datagrams.
 func (t *table) targets(now time.Time) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -118,13 +122,15 @@
 		}
 	}
 	for _, hosts := range distant {
-		targets = append(targets, drawn(now, hosts).to)
+		for _, host := range drawn(now, hosts) {
+			targets = append(targets, host.to)
+		}
 	}
 	return targets
 }
 
-// drawn prefers hosts that are alive and stay.
-func drawn(now time.Time, hosts []*Host) *Host {
+// drawn draws relays, and prefers hosts that are alive and stay.
+func drawn(now time.Time, hosts []*Host) []*Host {
 	var alive []*Host
 	for _, host := range hosts {
 		if host.Alive(now) && !host.Leaving {
@@ -134,11 +140,12 @@
 	if len(alive) > 0 {
 		hosts = alive
 	}
-	return hosts[rand.IntN(len(hosts))]
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(relays, len(hosts))]
 }
 
 // relayTargets returns the hosts to which a datagram from another data centre is passed on: the others of the own one.
-// They drop what they have seen.
+// They drop what they have seen, and pass nothing on again.
 func (t *table) relayTargets(from string) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
