Upstreams: a host does not read the store all the time while upstreams start

Cause: hosts and upstreams start together. Each host that reads finds other entries than the host before it and tells so, and each that hears it reads 60 ms later at most, about 30 times a host. Too many change for a difference to be told. News that were heard before the own last read asked for another one.

A host now leaves 0.2 of drain_ms between two of its reads because of news, and drops news that are older than its own read. A leaving upstream is still found in time: 0.45 of drain_ms for the read of another host, 0.25 s for turns, 0.2 for the gap (TestNewsAreReadInTimeToStopALeavingUpstream). TestFewReadsWhileUpstreamsStart: 114 reads in 3 s before, 8 allowed.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -22,6 +22,9 @@
 	recentRead = 1500 * time.Millisecond
 	// readSpread spreads the reads of hosts that learn of a change at the same time.
 	readSpread = 60 * time.Millisecond
+	// readGapPart is the part of Bounds.StopLeaving that lies between two reads of a host because of others' news. Without it
+	// hosts that start with their upstreams read all the time, because each finds other entries than the one before.
+	readGapPart = 0.2
 	// deltaMaxAge is the age up to which a read is sent with its difference to the one before.
 	deltaMaxAge = time.Second
 )
@@ -111,9 +114,12 @@
 				timer.Stop()
 				return
 			}
+			if !news.readAt.After(f.router.registry.View().ReadAt) {
+				break // this host has read since
+			}
 			if !f.router.registry.Confirm(news.readAt, news.Digest) && !f.applyDelta(news) {
-				f.sleep(ctx, time.Duration(rand.Int64N(int64(readSpread))))
 				timer.Stop()
+				f.sleep(ctx, f.untilOwnRead())
 				return
 			}
 		}
@@ -121,6 +127,17 @@
 	}
 }
 
+// untilOwnRead is the time until this host may read because of others' news.
+func (f *followers) untilOwnRead() time.Duration {
+	wait := time.Duration(rand.Int64N(int64(readSpread)))
+	own, ok := f.router.registry.OwnRead()
+	if !ok {
+		return wait
+	}
+	gap := time.Duration(readGapPart * float64(f.boundsNow().StopLeaving))
+	return max(wait, time.Until(own.At.Add(gap)))
+}
+
 // applyDelta takes what another host has found by the difference to its read before. It reports false if this host must
 // read by itself.
 func (f *followers) applyDelta(news registryNews) bool {
