Trials use a new connection, and a reset on an idle one closes the others

Cause, from the attempts in the logs: from 12 s on 77 upstreams forget idle connections. 79 attempts on reused connections broke in two seconds, opened the breakers at all hosts, and of 74 trials 25 broke in the same way on another old connection. Ruled out: sick upstreams (27 trials on new connections broke, as before 12 s).

A trial now closes the idle connections of its upstream first, so it tests the upstream. A connection that breaks when it is used again does the same: the others have rested as long.

--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -42,6 +42,8 @@
 	target := forward.Target{
 		Address: a.chosen.Upstream.Address,
 		Header:  map[string]string{x.options.Headers.Instance: string(a.chosen.Upstream.ID)},
+		// A trial on an old connection tests the connection: upstreams that forget idle ones would stay out of use.
+		NewConnection: a.chosen.Trial,
 	}
 	answer, err := x.options.Forwarder.Do(ctx, x.outgoing, target)
 	if err != nil {
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -122,6 +122,9 @@
 	if q.Idempotent || q.Pooled {
 		transport = f.pooled.get(target.Address)
 	}
+	if target.NewConnection {
+		transport.CloseIdleConnections()
+	}
 	response, err := transport.RoundTrip(a.request(q, target))
 	if firstByte != nil && !firstByte.Stop() && err == nil {
 		_ = response.Body.Close()
@@ -130,8 +133,8 @@
 	if err != nil {
 		failure := a.failure(err)
 		cancel(errEnded)
-		if failure.Reused && time.Since(a.start) >= f.options.SilentAfter {
-			// The other pooled connections may be as silent as this one while new ones work.
+		if failure.Reused && (failure.Kind == Broken || time.Since(a.start) >= f.options.SilentAfter) {
+			// The other idle connections may be as silent as this one, or forgotten by the upstream like it, while new ones work.
 			transport.CloseIdleConnections()
 		}
 		return nil, failure
