Connections that a host loses at once are no evidence about upstreams

Cause, one of two: at 4.5 s the connections of 16 hosts are reset. Each loses several attempts at different upstreams in the same milliseconds, takes each for a reset by the upstream, and all hosts keep away from these upstreams for 6 s.

The second cause is open: kanto takes bookings only, and a breaker keeps these away for 6 s. TestOwnLossIsManyUpstreamsAtOnce is new.

--- /dev/null
+++ b/gateway/breaker/ownloss_test.go
@@ -0,0 +1,46 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+// Guards against a host whose connections were reset and that opens the breakers of sound upstreams at all hosts: FLOOR on
+// trouble-3 of the grown daan site.
+func TestOwnLossIsManyUpstreamsAtOnce(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, c := range map[string]struct {
+		upstreams []settings.UpstreamID
+		apart     time.Duration
+		want      bool
+	}{
+		"connections of the host": {[]settings.UpstreamID{"a", "b", "c", "d"}, time.Millisecond, true},
+		"one upstream":            {[]settings.UpstreamID{"a", "a", "a", "a"}, time.Millisecond, false},
+		"two upstreams":           {[]settings.UpstreamID{"a", "b", "a", "b"}, time.Millisecond, false},
+		"one after the other":     {[]settings.UpstreamID{"a", "b", "c", "d"}, OwnLossWindow + time.Millisecond, false},
+	} {
+		var o OwnLoss
+		at := now
+		for _, upstream := range c.upstreams {
+			at = at.Add(c.apart)
+			o.Note(at, upstream)
+		}
+		if got := o.At(at); got != c.want {
+			t.Errorf("%s: own loss %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against breaks that are kept for ever.
+func TestOwnLossForgets(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var o OwnLoss
+	for i := range 1000 {
+		o.Note(now.Add(time.Duration(i)*time.Second), "a")
+	}
+	if len(o.breaks) > 2 {
+		t.Errorf("%d breaks are kept", len(o.breaks))
+	}
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
+	"github.com/bronzeyard/bronzeyard/settings"
 )
 
 // Lines per second that a host may log about requests. Failures and refusals have a budget of their own, so that
@@ -129,6 +130,15 @@
 	line.Send()
 }
 
+// connectionLost logs a connection to an upstream that this host has lost with several others at once.
+func (d *decisionLog) connectionLost(upstream settings.UpstreamID) {
+	if !d.bad.Allow() {
+		d.skipped.Add(1)
+		return
+	}
+	d.logger.Info().Str("event", "connection_lost").Str("upstream", string(upstream)).Send()
+}
+
 // run says how many lines were left out.
 func (d *decisionLog) run(ctx context.Context) {
 	ticker := time.NewTicker(reportEvery)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -73,6 +73,7 @@
 	dataCentre string
 	registry   *registry.Registry
 	breakers   *breaker.Set
+	ownLoss    breaker.OwnLoss
 	retries    *quota.Limiter
 	bounds     func() Bounds
 	// tell sends notices to the other hosts, and changed logs a breaker that opened or closed; from is the host that saw why,
@@ -81,6 +82,8 @@
 	// tellLoad tells the other hosts that an upstream is full.
 	tellLoad func(placement.Report)
 	changed  func(notice breaker.Notice, from string)
+	// connectionsLost logs a connection to an upstream that this host has lost with several others.
+	connectionsLost func(settings.UpstreamID)
 
 	mu       sync.Mutex
 	hosts    int
@@ -190,7 +193,7 @@
 			r.report(id, breaker.ErrorStatus)
 		}
 	case relay.Broken, relay.NotSent:
-		r.report(id, breaker.Broken)
+		r.reportBroken(id)
 	case relay.NotConnected:
 		r.report(id, breaker.Unreachable)
 	case relay.WrongInstance:
@@ -201,6 +204,20 @@
 	}
 }
 
+// reportBroken reports a connection that broke, unless this host has lost several at once: that says nothing about the
+// upstreams.
+func (r *router) reportBroken(id settings.UpstreamID) {
+	at := time.Now()
+	r.ownLoss.Note(at, id)
+	time.AfterFunc(breaker.OwnLossWindow, func() {
+		if r.ownLoss.At(at) {
+			r.connectionsLost(id)
+			return
+		}
+		r.report(id, breaker.Broken)
+	})
+}
+
 func (r *router) report(id settings.UpstreamID, sample breaker.Sample) {
 	notices, opened := r.breakers.Report(time.Now(), id, sample)
 	r.tell(notices)
