A host of a quiet fleet calls the store five times a minute, not twelve

Cause: the configuration was polled for 8 s at a time and the hosts' records read each 10 s, although datagrams tell of a newer version and of an unknown host at once, and keep-alive probes find a silent connection in 2 s. Polls now wait 20 s, and records are read each minute without a reason.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -13,7 +13,7 @@
 
 const (
 	// configurationWait is for how long a read waits for a change of the configuration.
-	configurationWait = 8 * time.Second
+	configurationWait = 20 * time.Second
 	// callTimeout bounds a call of the store beyond the time for which it is to wait. The sources end calls that make no
 	// progress much earlier.
 	callTimeout = 10 * time.Second
@@ -21,7 +21,7 @@
 	// has heard that another host has a newer configuration.
 	hintGracePart = 0.15
 	// hostsInterval is the time between reads of the hosts' records without a reason.
-	hostsInterval = 10 * time.Second
+	hostsInterval = time.Minute
 	// hostsPause is the least time between two reads of the records.
 	hostsPause = 700 * time.Millisecond
 	// shortestBackoff and longestBackoff bound half of the time between calls to a store that fails. Reads of the upstreams
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
+	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
@@ -21,6 +24,7 @@
 	away     bool
 	transfer time.Duration
 	whole    int // reads of the newest configuration
+	feed     int // reads that wait for a change
 }
 
 // silence is the time after which a source gives up a call without progress.
@@ -44,6 +48,12 @@
 	return v.whole
 }
 
+func (v *versions) feedReads() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.feed
+}
+
 func (v *versions) state() (version uint64, away bool, changed chan struct{}, transfer time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -78,6 +88,9 @@
 func (v *versions) ConfigurationAfter(
 	ctx context.Context, after Position, wait time.Duration, interrupt <-chan struct{},
 ) (*Configuration, Position, error) {
+	v.mu.Lock()
+	v.feed++
+	v.mu.Unlock()
 	end := time.After(wait)
 	for {
 		version, away, changed, _ := v.state()
@@ -180,3 +193,39 @@
 		})
 	}
 }
+
+// quietHosts is a store of the records of hosts that counts its reads.
+type quietHosts struct{ reads atomic.Int64 }
+
+func (q *quietHosts) PutHost(context.Context, string, []byte) error { return nil }
+
+func (q *quietHosts) Hosts(context.Context) (map[string][]byte, error) {
+	q.reads.Add(1)
+	return nil, nil
+}
+
+// Guards against calls of the store for what datagrams tell: each host of a quiet fleet made 12 a minute besides those for
+// upstreams.
+func TestQuietHostCallsTheStoreSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, hosts := newVersions(1), &quietHosts{}
+		g := follow(t, source)
+		g.options.Hosts = hosts
+		g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a", Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"}})
+		g.router, g.limiter = newRouter("north", g.boundsNow, "a"), quota.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			newFollowers(g).hosts(ctx)
+		}()
+		time.Sleep(time.Second)
+		before := hosts.reads.Load() + int64(source.feedReads())
+		time.Sleep(time.Minute)
+		if calls := hosts.reads.Load() + int64(source.feedReads()) - before; calls > 5 {
+			t.Errorf("%d calls in a minute in which nothing has changed, want 5 at most", calls)
+		}
+		cancel()
+		<-ended
+	})
+}
