A floor under open breakers

Cause, the second of two: kanto takes bookings only, and open breakers keep these away for 6 s; 55 of 143 upstreams got none for two seconds. Nothing bounded the share that is out of use.

Where fewer than floor_share of a service's upstreams are in use and the better of two of these is full, a booking makes a trial at one that has not failed for two seconds and that no host is trying.

--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -61,6 +61,8 @@
 	// earlyAfter is the time after the last bad sample from which a trial may come before the hold ends, if the other
 	// upstreams are full.
 	earlyAfter = time.Second
+	// wellAfter is the time after the last bad sample from which an upstream may be well again.
+	wellAfter = 2 * time.Second
 	// rankDelay is the time between the turns of two hosts for a trial. rankSpread and repeatableRankSpread bound the time
 	// between the first and the last host, for requests that cannot be sent again and for those that can.
 	rankDelay            = 150 * time.Millisecond
@@ -206,10 +208,20 @@
 
 // MayTryEarly reports whether a trial may start before the hold ends.
 func (s *Set) MayTryEarly(now time.Time, id settings.UpstreamID) bool {
+	return s.mayTry(now, id, earlyAfter)
+}
+
+// MayBeWell reports whether a trial may start before the hold ends because too many upstreams are out of use.
+func (s *Set) MayBeWell(now time.Time, id settings.UpstreamID) bool {
+	return s.mayTry(now, id, wellAfter)
+}
+
+// mayTry reports whether a trial may start some time after the last bad sample, and none is running.
+func (s *Set) mayTry(now time.Time, id settings.UpstreamID, after time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.circuits[id]
-	return c != nil && c.open && now.Sub(c.badAt) >= earlyAfter && now.Sub(c.triedAt) >= trialHold
+	return c != nil && c.open && now.Sub(c.badAt) >= after && now.Sub(c.triedAt) >= trialHold
 }
 
 // BeginTrial starts a trial of this host.
--- a/gateway/breaker/trials_test.go
+++ b/gateway/breaker/trials_test.go
@@ -73,3 +73,20 @@
 		}
 	}
 }
+
+// Guards the floor against trials at upstreams that have failed in the last two seconds, or that another host is trying.
+func TestUpstreamMayBeWellTwoSecondsAfterItFailed(t *testing.T) {
+	s := New("a")
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s.Report(now, "u", Broken)
+	if s.MayBeWell(now.Add(wellAfter-time.Millisecond), "u") {
+		t.Error("the upstream may be well too early")
+	}
+	if !s.MayBeWell(now.Add(wellAfter), "u") {
+		t.Error("the upstream may not be well in time")
+	}
+	s.Hear(now.Add(wellAfter), Notice{Kind: NoticeTrial, Upstream: "u"})
+	if s.MayBeWell(now.Add(wellAfter+trialHold/2), "u") {
+		t.Error("the upstream is tried by two hosts")
+	}
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -94,6 +94,7 @@
 	State(now time.Time, id settings.UpstreamID, repeatable bool) breaker.State
 	Strikes(now time.Time, id settings.UpstreamID) float64
 	MayTryEarly(now time.Time, id settings.UpstreamID) bool
+	MayBeWell(now time.Time, id settings.UpstreamID) bool
 }
 
 // Request states what Pick must know of a request.
@@ -104,6 +105,9 @@
 	Repeatable bool
 	// Again is true for a request that an upstream has failed already; it makes no trial.
 	Again bool
+	// Floor is the share of the upstreams that open breakers are to leave in use. Below it, and when those in use are full,
+	// upstreams that may be well again are tried also with requests that cannot be sent again.
+	Floor float64
 }
 
 // Pick chooses an upstream and counts the attempt as in flight until Done. It reports false if there is no candidate.
@@ -121,17 +125,37 @@
 	}
 }
 
+// restore returns an upstream that may be well again, at random so that hosts try different ones.
+func (p *Pool) restore(now time.Time, open []candidate, breakers Breakers) (candidate, bool) {
+	var well []candidate
+	for _, c := range open {
+		if breakers.MayBeWell(now, c.upstream.ID) {
+			well = append(well, c)
+		}
+	}
+	if len(well) == 0 {
+		return candidate{}, false
+	}
+	return well[p.random.IntN(len(well))], true
+}
+
 // pickWell chooses among upstreams with closed breakers, or tries another one if the best of them is full.
 func (p *Pool) pickWell(now time.Time, view *sorted, request Request, breakers Breakers) Choice {
 	chosen, load := p.choose(now, view.candidates)
 	choice := Choice{Load: load, Candidates: len(view.candidates)}
 	full := unrepeatableFullLoad
-	if request.Repeatable {
+	if request.Repeatable || float64(view.closed) < request.Floor*float64(view.usable) {
 		full = fullLoad
 	}
 	if request.Again || load < full {
 		return take(chosen, choice)
 	}
+	if load < unrepeatableFullLoad && !request.Repeatable {
+		if trial, ok := p.restore(now, view.open, breakers); ok {
+			return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
+		}
+		return take(chosen, choice)
+	}
 	if trial, ok := earlyTrial(now, view.open, breakers); ok {
 		return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
 	}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -143,6 +143,7 @@
 	now := time.Now()
 	view := r.registry.View()
 	s := r.service(service)
+	request.Floor = r.bounds().Floor
 	choice, ok := s.pool.Pick(now, s.subset.Of(view.Upstreams(service), r.hostCount()), request, r.breakers)
 	if !ok {
 		return relay.Attempt{}, false
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -78,6 +78,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Floor is the share of a service's upstreams that breakers are to leave in use; 0 is no floor.
+	Floor float64
 	// LimitTolerance is the number of requests by which all hosts together may exceed a customer's limit.
 	LimitTolerance float64
 }
