The store's return ends a wait for changes that the store may have forgotten

A poll of the configuration that began while the store did not answer may never be answered, on a connection that is alive. Reads of the upstreams notice the store's return within a second; they now end the poll too, and the configuration is read whole.

--- a/gateway/breaker/doc.go
+++ b/gateway/breaker/doc.go
@@ -9,5 +9,7 @@
 // upstream and host, each rank waits a little longer than the one before, and a host that starts a trial says so. A trial
 // that succeeds closes the breaker everywhere, one that fails opens it for a longer hold.
 //
+// Connections that break to several upstreams at once are a loss of this host, which OwnLoss recognises.
+//
 // The package does no I/O and takes the time as an argument. What a Set tells other hosts is returned as Notices.
 package breaker
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -153,12 +153,16 @@
 
 // interruptWhenBehind closes interrupt if another host has a newer version and the read of this one does not bring it in
 // the grace: its connection may have gone silent. Without a grace most hosts would read each version twice, because it is
-// in force at some host before all others have read it.
+// in force at some host before all others have read it. It also closes interrupt when the store is back after it was away:
+// the store may have forgotten who waits.
 func (f *followers) interruptWhenBehind(ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
 	for {
 		select {
 		case <-f.rereadConfiguration:
+		case <-f.retryConfiguration:
+			close(interrupt)
+			return
 		case <-ended:
 			return
 		}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -23,8 +23,10 @@
 	// away makes reads fail after silence.
 	away     bool
 	transfer time.Duration
-	whole    int // reads of the newest configuration
-	feed     int // reads that wait for a change
+	// forgets makes reads that wait for a change wait for ever.
+	forgets bool
+	whole   int // reads of the newest configuration
+	feed    int // reads that wait for a change
 }
 
 // silence is the time after which a source gives up a call without progress.
@@ -90,7 +92,16 @@
 ) (*Configuration, Position, error) {
 	v.mu.Lock()
 	v.feed++
+	forgets := v.forgets
 	v.mu.Unlock()
+	if forgets {
+		select {
+		case <-interrupt:
+			return nil, 0, ErrInterrupted
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
 	end := time.After(wait)
 	for {
 		version, away, changed, _ := v.state()
@@ -111,23 +122,30 @@
 
 // follow runs the follower of configurations and returns its gateway.
 func follow(t *testing.T, source ConfigurationSource) *Gateway {
+	t.Helper()
+	return followWith(t, source).Gateway
+}
+
+// followWith is follow that returns the followers.
+func followWith(t *testing.T, source ConfigurationSource) *followers {
 	t.Helper()
 	g := &Gateway{
 		options: Options{Configurations: source}, logger: zerolog.Nop(), rereadConfiguration: make(chan struct{}, 1),
 		rereadHosts: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&Bounds{ApplyConfiguration: applyBound})
+	f := newFollowers(g)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		newFollowers(g).configuration(ctx)
+		f.configuration(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
 	})
-	return g
+	return f
 }
 
 // applyBound is the time in which a configuration must be in force, and touchBound the time after the end of a fault from
@@ -229,3 +247,20 @@
 		<-ended
 	})
 }
+
+// Guards against a host that waits for an answer which the store does not know of any more since it was away, while no other
+// host has the new version either.
+func TestReturnOfTheStoreEndsAForgottenWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		source.forgets = true
+		f := followWith(t, source)
+		time.Sleep(time.Second)
+		source.set(func() { source.newest = 2 })
+		poke(f.retryConfiguration) // reads of the upstreams work again
+		time.Sleep(time.Second)
+		if f.version() != 2 {
+			t.Errorf("version %d is in force a second after the store's return, want 2", f.version())
+		}
+	})
+}
--- a/gateway/placement/doc.go
+++ b/gateway/placement/doc.go
@@ -4,7 +4,8 @@
 // that the upstream reported last, which loses weight with its age, and how slow the upstream has been against the mean
 // of its service. The own data centre goes first until its better candidate is more loaded than a distant one by the cost
 // of distance. Upstreams that leave or whose breaker is open are no candidates; one that is due for a trial goes first.
-// Upstreams that have just started count as more loaded until they are warm.
+// Upstreams that have just started count as more loaded until they are warm. Where open breakers leave fewer in use than the
+// floor, and these are full, upstreams that have not failed for some time are tried before their turn.
 //
 // Answers to the load pattern "steady load with short peaks over small upstreams": one host sees few answers of each
 // upstream, so its own requests in flight say more than reports that are seconds old.
