Test fleets: no port is chosen twice, and ranges do not overlap

Cause: emulator/local drew ports from 12000 to 31999 at random and let go of them until its hosts start, which for replacements is seconds later. Other tests of the process could draw the same one, and those of platformtest, which run at the same time, count up from 20000. Ruled out: outbound connections, which begin at 32768. emulator/local now counts up from a random start in 12000 to 19999.

--- a/emulator/local/local.go
+++ b/emulator/local/local.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -169,14 +170,24 @@
 	return configs, nil
 }
 
-// Ports of local hosts lie below the range from which Linux takes the ports of outbound connections (32768 and up), so
-// that no outbound connection of the machine takes a port between its choice and its use.
+// Ports of local hosts lie below the range from which Linux takes the ports of outbound connections (32768 and up), and below
+// that of platformtest (20000 and up), so that nobody takes a port between its choice and its use.
 const (
 	firstPort = 12_000
-	portCount = 20_000
+	portCount = 8_000
 	portTries = 200
 )
 
+// portsChosen counts the ports that this process has tried. No port is chosen twice, because hosts may start long after their
+// addresses were chosen. Processes begin at different ports.
+var portsChosen = newPortCount()
+
+func newPortCount() *atomic.Int64 {
+	count := new(atomic.Int64)
+	count.Store(rand.Int64N(portCount))
+	return count
+}
+
 // freeAddresses returns addresses on loopback for callers, peers and operators. All are held open until the last one is
 // chosen, so that they differ.
 func freeAddresses(ctx context.Context) (addresses [3]string, err error) {
@@ -195,7 +206,7 @@
 	var config net.ListenConfig
 	var last error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portsChosen.Add(1)%portCount)
 		listener, err := config.Listen(ctx, "tcp", address)
 		if err == nil {
 			return listener, nil
