--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -24,7 +24,7 @@
 const (
 	// HeartbeatInterval is the time between heartbeats.
 	HeartbeatInterval = time.Second
-	// usesInterval is the time between reports of customers near their limit and of full upstreams.
+	// usesInterval is the time between urgent reports of customers' use, and between those of full upstreams.
 	usesInterval = 150 * time.Millisecond
 	// lateFrom is the lateness that is reported: the process was frozen or short of processor time.
 	lateFrom = 250 * time.Millisecond
