--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -143,20 +143,18 @@
 func (p *Pool) pickWell(now time.Time, view *sorted, request Request, breakers Breakers) Choice {
 	chosen, load := p.choose(now, view.candidates)
 	choice := Choice{Load: load, Candidates: len(view.candidates)}
-	full := unrepeatableFullLoad
-	if request.Repeatable || float64(view.closed) < request.Floor*float64(view.usable) {
-		full = fullLoad
-	}
-	if request.Again || load < full {
+	if request.Again || load < fullLoad {
 		return take(chosen, choice)
 	}
-	if load < unrepeatableFullLoad && !request.Repeatable {
-		if trial, ok := p.restore(now, view.open, breakers); ok {
-			return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
-		}
-		return take(chosen, choice)
+	var trial candidate
+	var found bool
+	switch {
+	case request.Repeatable || load >= unrepeatableFullLoad:
+		trial, found = earlyTrial(now, view.open, breakers)
+	case view.belowFloor(request.Floor):
+		trial, found = p.restore(now, view.open, breakers)
 	}
-	if trial, ok := earlyTrial(now, view.open, breakers); ok {
+	if found {
 		return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
 	}
 	if request.Repeatable && load >= overfullLoad && len(view.open) > 0 {
@@ -199,6 +197,9 @@
 	open       []candidate
 }
 
+// belowFloor reports whether open breakers leave less than the share in use.
+func (s *sorted) belowFloor(floor float64) bool { return float64(s.closed) < floor*float64(s.usable) }
+
 func (p *Pool) sort(now time.Time, upstreams []settings.Upstream, request Request, breakers Breakers) sorted {
 	var view sorted
 	for i := range upstreams {
--- a/traffic/forward/endless_test.go
+++ b/traffic/forward/endless_test.go
@@ -19,21 +19,13 @@
 	sent     chan int
 }
 
+// maxEndless is the number of connections that a test makes at most.
+const maxEndless = 4
+
 func newEndless(t *testing.T, start, piece string, pause time.Duration) *endless {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := &endless{listener: listener, sent: make(chan int, 1)}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		e.sent <- e.serve(conn, start, piece, pause)
-	}()
+	e := &endless{sent: make(chan int, maxEndless)}
+	e.listener = serveConns(t, func(conn net.Conn) { e.sent <- e.serve(conn, start, piece, pause) })
 	return e
 }
 
--- a/traffic/forward/idle_test.go
+++ b/traffic/forward/idle_test.go
@@ -21,22 +21,9 @@
 
 func newForgetful(t *testing.T, connections int) *forgetful {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &forgetful{listener: listener, all: make(chan struct{})}
+	f := &forgetful{all: make(chan struct{})}
 	f.left.Store(int64(connections))
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(conn)
-		}
-	}()
+	f.listener = serveConns(t, f.serve)
 	return f
 }
 
--- a/traffic/forward/verbatim_test.go
+++ b/traffic/forward/verbatim_test.go
@@ -18,12 +18,19 @@
 }
 
 func newDropper(t *testing.T) *dropper {
+	t.Helper()
+	d := &dropper{}
+	d.listener = serveConns(t, d.serve)
+	return d
+}
+
+// serveConns serves each connection to a loopback listener until the test ends.
+func serveConns(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &dropper{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -31,10 +38,10 @@
 			if err != nil {
 				return
 			}
-			go d.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return d
+	return listener
 }
 
 func (d *dropper) serve(conn net.Conn) {
