Upstreams that hang: evidence from the age of attempts without an answer

Cause: on the further sites upstreams fail by hanging. What was cancelled or ended with the upstream's own 504 was no evidence at all, and a full report of load, which a hanging upstream also gives, took the evidence away.

Change: gateway/durations learns the distribution of each route (log-normal, the operator's target as prior). An attempt adds strikes when its age passes what 0.12, 0.04 and 0.015 of the good answers exceed (a step of a sequential probability ratio test); an answer takes them back, and closes a breaker that silence alone has opened. Hosts of the data centre are told of each step, the others when a breaker opens. Second attempts of repeatable requests start by the same distribution, within the target, where there is room. Bookings prefer upstreams without strikes. An upstream in the own data centre is used while it has room. A breaker closes after two trials, and only requests with a further attempt left make trials. Datagrams between data centres go to one relay while all hosts there are heard.

--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -23,14 +23,11 @@
 	Broken
 	// Unreachable means that no connection was obtained.
 	Unreachable
-	// Hung is an attempt without an answer long after others would have had one.
-	Hung
 )
 
 // Strikes by sample. A breaker opens at 1.
 const (
 	strikesErrorStatus = 0.6
-	strikesHung        = 0.5
 	strikesBroken      = 1.0
 	strikesUnreachable = 1.0
 	// strikesHeardUnreachable counts a failed connection of another host. It may be the path from there.
@@ -42,8 +39,14 @@
 	strikeHalfLife = 1500 * time.Millisecond
 	// goodFactor shrinks the strikes on a good sample of this host.
 	goodFactor = 0.7
-	// strikesAfterTrial remain when a trial closes a breaker, so that an error status right after opens it again.
+	// strikesAfterTrial remain when trials close a breaker, so that an error status right after opens it again.
 	strikesAfterTrial = 0.5
+	// mostStrikes bounds the strikes.
+	mostStrikes = 3
+	// unrepeatableDelay is the time after a trial that succeeded, in which requests that can be sent again make the next one.
+	unrepeatableDelay = 600 * time.Millisecond
+	// trialsToClose is the number of trials in a row that must succeed: a sick upstream still answers some requests.
+	trialsToClose = 2
 	// firstHold is how long a breaker stays open at first. A trial may cost a request that cannot be repeated, and an
 	// upstream that is missed for some seconds costs little.
 	firstHold = 6 * time.Second
@@ -79,8 +82,14 @@
 	NoticeSample NoticeKind = iota + 1
 	// NoticeTrial tells that a trial has started.
 	NoticeTrial
-	// NoticeClosed tells that a trial succeeded.
+	// NoticeClosed tells that the last of the trials succeeded.
 	NoticeClosed
+	// NoticePassed tells that a trial succeeded and a further one is due.
+	NoticePassed
+	// NoticeSilence tells of an attempt that has no answer yet, or now has one.
+	NoticeSilence
+	// NoticeSilent tells that silence has opened a breaker, to hosts that are not told of each attempt.
+	NoticeSilent
 )
 
 // Notice is what other hosts are told.
@@ -89,6 +98,8 @@
 	Upstream settings.UpstreamID
 	// Sample is set with NoticeSample.
 	Sample Sample
+	// Silence is set with NoticeSilence.
+	Silence Silence
 }
 
 // State is the state of a breaker.
@@ -104,7 +115,11 @@
 
 type circuit struct {
 	strikes   float64
+	silent    float64 // the part of strikes that comes from attempts without an answer
 	strikesAt time.Time
+	doubted   bool // open because of silence alone
+	hangs     bool // the newest failure was silence
+	passed    int  // trials in a row that succeeded
 	badAt     time.Time
 	openedAt  time.Time
 	open      bool
@@ -254,11 +269,14 @@
 	case c == nil:
 		return nil
 	case c.open && c.trial:
-		c.close(now)
-		return []Notice{{Kind: NoticeClosed, Upstream: id}}
+		if c.pass(now) {
+			return []Notice{{Kind: NoticeClosed, Upstream: id}}
+		}
+		return []Notice{{Kind: NoticePassed, Upstream: id}}
 	case !c.open:
 		c.decay(now)
 		c.strikes *= goodFactor
+		c.silent *= goodFactor
 	}
 	return nil
 }
@@ -278,25 +296,74 @@
 		if c := s.circuits[notice.Upstream]; c != nil && c.open && !c.trial {
 			c.until, c.triedAt = later(c.until, now.Add(trialHold)), now
 		}
+	case NoticePassed:
+		if c := s.circuits[notice.Upstream]; c != nil && c.open {
+			return c.pass(now)
+		}
 	case NoticeClosed:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open {
 			c.close(now)
 			return true
 		}
+	case NoticeSilence:
+		return s.silence(now, notice.Upstream, notice.Silence)
+	case NoticeSilent:
+		c := s.circuit(notice.Upstream)
+		if !c.open {
+			c.openFor(now)
+			c.doubted, c.hangs, c.badAt = true, true, now
+			return true
+		}
 	}
 	return false
 }
 
-func (s *Set) bad(now time.Time, id settings.UpstreamID, strikes float64) bool {
+func (s *Set) circuit(id settings.UpstreamID) *circuit {
 	c := s.circuits[id]
 	if c == nil {
 		c = &circuit{}
 		s.circuits[id] = c
 	}
+	return c
+}
+
+func (s *Set) bad(now time.Time, id settings.UpstreamID, strikes float64) bool {
+	c := s.circuit(id)
+	c.add(now, strikes)
+	return c.failed(now)
+}
+
+func strikesOf(sample Sample) float64 {
+	switch sample {
+	case ErrorStatus:
+		return strikesErrorStatus
+	case Unreachable:
+		return strikesUnreachable
+	default:
+		return strikesBroken
+	}
+}
+
+func (c *circuit) decay(now time.Time) {
+	if !c.strikesAt.IsZero() {
+		factor := math.Exp2(-float64(now.Sub(c.strikesAt)) / float64(strikeHalfLife))
+		c.strikes *= factor
+		c.silent *= factor
+	}
+	c.strikesAt = now
+}
+
+// add adds strikes, which may be negative.
+func (c *circuit) add(now time.Time, strikes float64) {
 	c.decay(now)
-	c.strikes += strikes
+	c.strikes = min(max(c.strikes+strikes, 0), mostStrikes)
+	c.silent = min(c.silent, c.strikes)
+}
+
+// failed takes a bad sample whose strikes were added. It reports whether it opens the breaker.
+func (c *circuit) failed(now time.Time) bool {
 	trial := c.trial || now.Sub(c.triedAt) < trialHold
-	c.trial, c.badAt = false, now
+	c.trial, c.badAt, c.doubted, c.hangs = false, now, false, false
 	switch {
 	case c.open:
 		// Attempts from before the breaker opened say nothing new; a trial that failed does.
@@ -312,28 +379,20 @@
 	}
 }
 
-func strikesOf(sample Sample) float64 {
-	switch sample {
-	case ErrorStatus:
-		return strikesErrorStatus
-	case Hung:
-		return strikesHung
-	case Unreachable:
-		return strikesUnreachable
-	default:
-		return strikesBroken
-	}
-}
-
-func (c *circuit) decay(now time.Time) {
-	if !c.strikesAt.IsZero() {
-		c.strikes *= math.Exp2(-float64(now.Sub(c.strikesAt)) / float64(strikeHalfLife))
+// pass takes a trial that succeeded. It reports whether that closes the breaker; otherwise the next trial is due.
+func (c *circuit) pass(now time.Time) bool {
+	c.passed++
+	if c.passed >= trialsToClose {
+		c.close(now)
+		return true
 	}
-	c.strikesAt = now
+	// Requests that can be sent again come first.
+	c.trial, c.until, c.triedAt, c.openedAt = false, now.Add(unrepeatableDelay), time.Time{}, now.Add(-repeatableHold)
+	return false
 }
 
 func (c *circuit) openFor(now time.Time) {
-	c.open, c.openedAt = true, now
+	c.open, c.openedAt, c.passed = true, now, 0
 	if c.hold == 0 || now.Sub(c.closedAt) > forgetHold {
 		c.hold = firstHold
 	} else {
@@ -343,6 +402,7 @@
 }
 
 func (c *circuit) reopen(now time.Time) {
+	c.passed = 0
 	c.grow()
 	c.until = now.Add(c.hold)
 }
@@ -350,8 +410,8 @@
 func (c *circuit) grow() { c.hold = min(longestHold, time.Duration(holdGrowth*float64(c.hold))) }
 
 func (c *circuit) close(now time.Time) {
-	c.open, c.trial, c.closedAt = false, false, now
-	c.strikes, c.strikesAt = strikesAfterTrial, now
+	c.open, c.trial, c.doubted, c.closedAt = false, false, false, now
+	c.strikes, c.silent, c.strikesAt = strikesAfterTrial, 0, now
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -379,8 +439,6 @@
 		return "broken"
 	case Unreachable:
 		return "unreachable"
-	case Hung:
-		return "hung"
 	default:
 		return "invalid"
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,7 @@
 		Late:     g.log.processLate,
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
-	g.router.tell, g.router.tellLoad = g.node.Tell, g.node.TellLoad
+	g.router.tell, g.router.tellNear, g.router.tellLoad = g.node.Tell, g.node.TellNear, g.node.TellLoad
 	g.router.changed, g.router.connectionsLost = g.log.breakerChanged, g.log.connectionLost
 	return nil
 }
--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
+	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/gossip/gossippb"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/registry"
@@ -14,6 +16,7 @@
 	for _, notice := range c.notices {
 		m.Notices = append(m.Notices, &gossippb.Notice{
 			Kind: uint32(notice.Kind), Upstream: string(notice.Upstream), Sample: uint32(notice.Sample),
+			SilenceBefore: hundredths(notice.Silence.Before), SilenceNow: hundredths(notice.Silence.Now),
 		})
 	}
 	for _, report := range c.loads {
@@ -23,6 +26,18 @@
 	return m
 }
 
+func hundredths(strikes float64) uint32 { return uint32(math.Round(100 * max(0, strikes))) }
+
+func decodeNotice(notice *gossippb.Notice) breaker.Notice {
+	return breaker.Notice{
+		Kind: breaker.NoticeKind(notice.GetKind()), Upstream: settings.UpstreamID(notice.GetUpstream()),
+		Sample: breaker.Sample(notice.GetSample()),
+		Silence: breaker.Silence{
+			Before: float64(notice.GetSilenceBefore()) / 100, Now: float64(notice.GetSilenceNow()) / 100,
+		},
+	}
+}
+
 func encodeUses(uses []quota.Use) []*gossippb.Use {
 	encoded := make([]*gossippb.Use, len(uses))
 	for i, use := range uses {
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -102,6 +102,7 @@
 
 	mu      sync.Mutex
 	notices []breaker.Notice
+	near    []breaker.Notice // for the own data centre only
 	loads   map[settings.UpstreamID]float64
 
 	sent     atomic.Int64
@@ -161,6 +162,17 @@
 	n.poke()
 }
 
+// TellNear sends notices soon to the hosts of the own data centre.
+func (n *Node) TellNear(notices []breaker.Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	n.mu.Lock()
+	n.near = append(n.near, notices...)
+	n.mu.Unlock()
+	n.poke()
+}
+
 // TellLoad sends the load of an upstream to all hosts with the next datagram, within usesInterval.
 func (n *Node) TellLoad(report placement.Report) {
 	n.mu.Lock()
@@ -219,16 +231,47 @@
 				n.options.Late(late)
 			}
 			ticked = now
-			if c := n.collect(true); !c.empty() {
-				n.broadcast(c)
-			}
+			n.sendUrgent(n.collect(true))
 		case <-n.wake:
 			time.Sleep(coalesceNotices)
-			n.broadcast(content{notices: n.take()})
+			n.sendNotices()
 		}
 	}
 }
 
+// sendUrgent sends what cannot wait for the heartbeat. Loads alone go only to the own data centre, from where upstreams get
+// most of their requests.
+func (n *Node) sendUrgent(c content) {
+	onlyLoads := content{loads: c.loads}
+	c.loads = nil
+	if !c.empty() {
+		c.loads = onlyLoads.loads
+		n.broadcast(c)
+		return
+	}
+	n.sendNear(onlyLoads)
+}
+
+// sendNear sends to the hosts of the own data centre.
+func (n *Node) sendNear(c content) {
+	for !c.empty() {
+		n.send(c.take(), n.table.nearTargets(time.Now()))
+	}
+}
+
+// sendNotices sends the notices that wait. A wake without any announces a change of this host.
+func (n *Node) sendNotices() {
+	n.mu.Lock()
+	near := content{notices: n.near}
+	n.near = nil
+	n.mu.Unlock()
+	notices := n.take()
+	if len(notices) > 0 || near.empty() {
+		n.broadcast(content{notices: notices})
+	}
+	n.sendNear(near)
+}
+
 func (n *Node) take() []breaker.Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -252,15 +295,15 @@
 // broadcast sends to all hosts, in as many datagrams as the content needs.
 func (n *Node) broadcast(c content) {
 	for {
-		n.send(c.take())
+		n.send(c.take(), n.table.targets(time.Now()))
 		if c.empty() {
 			return
 		}
 	}
 }
 
-// send writes one datagram to each host. The sequence number is the same for all, so that it is encoded once.
-func (n *Node) send(c content) {
+// send writes one datagram to each of the hosts. The sequence number is the same for all, so that it is encoded once.
+func (n *Node) send(c content, targets []netip.AddrPort) {
 	m := &gossippb.Datagram{
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
@@ -274,7 +317,7 @@
 		return
 	}
 	packet := seal(n.options.Self.Key, body)
-	for _, to := range n.table.targets(now) {
+	for _, to := range targets {
 		n.write(packet, to)
 	}
 }
@@ -358,10 +401,7 @@
 		Registry: decodeRegistry(m),
 	}
 	for _, notice := range m.GetNotices() {
-		message.Notices = append(message.Notices, breaker.Notice{
-			Kind: breaker.NoticeKind(notice.GetKind()), Upstream: settings.UpstreamID(notice.GetUpstream()),
-			Sample: breaker.Sample(notice.GetSample()),
-		})
+		message.Notices = append(message.Notices, decodeNotice(notice))
 	}
 	for _, load := range m.GetLoads() {
 		message.Loads = append(message.Loads, placement.Report{
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -100,9 +100,14 @@
 // Alive reports whether the host was heard lately.
 func (h *Host) Alive(now time.Time) bool { return now.Sub(h.HeardAt) <= AliveFor }
 
-// relays is the number of hosts of each other data centre that get a datagram and pass it on there. One of them may be away
-// without anybody knowing it yet.
-const relays = 2
+const (
+	// calmRelays is the number of hosts of another data centre that get a datagram and pass it on there while all of them
+	// are heard. Each datagram goes to others, so that one lost does little harm.
+	calmRelays = 1
+	// doubtRelays is their number while a host there has not been heard for doubtAfter: those drawn may be away too.
+	doubtRelays = 2
+	doubtAfter  = 1300 * time.Millisecond
+)
 
 // targets returns where to send a datagram: to every host of the own data centre, and in each other one to hosts drawn at
 // random, which pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away
@@ -129,16 +134,37 @@
 	return targets
 }
 
-// drawn draws relays, and prefers hosts that are alive and stay.
+// nearTargets returns the hosts of the own data centre.
+func (t *table) nearTargets(now time.Time) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets []netip.AddrPort
+	for _, host := range t.hosts {
+		if host.DataCentre == t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
+			targets = append(targets, host.to)
+		}
+	}
+	return targets
+}
+
+// drawn draws relays, and prefers hosts that were heard lately and stay.
 func drawn(now time.Time, hosts []*Host) []*Host {
-	var alive []*Host
+	var heard, staying []*Host
 	for _, host := range hosts {
-		if host.Alive(now) && !host.Leaving {
-			alive = append(alive, host)
+		if host.Leaving {
+			continue
+		}
+		staying = append(staying, host)
+		if now.Sub(host.HeardAt) <= doubtAfter {
+			heard = append(heard, host)
 		}
 	}
-	if len(alive) > 0 {
-		hosts = alive
+	relays := doubtRelays
+	if len(heard) == len(staying) {
+		relays = calmRelays
+	}
+	if len(heard) > 0 {
+		hosts = heard
 	}
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(relays, len(hosts))]
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
-	"github.com/bronzeyard/bronzeyard/gateway/breaker"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
@@ -100,7 +99,7 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("upstream", string(a.Upstream)).Str("outcome", a.Outcome.String()).Dur("took_ms", a.Took).
+	e.Str("upstream", string(a.Upstream)).Str("data_centre", a.DataCentre).Str("outcome", a.Outcome.String()).Dur("took_ms", a.Took).
 		Float64("load", a.Load).Dur("registry_age_ms", a.Age)
 	if a.Status != 0 {
 		e.Int("status", a.Status)
@@ -117,12 +116,12 @@
 }
 
 // breakerChanged logs that an upstream goes out of use or comes back. from is the host that saw why, empty for this one.
-func (d *decisionLog) breakerChanged(notice breaker.Notice, from string) {
-	line := d.logger.Info().Str("upstream", string(notice.Upstream))
-	if notice.Kind == breaker.NoticeClosed {
-		line = line.Str("event", "breaker_closed")
+func (d *decisionLog) breakerChanged(id settings.UpstreamID, open bool, cause, from string) {
+	line := d.logger.Info().Str("upstream", string(id))
+	if open {
+		line = line.Str("event", "breaker_open").Str("sample", cause)
 	} else {
-		line = line.Str("event", "breaker_open").Str("sample", notice.Sample.String())
+		line = line.Str("event", "breaker_closed")
 	}
 	if from != "" {
 		line = line.Str("from", from)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -14,15 +14,18 @@
 const (
 	// loadHalfLife is the age at which a reported load counts half.
 	loadHalfLife = time.Second
-	// distanceCost is the load by which an upstream in another data centre must be better.
+	// distanceCost is the load by which an upstream in another data centre must be better, and nearRoom the load below which
+	// an upstream in the own one has room: the way to another one costs more than it saves.
 	distanceCost = 0.3
+	nearRoom     = 0.7
+	// sampledCandidates is the number of candidates that are compared. Hosts do not see each other's requests, and would all
+	// take the best of all.
+	sampledCandidates = 3
 	// coldCost is the load that an upstream counts more until it is warm.
 	coldCost = 0.35
 	// shedCost is the load that an upstream counts more after it has refused a request, until shedFor has passed.
 	shedCost = 1.0
 	shedFor  = 700 * time.Millisecond
-	// busyFor is how long a report of a full upstream explains late answers.
-	busyFor = 3 * time.Second
 	// latencyWeight is the weight of a new sample in the mean duration of an upstream's answers.
 	latencyWeight = 0.25
 	// slowCost is the load that an upstream counts more for each multiple of the mean duration of its service.
@@ -33,6 +36,8 @@
 	unrepeatableFullLoad = 1.5
 	// overfullLoad is the load from which a repeatable request waits too long at the chosen upstream.
 	overfullLoad = 1.75
+	// doubtCost is the load that an upstream counts more for each strike against it, for a request that cannot be repeated.
+	doubtCost = 1.5
 	// slowHalfLife is the time in which an upstream's slowness is forgotten.
 	slowHalfLife = 3 * time.Second
 )
@@ -95,6 +100,7 @@
 	Strikes(now time.Time, id settings.UpstreamID) float64
 	MayTryEarly(now time.Time, id settings.UpstreamID) bool
 	MayBeWell(now time.Time, id settings.UpstreamID) bool
+	Hangs(id settings.UpstreamID) bool
 }
 
 // Request states what Pick must know of a request.
@@ -105,6 +111,8 @@
 	Repeatable bool
 	// Again is true for a request that an upstream has failed already; it makes no trial.
 	Again bool
+	// Beside is true for an attempt beside one that still runs. It is worth making only at an upstream with room.
+	Beside bool
 	// Floor is the share of the upstreams that open breakers are to leave in use. Below it, and when those in use are full,
 	// upstreams that may be well again are tried also with requests that cannot be sent again.
 	Floor float64
@@ -116,6 +124,8 @@
 	defer p.mu.Unlock()
 	view := p.sort(now, upstreams, request, breakers)
 	switch {
+	case request.Beside:
+		return p.pickBeside(now, &view, breakers)
 	case view.due != nil && !request.Again:
 		return take(*view.due, Choice{Trial: true, Candidates: view.usable}), true
 	case len(view.candidates) > 0:
@@ -125,6 +135,18 @@
 	}
 }
 
+// pickBeside chooses an upstream with room.
+func (p *Pool) pickBeside(now time.Time, view *sorted, breakers Breakers) (Choice, bool) {
+	if len(view.candidates) == 0 {
+		return Choice{}, false
+	}
+	chosen, load := p.choose(now, view.candidates, breakers)
+	if load >= fullLoad {
+		return Choice{}, false
+	}
+	return take(chosen, Choice{Load: load, Candidates: len(view.candidates)}), true
+}
+
 // restore returns an upstream that may be well again, at random so that hosts try different ones.
 func (p *Pool) restore(now time.Time, open []candidate, breakers Breakers) (candidate, bool) {
 	var well []candidate
@@ -141,7 +163,11 @@
 
 // pickWell chooses among upstreams with closed breakers, or tries another one if the best of them is full.
 func (p *Pool) pickWell(now time.Time, view *sorted, request Request, breakers Breakers) Choice {
-	chosen, load := p.choose(now, view.candidates)
+	var doubts Breakers
+	if !request.Repeatable {
+		doubts = breakers
+	}
+	chosen, load := p.choose(now, view.candidates, doubts)
 	choice := Choice{Load: load, Candidates: len(view.candidates)}
 	if request.Again || load < fullLoad {
 		return take(chosen, choice)
@@ -157,9 +183,12 @@
 	if found {
 		return take(trial, Choice{Trial: true, Load: load, Candidates: view.usable})
 	}
-	if request.Repeatable && load >= overfullLoad && len(view.open) > 0 {
-		// A sick upstream answers some requests, and what fails there can be sent again; a full one refuses.
-		return take(p.leastStruck(view.open), Choice{Load: load, Candidates: view.usable})
+	if request.Repeatable && load >= overfullLoad {
+		// A sick upstream answers some requests, and what fails there soon can be sent again; a full one refuses.
+		quick := slices.DeleteFunc(view.open, func(c candidate) bool { return breakers.Hangs(c.upstream.ID) })
+		if len(quick) > 0 {
+			return take(p.leastStruck(quick), Choice{Load: load, Candidates: view.usable})
+		}
 	}
 	return take(chosen, choice)
 }
@@ -265,8 +294,9 @@
 	return open[best], true
 }
 
-// choose takes the better of two near candidates, or of two distant ones if those are better by the cost of distance.
-func (p *Pool) choose(now time.Time, candidates []candidate) (candidate, float64) {
+// choose takes the best of some near candidates drawn at random. Only if it has no room, one of some distant candidates is
+// taken if it is better by the cost of distance. doubts is nil if strikes do not count.
+func (p *Pool) choose(now time.Time, candidates []candidate, doubts Breakers) (candidate, float64) {
 	var near, far []candidate
 	for _, c := range candidates {
 		if c.upstream.DataCentre == p.dataCentre {
@@ -275,33 +305,33 @@
 			far = append(far, c)
 		}
 	}
-	best, load := p.betterOfTwo(now, near)
-	distant, distantLoad := p.betterOfTwo(now, far)
+	best, load := p.bestOfSome(now, near, doubts)
+	if load < nearRoom {
+		return best, load
+	}
+	distant, distantLoad := p.bestOfSome(now, far, doubts)
 	if distantLoad+distanceCost < load {
 		return distant, distantLoad
 	}
 	return best, load
 }
 
-func (p *Pool) betterOfTwo(now time.Time, candidates []candidate) (candidate, float64) {
-	if len(candidates) == 0 {
-		return candidate{}, math.Inf(1)
-	}
-	i := p.random.IntN(len(candidates))
-	first := candidates[i]
-	firstLoad := p.load(now, first)
-	if len(candidates) == 1 {
-		return first, firstLoad
-	}
-	j := p.random.IntN(len(candidates) - 1)
-	if j >= i {
-		j++
-	}
-	second := candidates[j]
-	if secondLoad := p.load(now, second); secondLoad < firstLoad {
-		return second, secondLoad
+// bestOfSome returns the best of sampledCandidates at random. It changes the order of the candidates.
+func (p *Pool) bestOfSome(now time.Time, candidates []candidate, doubts Breakers) (candidate, float64) {
+	var best candidate
+	least := math.Inf(1)
+	for i := range min(sampledCandidates, len(candidates)) {
+		j := i + p.random.IntN(len(candidates)-i)
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+		load := p.load(now, candidates[i])
+		if doubts != nil {
+			load += doubtCost * doubts.Strikes(now, candidates[i].upstream.ID)
+		}
+		if load < least {
+			best, least = candidates[i], load
+		}
 	}
-	return first, firstLoad
+	return best, least
 }
 
 // load is the expected share of an upstream's slots in use, with the costs in the same unit.
@@ -378,12 +408,15 @@
 	s.load, s.loadAt = report.Load, now
 }
 
-// Busy reports whether the upstream was full lately, so that a late answer says nothing about its health.
-func (p *Pool) Busy(now time.Time, id settings.UpstreamID) bool {
+// Reported is the load that the upstream has reported lately, in shares of its slots; 0 if there is no report.
+func (p *Pool) Reported(now time.Time, id settings.UpstreamID) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
-	return s != nil && s.load >= 1 && now.Sub(s.loadAt) < busyFor
+	if s == nil || s.loadAt.IsZero() {
+		return 0
+	}
+	return s.load * halved(now.Sub(s.loadAt), loadHalfLife)
 }
 
 // toldLoad is the load from which other hosts are told.
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/bronzeyard/bronzeyard/gateway/durations"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
@@ -23,13 +24,19 @@
 	cause   error
 }
 
-// pick chooses an upstream that the request has not tried.
-func (x *exchange) pick() (Attempt, bool) {
-	return x.options.Upstreams.Pick(x.service, placement.Request{
-		Exclude: x.tried, Repeatable: x.policy.Idempotent, Again: len(x.tried) > 0,
+// pick chooses an upstream that the request has not tried. beside is true while another attempt runs.
+func (x *exchange) pick(beside bool) (Attempt, bool) {
+	route := durations.Route{Name: x.route.Name, Target: x.policy.TargetLatency}
+	return x.options.Upstreams.Pick(x.service, route, placement.Request{
+		Exclude: x.tried, Repeatable: x.repeatable(), Again: len(x.tried) > 0,
+		Beside: beside,
 	})
 }
 
+// repeatable reports whether the next attempt may fail without harm: the request can be sent again, and to a further
+// upstream.
+func (x *exchange) repeatable() bool { return x.policy.Idempotent && len(x.tried)+1 < x.maxAttempts() }
+
 // start prepares an attempt.
 func (x *exchange) start(chosen Attempt, cancel context.CancelFunc) *attempt {
 	x.tried = append(x.tried, chosen.Upstream.ID)
@@ -118,7 +125,7 @@
 	}
 	result := Result{Outcome: a.outcome, Took: time.Since(a.start), Granted: a.granted}
 	note := AttemptEvent{
-		Upstream: a.chosen.Upstream.ID, Outcome: a.outcome, Took: result.Took, Trial: a.chosen.Trial,
+		Upstream: a.chosen.Upstream.ID, DataCentre: a.chosen.Upstream.DataCentre, Outcome: a.outcome, Took: result.Took, Trial: a.chosen.Trial,
 		Load: a.chosen.Load, Age: a.chosen.Age, Cause: a.cause,
 	}
 	if a.answer != nil {
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -38,12 +38,13 @@
 
 // AttemptEvent describes one attempt.
 type AttemptEvent struct {
-	Upstream settings.UpstreamID
-	Outcome  Outcome
-	Status   int
-	Took     time.Duration
-	Trial    bool
-	Load     float64
+	Upstream   settings.UpstreamID
+	DataCentre string
+	Outcome    Outcome
+	Status     int
+	Took       time.Duration
+	Trial      bool
+	Load       float64
 	// Age is the age of the list of upstreams that the choice was made from.
 	Age    time.Duration
 	Reused bool
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/bronzeyard/bronzeyard/gateway/durations"
 	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
@@ -43,16 +44,17 @@
 	// Load is the load of the upstream as expected by the choice, in shares of its slots.
 	Load float64
 	// Age is the age of the list of upstreams that the choice was made from.
-	Age  time.Duration
-	Done func(Result)
+	Age time.Duration
+	// Patience is the time without an answer after which a repeatable request is also sent elsewhere, and Usual the time in
+	// which most good answers come; 0 if unknown.
+	Patience, Usual time.Duration
+	Done            func(Result)
 }
 
 // Upstreams chooses upstreams.
 type Upstreams interface {
 	// Pick chooses an upstream for a request; false if there is none.
-	Pick(service settings.ServiceName, request placement.Request) (Attempt, bool)
-	// HangsAfter is the time without an answer after which an attempt at the service counts as hung; 0 if unknown.
-	HangsAfter(service settings.ServiceName) time.Duration
+	Pick(service settings.ServiceName, route durations.Route, request placement.Request) (Attempt, bool)
 	// Arrived counts a request for a service.
 	Arrived(service settings.ServiceName)
 	// TryRetry takes a token of the service's retry budget.
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -18,7 +18,7 @@
 // runOnce does a request that must run at most once: it goes on to a further upstream only while none can have run it.
 func (x *exchange) runOnce() *pipeline.Response {
 	for {
-		chosen, ok := x.pick()
+		chosen, ok := x.pick(false)
 		if !ok {
 			return x.refuse(x.noUpstream(errNoUpstream))
 		}
@@ -104,7 +104,7 @@
 }
 
 func (r *race) run() *pipeline.Response {
-	hang := time.NewTimer(r.hangsAfter())
+	hang := time.NewTimer(r.patience())
 	defer hang.Stop()
 	for {
 		select {
@@ -121,31 +121,63 @@
 			if refusal := r.again(a); refusal != nil {
 				return r.lost(refusal)
 			}
-			hang.Reset(r.hangsAfter())
+			hang.Reset(r.patience())
 		case <-hang.C:
-			if len(r.running) == 1 && r.x.sent+1 < r.x.maxAttempts() && r.x.options.Upstreams.TryRetry(r.x.service) {
-				r.launch()
+			if r.launchBeside() {
+				hang.Reset(budgetWait)
 			}
 		}
 	}
 }
 
-// hangsAfter leaves at least half of the remaining time for the next attempt.
-func (r *race) hangsAfter() time.Duration {
-	left := time.Until(r.x.deadline)
-	after := r.x.options.Upstreams.HangsAfter(r.x.service)
-	if after <= 0 || after > left/2 {
-		after = left / 2
+// patience is the time after which a second attempt starts beside the newest one. It leaves at least half of the remaining
+// time for it, and the usual duration of an answer before the time within which answers are worth most.
+func (r *race) patience() time.Duration {
+	chosen := &r.running[len(r.running)-1].chosen
+	now := time.Now()
+	after := r.x.deadline.Sub(now) / 2
+	if chosen.Patience > 0 {
+		after = min(after, chosen.Patience)
+	}
+	if target := r.x.policy.TargetLatency; target > 0 && chosen.Usual > 0 {
+		if last := r.x.request.ReadAt.Add(target).Sub(now) - chosen.Usual; last >= chosen.Usual {
+			after = min(after, last)
+		}
 	}
 	return max(after, time.Millisecond)
 }
 
+// budgetWait is the time after which a request for which there was no room or no retry budget asks again.
+const budgetWait = 100 * time.Millisecond
+
+// launchBeside starts an attempt beside the only one that runs. It reports whether there is no room or no
+// budget for it yet.
+func (r *race) launchBeside() (later bool) {
+	if len(r.running) != 1 || r.x.sent+1 >= r.x.maxAttempts() {
+		return false
+	}
+	chosen, ok := r.x.pick(true)
+	if !ok {
+		return true
+	}
+	if !r.x.options.Upstreams.TryRetry(r.x.service) {
+		chosen.Done(Result{Outcome: Cancelled})
+		return true
+	}
+	r.start(chosen)
+	return false
+}
+
 // launch starts an attempt; false if there is no upstream.
 func (r *race) launch() bool {
-	chosen, ok := r.x.pick()
-	if !ok {
-		return false
+	chosen, ok := r.x.pick(false)
+	if ok {
+		r.start(chosen)
 	}
+	return ok
+}
+
+func (r *race) start(chosen Attempt) {
 	ctx, cancel := context.WithCancel(r.x.ctx)
 	a := r.x.start(chosen, cancel)
 	r.running = append(r.running, a)
@@ -153,7 +185,6 @@
 		a.do(ctx, r.x)
 		r.results <- a
 	}()
-	return true
 }
 
 func (r *race) remove(a *attempt) {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/gateway/breaker"
+	"github.com/bronzeyard/bronzeyard/gateway/durations"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/registry"
@@ -16,12 +17,6 @@
 )
 
 const (
-	// hangFactor is the multiple of a service's mean duration after which an attempt counts as hung.
-	hangFactor = 4
-	// shortestHang is the least time after which an attempt counts as hung, and unknownHang the time while the mean is not
-	// known.
-	shortestHang = time.Second
-	unknownHang  = 2500 * time.Millisecond
 	// budgetShare is the share of the retry budget that the hosts use. The rest is for what they do before they have heard of
 	// each other.
 	budgetShare = 0.92
@@ -31,13 +26,20 @@
 	arrivalHalfLife = 5 * time.Second
 	// shortestRetryAfter and retrySpread make callers that were refused come back spread over time.
 	shortestRetryAfter = 300 * time.Millisecond
-	retrySpread        = 0.5
+	// leastPatience and trialPatience are the probabilities that a good answer is still to come, at which a second attempt
+	// starts beside one at an upstream without strikes, and beside a trial.
+	leastPatience = 0.07
+	trialPatience = 0.3
+	// usualChance is the probability that a good answer takes longer than usual.
+	usualChance = 0.25
+	retrySpread = 0.5
 )
 
 // routedService is what a host keeps for one service.
 type routedService struct {
-	pool   *placement.Pool
-	subset *placement.Subset
+	pool      *placement.Pool
+	subset    *placement.Subset
+	durations durations.Model
 
 	mu sync.Mutex
 	// arrivals is a decaying count of this host's requests, as of arrivedAt.
@@ -79,9 +81,11 @@
 	// tell sends notices to the other hosts, and changed logs a breaker that opened or closed; from is the host that saw why,
 	// empty for this one.
 	tell func([]breaker.Notice)
+	// tellNear sends notices to the hosts of the own data centre.
+	tellNear func([]breaker.Notice)
 	// tellLoad tells the other hosts that an upstream is full.
 	tellLoad func(placement.Report)
-	changed  func(notice breaker.Notice, from string)
+	changed  func(id settings.UpstreamID, open bool, cause, from string)
 	// connectionsLost logs a connection to an upstream that this host has lost with several others.
 	connectionsLost func(settings.UpstreamID)
 
@@ -139,7 +143,7 @@
 }
 
 // Pick implements relay.Upstreams.
-func (r *router) Pick(service settings.ServiceName, request placement.Request) (relay.Attempt, bool) {
+func (r *router) Pick(service settings.ServiceName, route durations.Route, request placement.Request) (relay.Attempt, bool) {
 	now := time.Now()
 	view := r.registry.View()
 	s := r.service(service)
@@ -152,28 +156,25 @@
 	if choice.Trial {
 		r.tell(r.breakers.BeginTrial(now, id))
 	}
-	// A full upstream answers late without being sick.
-	hangTime := time.Duration(float64(r.hangTime(s)) * max(1, choice.Load))
-	hung := time.AfterFunc(hangTime, func() {
-		if !s.pool.Busy(time.Now(), id) {
-			r.report(id, breaker.Hung)
-		}
-	})
+	watched := r.watch(s, route, id, now)
 	done := func(result relay.Result) {
-		hung.Stop()
+		watched.end(result.Outcome, result.Took)
 		r.done(s, id, result)
 	}
-	return relay.Attempt{
+	attempt := relay.Attempt{
 		Upstream: choice.Upstream, Trial: choice.Trial, Load: choice.Load, Age: now.Sub(view.ReadAt), Done: done,
-	}, true
+	}
+	attempt.Patience, _ = s.durations.Age(route, patienceChance(choice, r.breakers.Strikes(now, id)))
+	attempt.Usual, _ = s.durations.Age(route, usualChance)
+	return attempt, true
 }
 
-func (r *router) hangTime(s *routedService) time.Duration {
-	typical := s.pool.Typical()
-	if typical == 0 {
-		return unknownHang
+// patienceChance is the probability that an attempt still gets a good answer when a second one is started beside it.
+func patienceChance(choice placement.Choice, strikes float64) float64 {
+	if choice.Trial {
+		return trialPatience
 	}
-	return max(shortestHang, hangFactor*typical)
+	return leastPatience + (trialPatience-leastPatience)*min(1, strikes)
 }
 
 // done takes the result of an attempt.
@@ -224,18 +225,31 @@
 	r.tell(notices)
 	for _, notice := range notices {
 		if opened || notice.Kind == breaker.NoticeClosed {
-			r.changed(notice, "")
+			r.logChange(notice, "")
 		}
 	}
 }
 
+func (r *router) reportSilence(id settings.UpstreamID, silence breaker.Silence) {
+	near, all := r.breakers.ReportSilence(time.Now(), id, silence)
+	r.tellNear([]breaker.Notice{near})
+	r.tell(all)
+	for _, notice := range all {
+		r.logChange(notice, "")
+	}
+}
+
+func (r *router) logChange(notice breaker.Notice, from string) {
+	r.changed(notice.Upstream, r.breakers.IsOpen(notice.Upstream), notice.Cause(), from)
+}
+
 // hear takes a notice of another host.
 func (r *router) hear(now time.Time, from string, notice breaker.Notice) {
 	if !r.registry.View().Has(notice.Upstream) {
 		return
 	}
 	if r.breakers.Hear(now, notice) {
-		r.changed(notice, from)
+		r.logChange(notice, from)
 	}
 }
 
@@ -246,11 +260,6 @@
 	}
 }
 
-// HangsAfter implements relay.Upstreams.
-func (r *router) HangsAfter(service settings.ServiceName) time.Duration {
-	return r.hangTime(r.service(service))
-}
-
 // Arrived implements relay.Upstreams.
 func (r *router) Arrived(service settings.ServiceName) {
 	r.service(service).arrived(time.Now())
