Fleets of hundreds: datagrams are bundled by two hosts of each data centre

Change: from 60 other hosts on, a host gives its datagrams to a hub of its data centre, which gathers them for 80 ms and sends bundles. A host sees its own datagram come back in a bundle; if it does not within 400 ms, it sends what waits directly and avoids the hub. Small fleets send directly as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,8 +146,11 @@
 		},
 		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
 		Retries: g.router.retries.Uses, Receive: g.receive,
-		Unknown:  func(string) { poke(g.rereadHosts) },
-		Late:     g.log.processLate,
+		Unknown: func(string) { poke(g.rereadHosts) },
+		Late:    g.log.processLate,
+		HubFailed: func(host string) {
+			g.logger.Warn().Str("event", "hub_failed").Str("host_id", host).Send()
+		},
 		Returned: func(host string) { g.logger.Info().Str("event", "host_heard").Str("host_id", host).Send() },
 	})
 	g.router.tell, g.router.tellNear, g.router.tellLoad = g.node.Tell, g.node.TellNear, g.node.TellLoad
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -30,7 +30,10 @@
 	unknown []string
 }
 
-func newPeer(t *testing.T, id, dataCentre string) *peer {
+func newPeer(t *testing.T, id, dataCentre string) *peer { return newPeerInFleet(t, id, dataCentre, 0) }
+
+// newPeerInFleet returns a peer that uses hubs from that number of other hosts on.
+func newPeerInFleet(t *testing.T, id, dataCentre string, hubFleet int) *peer {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -71,7 +74,7 @@
 			defer p.mu.Unlock()
 			p.unknown = append(p.unknown, host)
 		},
-		Returned: func(string) {},
+		Returned: func(string) {}, HubFleet: hubFleet,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -88,6 +88,10 @@
 	Unknown func(host string)
 	// Late is called when the node's loop ran late by more than lateFrom. Default none.
 	Late func(by time.Duration)
+	// HubFleet is the number of other hosts from which datagrams go by way of hubs. Default hubFleet.
+	HubFleet int
+	// HubFailed is called when a host did not pass on this host's datagrams in time. Default none.
+	HubFailed func(host string)
 	// Returned is called when a host is heard for the first time or after it was away. Required.
 	Returned func(host string)
 }
@@ -105,6 +109,9 @@
 	near    []breaker.Notice // for the own data centre only
 	loads   map[settings.UpstreamID]float64
 
+	uplink uplink
+	outbox outbox
+
 	sent     atomic.Int64
 	rejected atomic.Int64
 	repeated atomic.Int64
@@ -118,6 +125,13 @@
 	direct passage = iota
 	// passedOn packets come from a host of the own data centre that has passed them on to all others.
 	passedOn
+	// collect packets are to be bundled by the receiver for all hosts, and collectNear for those of the own data centre.
+	collect
+	collectNear
+	// bundle packets hold several datagrams. bundleFar are such from another data centre, to be passed on to all hosts of the
+	// own one.
+	bundle
+	bundleFar
 )
 
 // seal makes a packet.
@@ -133,7 +147,14 @@
 	if options.Late == nil {
 		options.Late = func(time.Duration) {}
 	}
+	if options.HubFailed == nil {
+		options.HubFailed = func(string) {}
+	}
+	if options.HubFleet == 0 {
+		options.HubFleet = hubFleet
+	}
 	n := &Node{options: options, wake: make(chan struct{}, 1)}
+	n.uplink.avoided = make(map[string]time.Time)
 	n.loads = make(map[settings.UpstreamID]float64)
 	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
 	n.table.hosts = make(map[string]*Host)
@@ -231,6 +252,7 @@
 				n.options.Late(late)
 			}
 			ticked = now
+			n.checkHub(now)
 			n.sendUrgent(n.collect(true))
 		case <-n.wake:
 			time.Sleep(coalesceNotices)
@@ -255,7 +277,7 @@
 // sendNear sends to the hosts of the own data centre.
 func (n *Node) sendNear(c content) {
 	for !c.empty() {
-		n.send(c.take(), n.table.nearTargets(time.Now()))
+		n.send(c.take(), true)
 	}
 }
 
@@ -295,15 +317,16 @@
 // broadcast sends to all hosts, in as many datagrams as the content needs.
 func (n *Node) broadcast(c content) {
 	for {
-		n.send(c.take(), n.table.targets(time.Now()))
+		n.send(c.take(), false)
 		if c.empty() {
 			return
 		}
 	}
 }
 
-// send writes one datagram to each of the hosts. The sequence number is the same for all, so that it is encoded once.
-func (n *Node) send(c content, targets []netip.AddrPort) {
+// send sends one datagram to all hosts, or to those of the own data centre. It is the same for all, so that it is encoded
+// once.
+func (n *Node) send(c content, nearOnly bool) {
 	m := &gossippb.Datagram{
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
@@ -317,8 +340,8 @@
 		return
 	}
 	packet := seal(n.options.Self.Key, body)
-	for _, to := range targets {
-		n.write(packet, to)
+	if !n.sendByHub(now, packet, m.GetSequence(), nearOnly) {
+		n.sendDirectly(packet, n.table.nearTargets(now), n.table.farTargets(now), nearOnly)
 	}
 }
 
@@ -350,41 +373,74 @@
 	}
 }
 
-// deliver verifies one datagram and passes it on.
+// deliver takes a packet, and passes on what is for other hosts too.
 func (n *Node) deliver(packet []byte) {
-	var m gossippb.Datagram
-	if len(packet) <= headBytes || proto.Unmarshal(packet[headBytes:], &m) != nil || m.GetHost() == n.options.Self.ID {
+	if len(packet) == 0 {
 		n.rejected.Add(1)
 		return
 	}
+	as := passage(packet[0])
+	if as == bundle || as == bundleFar {
+		n.unbundle(packet)
+		return
+	}
+	from, accepted := n.accept(packet[1:])
+	switch {
+	case !accepted:
+	case as == direct:
+		n.passOn(packet, from)
+	case as == collect || as == collectNear:
+		n.gather(packet[1:], as == collectNear)
+	}
+}
+
+// accept verifies one datagram and hands it over. It reports false for one that brings nothing.
+func (n *Node) accept(sealed []byte) (from string, accepted bool) {
+	var m gossippb.Datagram
+	if len(sealed) <= macBytes || proto.Unmarshal(sealed[macBytes:], &m) != nil {
+		n.rejected.Add(1)
+		return "", false
+	}
+	if m.GetHost() == n.options.Self.ID {
+		n.acceptOwn(&m, sealed)
+		return "", false
+	}
 	key, newest, known := n.table.find(m.GetHost(), m.GetIncarnation())
 	if !known {
 		n.rejected.Add(1)
 		n.options.Unknown(m.GetHost())
-		return
+		return "", false
 	}
 	if m.GetSequence() <= newest {
 		n.repeated.Add(1)
-		return
+		return "", false
 	}
-	if !hmac.Equal(packet[1:headBytes], mac(key, packet[headBytes:])) {
+	if !hmac.Equal(sealed[:macBytes], mac(key, sealed[macBytes:])) {
 		n.rejected.Add(1)
-		return
+		return "", false
 	}
 	now := time.Now()
 	message := decode(&m)
 	accepted, returned := n.table.accept(now, message)
 	if !accepted {
 		n.repeated.Add(1)
-		return
-	}
-	if passage(packet[0]) == direct {
-		n.passOn(packet, message.Host)
+		return "", false
 	}
 	if returned {
 		n.options.Returned(message.Host)
 	}
 	n.options.Receive(now, message)
+	return message.Host, true
+}
+
+// acceptOwn takes a datagram of this host that has come back in a bundle.
+func (n *Node) acceptOwn(m *gossippb.Datagram, sealed []byte) {
+	self := &n.options.Self
+	if m.GetIncarnation() != self.Incarnation || !hmac.Equal(sealed[:macBytes], mac(self.Key, sealed[macBytes:])) {
+		n.rejected.Add(1)
+		return
+	}
+	n.echoed(m.GetSequence())
 }
 
 // passOn sends a packet of another data centre to the other hosts of the own one.
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -109,20 +109,16 @@
 	doubtAfter  = 1300 * time.Millisecond
 )
 
-// targets returns where to send a datagram: to every host of the own data centre, and in each other one to hosts drawn at
-// random, which pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away
-// costs only a part of the datagrams.
-func (t *table) targets(now time.Time) []netip.AddrPort {
+// farTargets returns the hosts of other data centres to which a datagram goes: in each one some that are drawn at random,
+// which pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away costs
+// only a part of the datagrams.
+func (t *table) farTargets(now time.Time) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var targets []netip.AddrPort
 	distant := make(map[string][]*Host)
 	for _, host := range t.hosts {
-		switch {
-		case now.Sub(host.HeardAt) > countedFor:
-		case host.DataCentre == t.dataCentre:
-			targets = append(targets, host.to)
-		default:
+		if host.DataCentre != t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
 			distant[host.DataCentre] = append(distant[host.DataCentre], host)
 		}
 	}
