The configuration and hosts' records pass from host to host

Each host held a long poll for the configuration, so a change cost a call a host, and a host that a store refused tried again and again; each host read all records for each start of another.

Change: two hosts of each data centre wait at the store; the others hear of a version and ask a host that has it (gateway/confsync: compressed, encrypted with the answering host's key, bound to a challenge; large ones still come from the store). Hosts that cannot read the store are passed over. A host that starts introduces itself, sealed with each receiver's key; its record is read only if that fails. Hosts that fail to read upstreams wait for others' news. Datagrams that were overtaken bring what they tell but not their sender's state. Notices and announcements do not wait for a bundle.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeyard/bronzeyard/gateway/confsync"
 	"github.com/bronzeyard/bronzeyard/gateway/gossip"
 )
 
@@ -37,11 +38,13 @@
 	// retryConfiguration and retryHosts tell that the store is back.
 	retryConfiguration chan struct{}
 	retryHosts         chan struct{}
+	peers              *confsync.Client
 }
 
 func newFollowers(g *Gateway) *followers {
 	return &followers{
 		Gateway: g, retryConfiguration: make(chan struct{}, 1), retryHosts: make(chan struct{}, 1),
+		peers: confsync.NewClient(),
 	}
 }
 
@@ -86,6 +89,11 @@
 	var position Position
 	known := false
 	for ctx.Err() == nil {
+		if f.current.Load() != nil && !f.waits() {
+			f.awaitNewer(ctx, dependency)
+			known = false // the feed begins with a read of all
+			continue
+		}
 		next, at, source, err := f.readConfiguration(ctx, position, known)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -93,8 +101,10 @@
 			known = false
 		case err != nil && ctx.Err() == nil:
 			known = false // a read of all may succeed where the feed fails, and finds what was missed
+			f.storeAway.Store(true)
 			f.awaitReturn(ctx, dependency, err, f.retryConfiguration, f.rereadConfiguration)
 		case err == nil:
+			f.storeAway.Store(false)
 			dependency.worked()
 			position, known = at, true
 			f.apply(next, source)
@@ -112,6 +122,8 @@
 	feedRead
 	// hintedRead is a whole read because another host has a newer version.
 	hintedRead
+	// peerRead was passed on by another host.
+	peerRead
 )
 
 // String implements fmt.Stringer.
@@ -123,6 +135,8 @@
 		return "feed"
 	case hintedRead:
 		return "hint"
+	case peerRead:
+		return "host"
 	default:
 		return "invalid"
 	}
@@ -196,6 +210,7 @@
 	}
 	now := time.Now()
 	fresh, added, removed := newInForce(now, next, current)
+	f.packed.Store(new(confsync.Pack(next.Raw)))
 	f.current.Store(fresh)
 	f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current)).
 		Str("source", source.String()).Dur("behind_ms", f.newer.reached(now, next.Version())).Int("bytes", next.Bytes).
@@ -267,6 +282,7 @@
 			return err
 		}
 		*written = true
+		defer f.introduce(ctx)
 	}
 	stored, err := f.options.Hosts.Hosts(calling)
 	if err != nil {
@@ -282,15 +298,34 @@
 		records = append(records, record)
 	}
 	for _, id := range f.node.Update(time.Now(), records) {
-		f.limiter.Restarted(id)
-		f.router.retries.Restarted(id)
-		f.logger.Info().Str("event", "host_found").Str("host_id", id).Send()
+		f.hostFound(id)
 	}
 	f.countHosts()
 	f.hostsKnown.Store(true)
 	return nil
 }
 
+// introductions are the times after the start at which a host introduces itself to the others. Datagrams may be lost.
+var introductions = [...]time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond}
+
+// introduce sends this host's record to the others, so that they need not read it from the store.
+func (f *followers) introduce(ctx context.Context) {
+	for _, after := range introductions {
+		time.AfterFunc(after, func() {
+			if ctx.Err() == nil {
+				f.node.Introduce()
+			}
+		})
+	}
+}
+
+// hostFound takes the first record of a start of another host.
+func (g *Gateway) hostFound(id string) {
+	g.limiter.Restarted(id)
+	g.router.retries.Restarted(id)
+	g.logger.Info().Str("event", "host_found").Str("host_id", id).Send()
+}
+
 // awaitReturn waits after a failure: shortly after the first one, then until the store is back, or until there is news that
 // only a read can bring. A host that learns of news while the store refuses it must not sleep through the store's return.
 func (f *followers) awaitReturn(ctx context.Context, d *dependency, err error, back, news <-chan struct{}) {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -87,6 +88,8 @@
 	return v.answer(ctx)
 }
 
+func (v *versions) Decode([]byte) (*Configuration, error) { return nil, errors.New("not used") }
+
 func (v *versions) ConfigurationAfter(
 	ctx context.Context, after Position, wait time.Duration, interrupt <-chan struct{},
 ) (*Configuration, Position, error) {
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -18,6 +18,8 @@
 	// turnDelay is the time between the turns of two hosts to read, and longestTurn the most that a host waits.
 	turnDelay   = 50 * time.Millisecond
 	longestTurn = 250 * time.Millisecond
+	// failedTurn is the time between the turns of two hosts to look for the return of the store.
+	failedTurn = 100 * time.Millisecond
 	// recentRead is the age up to which another host's read shows that the store has not been away.
 	recentRead = 1500 * time.Millisecond
 	// readSpread spreads the reads of hosts that learn of a change at the same time.
@@ -71,14 +73,16 @@
 	dependency := f.dependency("upstreams")
 	for ctx.Err() == nil {
 		if err := f.readUpstreams(ctx); err != nil {
-			f.sleep(ctx, dependency.failed(err))
+			// Others may read meanwhile. While nobody can, a few hosts are enough to find the return of the store.
+			f.sleep(ctx, min(dependency.failed(err)+f.rankDelay(failedTurn), otherBackoff))
+			f.awaitStale(ctx, false)
 			continue
 		}
 		if dependency.worked() {
 			poke(f.retryConfiguration)
 			poke(f.retryHosts)
 		}
-		f.awaitStale(ctx)
+		f.awaitStale(ctx, true)
 	}
 }
 
@@ -96,9 +100,8 @@
 }
 
 // awaitStale returns when the upstreams must be read again: after it is this host's turn, or when another host has found
-// other entries.
-func (f *followers) awaitStale(ctx context.Context) {
-	announce := true
+// other entries. announce tells the others of a read of this host.
+func (f *followers) awaitStale(ctx context.Context, announce bool) {
 	for ctx.Err() == nil {
 		if announce {
 			f.node.Announce()
@@ -173,8 +176,11 @@
 	return wait
 }
 
-// turn is how long this host leaves the others to read before it does. The order is by a hash of the hosts' ids.
-func (f *followers) turn() time.Duration {
+// turn is how long this host leaves the others to read before it does.
+func (f *followers) turn() time.Duration { return min(longestTurn, f.rankDelay(turnDelay)) }
+
+// rankDelay is the time from the first host's turn to this one's. The order is by a hash of the hosts' ids.
+func (f *followers) rankDelay(step time.Duration) time.Duration {
 	now := time.Now()
 	own := xxhash.Sum64String(f.options.HostID)
 	rank := 0
@@ -183,5 +189,5 @@
 			rank++
 		}
 	}
-	return min(longestTurn, time.Duration(rank)*turnDelay)
+	return time.Duration(rank) * step
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeyard/bronzeyard/gateway/confsync"
 	"github.com/bronzeyard/bronzeyard/gateway/gossip"
 	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
@@ -52,17 +57,24 @@
 	bounds      atomic.Pointer[Bounds]
 	current     atomic.Pointer[inForce]
 	newer       newerVersion
-	leaving     atomic.Bool
+	// packed is the configuration in force in the form in which other hosts get it; nil if it is too large.
+	packed  atomic.Pointer[[]byte]
+	leaving atomic.Bool
+	// storeAway is set while reads of the configuration fail, and atStore while this host waits at the store for a new one.
+	storeAway, atStore atomic.Bool
 	// hostsKnown is set when the records of the other hosts were read first.
 	hostsKnown atomic.Bool
 
-	router    *router
-	limiter   *quota.Limiter
-	forwarder *forward.Forwarder
-	server    *pipeline.Server
-	node      *gossip.Node
-	listener  net.Listener
-	log       *decisionLog
+	router         *router
+	limiter        *quota.Limiter
+	forwarder      *forward.Forwarder
+	server         *pipeline.Server
+	node           *gossip.Node
+	listener       net.Listener
+	settingsServer *http.Server
+	// settingsListener serves the configuration to other hosts.
+	settingsListener net.Listener
+	log              *decisionLog
 
 	// rereadConfiguration and rereadHosts ask the followers to read now.
 	rereadConfiguration chan struct{}
@@ -139,11 +151,18 @@
 	if err != nil {
 		return errors.Join(err, listener.Close(), packets.Close())
 	}
+	if g.settingsListener, err = config.Listen(ctx, "tcp", g.options.GossipAddress); err != nil {
+		return errors.Join(err, listener.Close(), packets.Close())
+	}
+	key := gossip.NewKey()
+	g.settingsServer = newSettingsServer(key, g.packedConfiguration)
 	g.node = gossip.New(gossip.Options{
 		Self: gossip.Record{
 			ID: g.options.HostID, Incarnation: g.incarnation, Address: address.String(),
-			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: gossip.NewKey(),
+			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: key,
+			SettingsAddress: g.settingsListener.Addr().String(),
 		},
+		Store: g.storeState, Found: g.hostFound,
 		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
 		Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown: func(string) { poke(g.rereadHosts) },
@@ -171,6 +190,8 @@
 	go followers.hosts(running)
 	go g.node.Run(running)
 	go g.log.run(running)
+	go g.serveSettings()
+	defer func() { _ = g.settingsServer.Close() }()
 	served := make(chan error, 1)
 	go func() { served <- g.server.Serve(running, g.listener) }()
 	select {
@@ -182,6 +203,31 @@
 	return nil
 }
 
+// settingsHeaderTimeout bounds the time in which another host sends its question.
+const settingsHeaderTimeout = time.Second
+
+func newSettingsServer(key []byte, packed func() []byte) *http.Server {
+	router := mux.NewRouter()
+	router.Path(confsync.Path).Methods(http.MethodGet).Handler(confsync.NewHandler(key, packed))
+	return &http.Server{
+		Handler: router, ReadHeaderTimeout: settingsHeaderTimeout, IdleTimeout: settingsHeaderTimeout,
+		ErrorLog: log.New(io.Discard, "", 0), // the asking host logs what fails
+	}
+}
+
+func (g *Gateway) packedConfiguration() []byte {
+	if packed := g.packed.Load(); packed != nil {
+		return *packed
+	}
+	return nil
+}
+
+func (g *Gateway) serveSettings() {
+	if err := g.settingsServer.Serve(g.settingsListener); !errors.Is(err, http.ErrServerClosed) {
+		g.logger.Error().Str("event", "settings_server_ended").Err(err).Send()
+	}
+}
+
 // SetBounds puts new bounds in force.
 func (g *Gateway) SetBounds(bounds Bounds) {
 	g.bounds.Store(&bounds)
@@ -288,12 +334,8 @@
 
 // receive takes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
-	if version := g.version(); m.Configuration > version {
-		g.newer.heard(g.logger, now, m.Host, m.Configuration, version)
-		poke(g.rereadConfiguration)
-	}
-	if m.Registry.Digest != 0 {
-		g.hearRegistry(registryNews{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
+	if !m.Overtaken {
+		g.receiveState(now, m)
 	}
 	for _, notice := range m.Notices {
 		g.router.hear(now, m.Host, notice)
@@ -305,6 +347,20 @@
 	g.router.retries.Heard(now, m.Host, m.Retries, g.router.retryLimit)
 }
 
+// receiveState takes what another host says of its own state.
+func (g *Gateway) receiveState(now time.Time, m *gossip.Message) {
+	if current := g.current.Load(); current != nil && m.AtStore && !m.StoreAway && m.Configuration == current.Version() {
+		current.confirmed.Store(now.UnixNano())
+	}
+	if version := g.version(); m.Configuration > version {
+		g.newer.heard(g.logger, now, m.Host, m.Configuration, version)
+		poke(g.rereadConfiguration)
+	}
+	if m.Registry.Digest != 0 {
+		g.hearRegistry(registryNews{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
+	}
+}
+
 func (g *Gateway) limitOf(id settings.CustomerID) (quota.Limit, bool) {
 	snapshot := g.snapshot()
 	if snapshot == nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,6 +36,8 @@
 	return &Configuration{Snapshot: settings.NewSnapshot(1, nil, nil, nil)}, 1, nil
 }
 
+func (s *source) Decode([]byte) (*Configuration, error) { return nil, errors.New("not used") }
+
 func (s *source) ConfigurationAfter(
 	ctx context.Context, _ Position, _ time.Duration, _ <-chan struct{},
 ) (*Configuration, Position, error) {
--- a/gateway/gossip/bundle_test.go
+++ b/gateway/gossip/bundle_test.go
@@ -46,11 +46,11 @@
 // Guards the load pattern "hundreds of hosts": a host's datagrams go to one host, which bundles them, and each host hears
 // all others all the same.
 func TestHubsReachAllHosts(t *testing.T) {
-	peers := hubFleetOf(t, 6)
+	peers := hubFleetOf(t, 8)
 	for i, p := range peers {
 		tell(t, peers, p, settings.UpstreamID(fmt.Sprint("u", i)))
 	}
-	time.Sleep(2 * HeartbeatInterval)
+	time.Sleep(4 * HeartbeatInterval) // most datagrams are heartbeats, as in a fleet of hundreds
 	sent, datagrams := int64(0), uint64(0)
 	for _, p := range peers {
 		one, rejected, _ := p.node.Counters()
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -69,6 +69,7 @@
 			defer p.mu.Unlock()
 			p.heard = append(p.heard, m)
 		},
+		Found: func(string) {},
 		Unknown: func(host string) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -261,11 +262,65 @@
 		t.Fatal(err)
 	}
 	b.node.deliver(seal(NewKey(), body))
+	if len(b.unknown) != 0 {
+		t.Errorf("%v count as unknown before they could introduce themselves", b.unknown)
+	}
+	time.Sleep(introduceWithin)
+	b.node.deliver(seal(NewKey(), body))
 	if len(b.unknown) != 1 || b.unknown[0] != "a" {
 		t.Errorf("unknown hosts are %v", b.unknown)
 	}
 }
 
+// Guards against a read of the store by each host for each start of another: a host that starts introduces itself to those
+// that it knows, also in another data centre.
+func TestStartingHostIntroducesItself(t *testing.T) {
+	fleet := []*peer{newPeer(t, "a", "north"), newPeer(t, "b", "north"), newPeer(t, "c", "south"), newPeer(t, "d", "south")}
+	introduce(fleet...)
+	fresh := newPeer(t, "e", "north")
+	var records []Record
+	for _, p := range fleet {
+		records = append(records, p.node.options.Self)
+	}
+	fresh.node.Update(time.Now(), records)
+	fresh.node.Introduce()
+	for _, p := range fleet {
+		eventually(t, "the host that started is heard", func() bool { return len(p.from("e")) > 0 })
+		if len(p.unknown) > 0 {
+			t.Errorf("%s must read the records of %v", p.node.options.Self.ID, p.unknown)
+		}
+	}
+}
+
+// Guards against a host that nobody believes in any more because an old introduction came late or was sent again, and
+// against records from somebody who has not read the store.
+func TestOldAndForgedIntroductionsAreDropped(t *testing.T) {
+	a, b := newPeer(t, "a", "north"), newPeer(t, "b", "north")
+	introduce(a, b)
+	second := a.node.options.Self
+	second.Incarnation, second.Key = 8, NewKey()
+	b.node.Update(time.Now(), []Record{second})
+	old, err := a.node.Record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packet := seal(b.node.options.Self.Key, old)
+	packet[0] = byte(introduction)
+	b.node.deliver(packet)
+	forged := second
+	forged.Incarnation = 9
+	body, err := forged.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packet = seal(NewKey(), body)
+	packet[0] = byte(introduction)
+	b.node.deliver(packet)
+	if _, _, known := b.node.table.find("a", 8); !known {
+		t.Error("the newest start of the host is not known any more")
+	}
+}
+
 func FuzzRecord(f *testing.F) {
 	f.Add([]byte(`{"id":"a","incarnation":1,"address":"127.0.0.1:1","caller_address":"127.0.0.1:2","data_centre":"n","key":"AAAAAAAAAAAAAAAAAAAAAA=="}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- /dev/null
+++ b/gateway/gossip/introduce.go
@@ -0,0 +1,152 @@
+package gossip
+
+import (
+	"crypto/hmac"
+	"net/netip"
+	"time"
+)
+
+// introduceWithin is the time in which a host that has just started introduces itself. Only then its record is read from
+// the store: with hundreds of hosts, a read by each of them for each start is most of the store's calls.
+const introduceWithin = 1500 * time.Millisecond
+
+// Introduce sends this host's record to all hosts that it knows, each sealed with the key of the receiver: only a host that
+// has read the store can make it.
+func (n *Node) Introduce() {
+	body, err := n.Record()
+	if err != nil {
+		n.rejected.Add(1)
+		return
+	}
+	now := time.Now()
+	n.sendRecord(introduction, body, n.table.nearHosts(now))
+	n.sendRecord(introduction, body, n.table.relays(now))
+}
+
+func (n *Node) sendRecord(as passage, body []byte, hosts []receiver) {
+	for _, host := range hosts {
+		packet := seal(host.key, body)
+		packet[0] = byte(as)
+		n.write(packet, host.to)
+	}
+}
+
+// introduced takes the record of a host that has started, and passes it on in the own data centre if it comes from another.
+func (n *Node) introduced(packet []byte) {
+	sealed := packet[1:]
+	if len(sealed) <= macBytes || !hmac.Equal(sealed[:macBytes], mac(n.options.Self.Key, sealed[macBytes:])) {
+		n.rejected.Add(1)
+		return
+	}
+	record, err := DecodeRecord(sealed[macBytes:])
+	if err != nil {
+		n.rejected.Add(1)
+		return
+	}
+	now := time.Now()
+	if !n.table.introduce(now, record) {
+		n.repeated.Add(1)
+		return
+	}
+	n.options.Found(record.ID)
+	if passage(packet[0]) == introduction && record.DataCentre != n.options.Self.DataCentre {
+		n.sendRecord(introductionPassedOn, sealed[macBytes:], n.table.nearHosts(now))
+	}
+}
+
+// receiver is a host to send to.
+type receiver struct {
+	to  netip.AddrPort
+	key []byte
+}
+
+// nearHosts returns the hosts of the own data centre.
+func (t *table) nearHosts(now time.Time) []receiver {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var near []receiver
+	for _, host := range t.hosts {
+		if host.DataCentre == t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
+			near = append(near, receiver{host.to, host.Key})
+		}
+	}
+	return near
+}
+
+// relays returns hosts of the other data centres that pass on what is sent to them.
+func (t *table) relays(now time.Time) []receiver {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	distant := make(map[string][]*Host)
+	for _, host := range t.hosts {
+		if host.DataCentre != t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
+			distant[host.DataCentre] = append(distant[host.DataCentre], host)
+		}
+	}
+	var far []receiver
+	for _, hosts := range distant {
+		for _, host := range drawn(now, hosts) {
+			far = append(far, receiver{host.to, host.Key})
+		}
+	}
+	return far
+}
+
+// introduce takes the record of a host that has started. It reports false for one that is known, or that a later start has
+// replaced.
+func (t *table) introduce(now time.Time, record Record) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if record.ID == t.self || t.replaced[former{record.ID, record.Incarnation}] {
+		return false
+	}
+	if known := t.hosts[record.ID]; known != nil && known.Incarnation == record.Incarnation {
+		return false
+	}
+	return t.put(now, record)
+}
+
+// former is an earlier start of a host.
+type former struct {
+	id          string
+	incarnation uint64
+}
+
+// maxFormer bounds the earlier starts that are remembered.
+const maxFormer = 4096
+
+// put replaces what is known of a host.
+func (t *table) put(now time.Time, record Record) bool {
+	to, err := netip.ParseAddrPort(record.Address)
+	if err != nil {
+		return false // DecodeRecord has checked it
+	}
+	if known := t.hosts[record.ID]; known != nil {
+		if len(t.replaced) >= maxFormer {
+			clear(t.replaced)
+		}
+		t.replaced[former{record.ID, known.Incarnation}] = true
+	}
+	t.hosts[record.ID] = &Host{Record: record, HeardAt: now, to: to}
+	delete(t.strangers, record.ID)
+	return true
+}
+
+// stranger notes a datagram of a host whose record is not known. It reports whether the record must be read, because the host
+// has not introduced itself in time.
+func (t *table) stranger(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, seen := t.strangers[id]
+	if !seen {
+		if len(t.strangers) < maxFormer {
+			t.strangers[id] = now
+		}
+		return false
+	}
+	if now.Sub(since) < introduceWithin {
+		return false
+	}
+	t.strangers[id] = now
+	return true
+}
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,12 +40,16 @@
 
 // Message is a received datagram.
 type Message struct {
-	Host          string
-	Sequence      uint64
+	Host     string
+	Sequence uint64
+	// Overtaken is true if a newer datagram has come before: what this one says of the sender's state is out of date.
+	Overtaken     bool
 	Leaving       bool
 	Configuration uint64
-	Notices       []breaker.Notice
-	Uses          []quota.Use
+	// StoreAway is true if the sender could not read the store lately, and AtStore if it waits there for a new configuration.
+	StoreAway, AtStore bool
+	Notices            []breaker.Notice
+	Uses               []quota.Use
 	// Retries counts the use of retry budgets; Customer holds the name of the service.
 	Retries []quota.Use
 	// Loads are the upstreams that the sender has found to be full.
@@ -76,6 +78,9 @@
 	Conn net.PacketConn
 	// Configuration returns the version in force at this host. Required.
 	Configuration func() uint64
+	// Store returns whether this host could not read the store lately, and whether it waits there for a new configuration.
+	// Default neither.
+	Store func() (away, waits bool)
 	// Registry returns this host's own newest read of the upstreams. Required.
 	Registry func(now time.Time) RegistryState
 	// Uses returns the counts to report. Required.
@@ -84,7 +89,9 @@
 	Retries func(now time.Time, onlyNear bool) []quota.Use
 	// Receive takes verified messages, one at a time. Required.
 	Receive func(now time.Time, m *Message)
-	// Unknown is called when a datagram cannot be verified because its sender's record is not known. Required.
+	// Found is called when a host that has started has introduced itself. Required.
+	Found func(host string)
+	// Unknown is called when the record of a host must be read, because it has not introduced itself. Required.
 	Unknown func(host string)
 	// Late is called when the node's loop ran late by more than lateFrom. Default none.
 	Late func(by time.Duration)
@@ -102,7 +109,9 @@
 	table    table
 	sequence atomic.Uint64
 	leaving  atomic.Bool
-	wake     chan struct{}
+	// announced is set when a heartbeat is to be sent at once.
+	announced atomic.Bool
+	wake      chan struct{}
 
 	mu      sync.Mutex
 	notices []breaker.Notice
@@ -132,6 +141,10 @@
 	// own one.
 	bundle
 	bundleFar
+	// introduction packets hold the record of a host that has started; one of another data centre is passed on to all hosts of
+	// the own one.
+	introduction
+	introductionPassedOn
 )
 
 // seal makes a packet.
@@ -147,6 +160,9 @@
 	if options.Late == nil {
 		options.Late = func(time.Duration) {}
 	}
+	if options.Store == nil {
+		options.Store = func() (away, waits bool) { return false, false }
+	}
 	if options.HubFailed == nil {
 		options.HubFailed = func(string) {}
 	}
@@ -158,6 +174,7 @@
 	n.loads = make(map[settings.UpstreamID]float64)
 	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
 	n.table.hosts = make(map[string]*Host)
+	n.table.replaced, n.table.strangers = make(map[former]bool), make(map[string]time.Time)
 	return n
 }
 
@@ -213,13 +230,16 @@
 	return reports
 }
 
-// Announce sends a heartbeat soon.
-func (n *Node) Announce() { n.poke() }
+// Announce sends a heartbeat to all hosts soon.
+func (n *Node) Announce() {
+	n.announced.Store(true)
+	n.poke()
+}
 
 // Leave tells all hosts that this one leaves.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
-	n.poke()
+	n.Announce()
 }
 
 func (n *Node) poke() {
@@ -238,14 +258,14 @@
 	defer heartbeat.Stop()
 	uses := time.NewTicker(usesInterval)
 	defer uses.Stop()
-	n.broadcast(n.collect(false))
+	n.broadcast(n.collect(false), allHosts)
 	ticked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-			n.broadcast(n.collect(false))
+			n.broadcast(n.collect(false), allHosts)
 		case <-uses.C:
 			now := time.Now()
 			if late := now.Sub(ticked) - usesInterval; late > lateFrom {
@@ -268,7 +288,7 @@
 	c.loads = nil
 	if !c.empty() {
 		c.loads = onlyLoads.loads
-		n.broadcast(c)
+		n.broadcast(c, allHosts)
 		return
 	}
 	n.sendNear(onlyLoads)
@@ -277,19 +297,22 @@
 // sendNear sends to the hosts of the own data centre.
 func (n *Node) sendNear(c content) {
 	for !c.empty() {
-		n.send(c.take(), true)
+		n.send(c.take(), ownDataCentre)
 	}
 }
 
-// sendNotices sends the notices that wait. A wake without any announces a change of this host.
+// sendNotices sends the notices that wait, and announces a change of this host.
 func (n *Node) sendNotices() {
 	n.mu.Lock()
 	near := content{notices: n.near}
 	n.near = nil
 	n.mu.Unlock()
 	notices := n.take()
-	if len(notices) > 0 || near.empty() {
-		n.broadcast(content{notices: notices})
+	switch {
+	case n.announced.Swap(false):
+		n.broadcast(content{notices: notices}, atOnce)
+	case len(notices) > 0:
+		n.broadcast(content{notices: notices}, allHosts)
 	}
 	n.sendNear(near)
 }
@@ -315,22 +338,34 @@
 }
 
 // broadcast sends to all hosts, in as many datagrams as the content needs.
-func (n *Node) broadcast(c content) {
+func (n *Node) broadcast(c content, lane lane) {
 	for {
-		n.send(c.take(), false)
+		n.send(c.take(), lane)
 		if c.empty() {
 			return
 		}
 	}
 }
 
-// send sends one datagram to all hosts, or to those of the own data centre. It is the same for all, so that it is encoded
-// once.
-func (n *Node) send(c content, nearOnly bool) {
+// lane says to whom a datagram goes, and how soon.
+type lane int
+
+const (
+	allHosts lane = iota
+	// ownDataCentre is for the hosts of the own data centre only.
+	ownDataCentre
+	// atOnce is for all hosts and does not wait for a bundle.
+	atOnce
+)
+
+// send sends one datagram. It is the same for all hosts, so that it is encoded once. Notices go directly to the hosts of the
+// own data centre, besides being bundled.
+func (n *Node) send(c content, lane lane) {
 	m := &gossippb.Datagram{
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
 		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
 	}
+	m.StoreAway, m.AtStore = n.options.Store()
 	now := time.Now()
 	encodeRegistry(m, n.options.Registry(now))
 	encodeContent(m, c)
@@ -340,8 +375,12 @@
 		return
 	}
 	packet := seal(n.options.Self.Key, body)
-	if !n.sendByHub(now, packet, m.GetSequence(), nearOnly) {
-		n.sendDirectly(packet, n.table.nearTargets(now), n.table.farTargets(now), nearOnly)
+	near, nearOnly := n.table.nearTargets(now), lane == ownDataCentre
+	switch {
+	case lane == atOnce, !n.sendByHub(now, slices.Clone(packet), m.GetSequence(), nearOnly):
+		n.sendDirectly(packet, near, n.table.farTargets(now), nearOnly)
+	case len(c.notices) > 0 && !nearOnly:
+		n.sendDirectly(packet, near, nil, true)
 	}
 }
 
@@ -352,121 +391,5 @@
 	}
 }
 
-func mac(key, body []byte) []byte {
-	hash := hmac.New(sha256.New, key)
-	hash.Write(body)
-	return hash.Sum(nil)[:macBytes]
-}
-
-func (n *Node) receive(ctx context.Context) {
-	packet := make([]byte, maxPacket)
-	for ctx.Err() == nil {
-		size, _, err := n.options.Conn.ReadFrom(packet)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			time.Sleep(readPause)
-			continue
-		}
-		n.deliver(packet[:size])
-	}
-}
-
-// deliver takes a packet, and passes on what is for other hosts too.
-func (n *Node) deliver(packet []byte) {
-	if len(packet) == 0 {
-		n.rejected.Add(1)
-		return
-	}
-	as := passage(packet[0])
-	if as == bundle || as == bundleFar {
-		n.unbundle(packet)
-		return
-	}
-	from, accepted := n.accept(packet[1:])
-	switch {
-	case !accepted:
-	case as == direct:
-		n.passOn(packet, from)
-	case as == collect || as == collectNear:
-		n.gather(packet[1:], as == collectNear)
-	}
-}
-
-// accept verifies one datagram and hands it over. It reports false for one that brings nothing.
-func (n *Node) accept(sealed []byte) (from string, accepted bool) {
-	var m gossippb.Datagram
-	if len(sealed) <= macBytes || proto.Unmarshal(sealed[macBytes:], &m) != nil {
-		n.rejected.Add(1)
-		return "", false
-	}
-	if m.GetHost() == n.options.Self.ID {
-		n.acceptOwn(&m, sealed)
-		return "", false
-	}
-	key, newest, known := n.table.find(m.GetHost(), m.GetIncarnation())
-	if !known {
-		n.rejected.Add(1)
-		n.options.Unknown(m.GetHost())
-		return "", false
-	}
-	if m.GetSequence() <= newest {
-		n.repeated.Add(1)
-		return "", false
-	}
-	if !hmac.Equal(sealed[:macBytes], mac(key, sealed[macBytes:])) {
-		n.rejected.Add(1)
-		return "", false
-	}
-	now := time.Now()
-	message := decode(&m)
-	accepted, returned := n.table.accept(now, message)
-	if !accepted {
-		n.repeated.Add(1)
-		return "", false
-	}
-	if returned {
-		n.options.Returned(message.Host)
-	}
-	n.options.Receive(now, message)
-	return message.Host, true
-}
-
-// acceptOwn takes a datagram of this host that has come back in a bundle.
-func (n *Node) acceptOwn(m *gossippb.Datagram, sealed []byte) {
-	self := &n.options.Self
-	if m.GetIncarnation() != self.Incarnation || !hmac.Equal(sealed[:macBytes], mac(self.Key, sealed[macBytes:])) {
-		n.rejected.Add(1)
-		return
-	}
-	n.echoed(m.GetSequence())
-}
-
-// passOn sends a packet of another data centre to the other hosts of the own one.
-func (n *Node) passOn(packet []byte, from string) {
-	packet[0] = byte(passedOn)
-	for _, to := range n.table.relayTargets(from) {
-		n.write(packet, to)
-	}
-}
-
-func decode(m *gossippb.Datagram) *Message {
-	message := &Message{
-		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
-		Registry: decodeRegistry(m),
-	}
-	for _, notice := range m.GetNotices() {
-		message.Notices = append(message.Notices, decodeNotice(notice))
-	}
-	for _, load := range m.GetLoads() {
-		message.Loads = append(message.Loads, placement.Report{
-			Upstream: settings.UpstreamID(load.GetUpstream()), Load: float64(load.GetPercent()) / 100,
-		})
-	}
-	message.Uses, message.Retries = decodeUses(m.GetUses()), decodeUses(m.GetRetries())
-	return message
-}
-
 // Record returns the stored form of this host's record.
 func (n *Node) Record() ([]byte, error) { return n.options.Self.Encode() }
--- a/gateway/gossip/record.go
+++ b/gateway/gossip/record.go
@@ -21,6 +21,8 @@
 	// CallerAddress serves callers, IP number and port.
 	CallerAddress string `json:"caller_address"`
 	DataCentre    string `json:"data_centre"`
+	// SettingsAddress passes on the configuration, IP number and port; empty if the host does not.
+	SettingsAddress string `json:"settings_address,omitempty"`
 	// Key authenticates the host's datagrams.
 	Key []byte `json:"key"`
 }
--- a/gateway/gossip/scale_test.go
+++ b/gateway/gossip/scale_test.go
@@ -50,7 +50,7 @@
 				}
 				return make([]quota.Use, 3)
 			},
-			Receive: func(time.Time, *Message) {}, Unknown: func(string) {}, Returned: func(string) {},
+			Receive: func(time.Time, *Message) {}, Found: func(string) {}, Unknown: func(string) {}, Returned: func(string) {},
 		})
 		nodes, records = append(nodes, n), append(records, n.options.Self)
 	}
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -14,6 +14,8 @@
 	AliveFor = 2500 * time.Millisecond
 	// countedFor is the time without a datagram after which a host no longer counts as a part of the fleet.
 	countedFor = 20 * time.Second
+	// takenBits is the number of datagrams of a host for which it is known whether they were taken.
+	takenBits = 64
 )
 
 // Host is what is known of another host.
@@ -24,12 +26,34 @@
 	Leaving bool
 	// Configuration is the version in force there, 0 if not yet heard.
 	Configuration uint64
+	// StoreAway is true if the host could not read the store lately.
+	StoreAway bool
 
 	to       netip.AddrPort
 	sequence uint64 // the newest of its datagrams
+	taken    uint64 // bit i is set if the one that is i older was taken
 	heard    bool
 }
 
+// take notes a datagram and reports whether it is new, and whether a newer one has come before it.
+func (h *Host) take(sequence uint64) (fresh, overtaken bool) {
+	if sequence > h.sequence {
+		if shift := sequence - h.sequence; h.sequence > 0 && shift < takenBits {
+			h.taken = h.taken<<shift | 1
+		} else {
+			h.taken = 1
+		}
+		h.sequence = sequence
+		return true, false
+	}
+	age := h.sequence - sequence
+	if age >= takenBits || h.taken&(1<<age) != 0 {
+		return false, true
+	}
+	h.taken |= 1 << age
+	return true, true
+}
+
 // table holds the other hosts.
 type table struct {
 	self       string
@@ -37,6 +61,9 @@
 
 	mu    sync.Mutex
 	hosts map[string]*Host
+	// replaced are earlier starts of hosts, and strangers hosts without a record by the time of their first datagram.
+	replaced  map[former]bool
+	strangers map[string]time.Time
 }
 
 // update takes the records of the store. A record that is missing is kept while its host is heard.
@@ -48,12 +75,9 @@
 		if record.ID == t.self || (known != nil && known.Incarnation == record.Incarnation) {
 			continue
 		}
-		to, err := netip.ParseAddrPort(record.Address)
-		if err != nil {
-			continue // DecodeRecord has checked it
+		if t.put(now, record) {
+			changed = append(changed, record.ID)
 		}
-		t.hosts[record.ID] = &Host{Record: record, HeardAt: now, to: to}
-		changed = append(changed, record.ID)
 	}
 	return changed
 }
@@ -69,17 +93,23 @@
 	return host.Key, host.sequence, true
 }
 
-// accept notes a verified datagram. It reports false for one that was seen before or is overtaken by too many.
+// accept notes a verified datagram. It reports false for one that was taken before or is overtaken by too many. Only the
+// newest one states what the host is now.
 func (t *table) accept(now time.Time, m *Message) (accepted, returned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	host := t.hosts[m.Host]
-	if host == nil || m.Sequence <= host.sequence {
+	if host == nil {
 		return false, false
 	}
+	fresh, overtaken := host.take(m.Sequence)
+	if m.Overtaken = overtaken; !fresh || overtaken {
+		return fresh, false
+	}
 	returned = !host.heard || now.Sub(host.HeardAt) > AliveFor
-	host.sequence, host.HeardAt, host.heard = m.Sequence, now, true
+	host.HeardAt, host.heard = now, true
 	host.Leaving, host.Configuration = m.Leaving, max(host.Configuration, m.Configuration)
+	host.StoreAway = m.StoreAway
 	return true, returned
 }
 
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -26,6 +26,8 @@
 	Routes []string
 	// Bytes is the size of the configuration in the store.
 	Bytes int
+	// Raw is the configuration as the store has it.
+	Raw []byte
 }
 
 // Version is the version of the configuration.
@@ -47,6 +49,8 @@
 	ConfigurationAfter(
 		ctx context.Context, after Position, wait time.Duration, interrupt <-chan struct{},
 	) (*Configuration, Position, error)
+	// Decode reads the Raw form of a configuration.
+	Decode(raw []byte) (*Configuration, error)
 }
 
 // UpstreamSource reads the entries of all upstreams.
