Trials only with retry budget; reads because of another host's news are not news

While upstreams start, each read found other entries than the one before and was told to all, so that all hosts read on.

Change: a trial needs a token in sight. Only a read in a host's turn is told to others.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -38,10 +38,11 @@
 	readAt time.Time
 }
 
-// registryState returns what this host tells the others of its own reads of the upstreams.
+// registryState returns what this host tells the others of its own read of the upstreams. It tells only of a read in its
+// turn: if reads because of another host's news were news too, all hosts would go on reading while upstreams start.
 func (g *Gateway) registryState(now time.Time) gossip.RegistryState {
 	own, ok := g.router.registry.OwnRead()
-	if !ok {
+	if !ok || own.At.UnixNano() != g.turnRead.Load() {
 		return gossip.RegistryState{}
 	}
 	state := gossip.RegistryState{
@@ -71,23 +72,24 @@
 // fails to read, or to be heard, delays the others by its turn only.
 func (f *followers) upstreams(ctx context.Context) {
 	dependency := f.dependency("upstreams")
+	inTurn := true
 	for ctx.Err() == nil {
-		if err := f.readUpstreams(ctx); err != nil {
+		if err := f.readUpstreams(ctx, inTurn); err != nil {
 			// Others may read meanwhile. While nobody can, a few hosts are enough to find the return of the store.
 			f.sleep(ctx, min(dependency.failed(err)+f.rankDelay(failedTurn), otherBackoff))
-			f.awaitStale(ctx, false)
+			inTurn = f.awaitStale(ctx, false)
 			continue
 		}
 		if dependency.worked() {
 			poke(f.retryConfiguration)
 			poke(f.retryHosts)
 		}
-		f.awaitStale(ctx, true)
+		inTurn = f.awaitStale(ctx, inTurn)
 	}
 }
 
-// readUpstreams reads the store.
-func (f *followers) readUpstreams(ctx context.Context) error {
+// readUpstreams reads the store, in this host's turn or because of another host's news.
+func (f *followers) readUpstreams(ctx context.Context, inTurn bool) error {
 	started := time.Now()
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -96,12 +98,15 @@
 		return err
 	}
 	f.registryChanged(f.router.registry.Update(started, version, entries), version, "")
+	if inTurn {
+		f.turnRead.Store(started.UnixNano())
+	}
 	return nil
 }
 
 // awaitStale returns when the upstreams must be read again: after it is this host's turn, or when another host has found
-// other entries. announce tells the others of a read of this host.
-func (f *followers) awaitStale(ctx context.Context, announce bool) {
+// other entries. announce tells the others of a read of this host. It reports whether it is this host's turn.
+func (f *followers) awaitStale(ctx context.Context, announce bool) (inTurn bool) {
 	for ctx.Err() == nil {
 		if announce {
 			f.node.Announce()
@@ -111,11 +116,11 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-			return
+			return true
 		case news := <-f.registryNews:
 			if news.Settled && time.Since(news.readAt) < recentRead && f.router.registry.EndKept() {
 				timer.Stop()
-				return
+				return false
 			}
 			if !news.readAt.After(f.router.registry.View().ReadAt) {
 				break // this host has read since
@@ -123,11 +128,12 @@
 			if !f.router.registry.Confirm(news.readAt, news.Digest) && !f.applyDelta(news) {
 				timer.Stop()
 				f.sleep(ctx, f.untilOwnRead())
-				return
+				return false
 			}
 		}
 		timer.Stop()
 	}
+	return false
 }
 
 // untilOwnRead is the time until this host may read because of others' news.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,8 @@
 	bounds      atomic.Pointer[Bounds]
 	current     atomic.Pointer[inForce]
 	newer       newerVersion
+	// turnRead is the start of this host's newest read of the upstreams in its turn, in Unix nanoseconds.
+	turnRead atomic.Int64
 	// packed is the configuration in force in the form in which other hosts get it; nil if it is too large.
 	packed  atomic.Pointer[[]byte]
 	leaving atomic.Bool
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -220,8 +220,7 @@
 	b.mine.add(now, 1)
 	b.all.add(now, 1)
 	decision := Decision{Tokens: b.tokens, Hosts: l.live() + 1}
-	guard := b.guard(now)
-	if (b.tokens < 1+guard || l.isolated(now)) && (b.share < 1 || b.tokens < -limit.Rate*shareDepth) {
+	if !l.allows(now, b) {
 		decision.RetryAfter = b.due(now)
 		return decision
 	}
@@ -232,6 +231,27 @@
 	return decision
 }
 
+// allows reports whether a bucket has a token for this host.
+func (l *Limiter) allows(now time.Time, b *bucket) bool {
+	if b.tokens >= 1+b.guard(now) && !l.isolated(now) {
+		return true
+	}
+	return b.share >= 1 && b.tokens >= -b.limit.Rate*shareDepth
+}
+
+// Would reports whether Admit would allow a request. It takes no token and counts no demand.
+func (l *Limiter) Would(now time.Time, id settings.CustomerID, limit Limit) bool {
+	if limit.Rate <= 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noteCall(now)
+	b := l.bucket(now, id, limit)
+	l.fill(now, b)
+	return l.allows(now, b)
+}
+
 // isolated reports whether this host may be cut off: it has heard nobody for long, or hears less than half of the others,
 // as in the first moments after a start.
 func (l *Limiter) isolated(now time.Time) bool {
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -33,9 +33,11 @@
 	})
 }
 
-// repeatable reports whether the next attempt may fail without harm: the request can be sent again, and to a further
-// upstream.
-func (x *exchange) repeatable() bool { return x.policy.Idempotent && len(x.tried)+1 < x.maxAttempts() }
+// repeatable reports whether the next attempt may fail without harm: the request can be sent again, to a further upstream,
+// and the retry budget allows it.
+func (x *exchange) repeatable() bool {
+	return x.policy.Idempotent && len(x.tried)+1 < x.maxAttempts() && x.options.Upstreams.MayRetry(x.service)
+}
 
 // start prepares an attempt.
 func (x *exchange) start(chosen Attempt, cancel context.CancelFunc) *attempt {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -59,6 +59,8 @@
 	Arrived(service settings.ServiceName)
 	// TryRetry takes a token of the service's retry budget.
 	TryRetry(service settings.ServiceName) bool
+	// MayRetry reports whether TryRetry would get a token.
+	MayRetry(service settings.ServiceName) bool
 	// RefusedFor is when a service that has refused a request for lack of room is likely to have some.
 	RefusedFor(service settings.ServiceName) time.Duration
 }
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -199,6 +199,7 @@
 
 func (o *inOrder) Arrived(settings.ServiceName)                  {}
 func (o *inOrder) RefusedFor(settings.ServiceName) time.Duration { return 300 * time.Millisecond }
+func (o *inOrder) MayRetry(settings.ServiceName) bool            { return o.retries < o.budget }
 func (o *inOrder) TryRetry(settings.ServiceName) bool {
 	o.retries++
 	return o.retries <= o.budget
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -272,6 +272,13 @@
 	return r.retries.Admit(time.Now(), id, limit).Allowed
 }
 
+// MayRetry implements relay.Upstreams.
+func (r *router) MayRetry(service settings.ServiceName) bool {
+	id := settings.CustomerID(service)
+	limit, _ := r.retryLimit(id)
+	return r.retries.Would(time.Now(), id, limit)
+}
+
 // retryLimit returns the retry budget of a service: the slack may come at once, and the ratio of the requests flows in.
 // Callers reach hosts at random, so the requests of all hosts are about those of this one times their number.
 func (r *router) retryLimit(service settings.CustomerID) (quota.Limit, bool) {
