New configurations are announced; trials without budget below the floor

Cause: a host that has a new configuration told it with its next heartbeat, up to 1 s later, which the others now depend on (shown by TestConfigurationIsPassedOn, which failed).

Change: a configuration from the store is announced at once. Below the floor idempotent requests make trials without budget. Tests of the watch, of the hosts that wait at the store and of their replacement.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -54,22 +54,15 @@
 	return !away && ableBefore < waitersPerDataCentre
 }
 
-// others returns the other hosts; none before the links are open.
-func (g *Gateway) others(now time.Time) []gossip.Host {
-	if g.node == nil {
-		return nil
-	}
-	return g.node.Hosts(now)
-}
-
 // storeState is what other hosts are told of this one's reads of the store.
 func (g *Gateway) storeState() (away, waits bool) { return g.storeAway.Load(), g.atStore.Load() }
 
 // waits decides whether this host waits at the store.
 func (f *followers) waits() bool {
 	now := time.Now()
-	waits := waitsAtStore(now, f.options.HostID, f.options.DataCentre, f.storeAway.Load(), f.others(now))
-	if f.atStore.Swap(waits) != waits {
+	waits := waitsAtStore(now, f.options.HostID, f.options.DataCentre, f.storeAway.Load(), f.node.Hosts(now))
+	if f.atStore.Swap(waits) != waits || !f.waitsLogged {
+		f.waitsLogged = true
 		f.logger.Info().Str("event", "configuration_follower").Bool("at_store", waits).Send()
 	}
 	return waits
@@ -138,7 +131,7 @@
 // peersWithNewer returns some hosts that have a newer configuration and pass it on, those of the own data centre first.
 func (f *followers) peersWithNewer(version uint64) []gossip.Host {
 	now := time.Now()
-	hosts := slices.DeleteFunc(f.others(now), func(h gossip.Host) bool {
+	hosts := slices.DeleteFunc(f.node.Hosts(now), func(h gossip.Host) bool {
 		return h.Configuration <= version || h.SettingsAddress == "" || !h.Alive(now)
 	})
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
--- /dev/null
+++ b/gateway/atstore_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
+)
+
+// Guards against a fleet in which nobody waits for the configuration, and against one in which all do: two hosts of each
+// data centre, others when these are away, leave, or cannot read the store, and some even if no host can.
+func TestTwoHostsOfADataCentreWaitAtTheStore(t *testing.T) {
+	const hosts = 8
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	fleet := func(change func(i int, h *gossip.Host)) []gossip.Host {
+		var all []gossip.Host
+		for i := range hosts {
+			h := gossip.Host{HeardAt: now, Record: gossip.Record{ID: fmt.Sprint("edge-", i), DataCentre: fmt.Sprint("dc-", i%2)}}
+			change(i, &h)
+			all = append(all, h)
+		}
+		return all
+	}
+	waiting := func(all []gossip.Host) map[string][]int {
+		found := make(map[string][]int)
+		for i, h := range all {
+			others := append(append([]gossip.Host(nil), all[:i]...), all[i+1:]...)
+			if h.Alive(now) && waitsAtStore(now, h.ID, h.DataCentre, h.StoreAway, others) {
+				found[h.DataCentre] = append(found[h.DataCentre], i)
+			}
+		}
+		return found
+	}
+	first := waiting(fleet(func(int, *gossip.Host) {}))
+	isFirst := func(i int) bool {
+		for _, of := range first {
+			for _, j := range of {
+				if i == j {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	for name, change := range map[string]func(i int, h *gossip.Host){
+		"all well": func(int, *gossip.Host) {},
+		"the first are away": func(i int, h *gossip.Host) {
+			if isFirst(i) {
+				h.HeardAt = now.Add(-time.Minute)
+			}
+		},
+		"the first cannot read the store": func(i int, h *gossip.Host) { h.StoreAway = isFirst(i) },
+		"none can read the store":         func(_ int, h *gossip.Host) { h.StoreAway = true },
+	} {
+		found := waiting(fleet(change))
+		for _, dataCentre := range []string{"dc-0", "dc-1"} {
+			if len(found[dataCentre]) != waitersPerDataCentre {
+				t.Errorf("%s: hosts %v of %s wait at the store, want %d", name, found[dataCentre], dataCentre, waitersPerDataCentre)
+			}
+		}
+		if name == "the first cannot read the store" || name == "the first are away" {
+			for _, of := range found {
+				for _, i := range of {
+					if isFirst(i) {
+						t.Errorf("%s: host %d still waits there", name, i)
+					}
+				}
+			}
+		}
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,6 +39,7 @@
 	retryConfiguration chan struct{}
 	retryHosts         chan struct{}
 	peers              *confsync.Client
+	waitsLogged        bool // only for the follower of the configuration
 }
 
 func newFollowers(g *Gateway) *followers {
@@ -212,6 +213,9 @@
 	fresh, added, removed := newInForce(now, next, current)
 	f.packed.Store(new(confsync.Pack(next.Raw)))
 	f.current.Store(fresh)
+	if source != peerRead {
+		f.node.Announce() // hosts that do not wait at the store ask for it
+	}
 	f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current)).
 		Str("source", source.String()).Dur("behind_ms", f.newer.reached(now, next.Version())).Int("bytes", next.Bytes).
 		Int("routes", len(next.Routes)).Int("added", added).Int("removed", removed).Send()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -137,6 +137,7 @@
 		rereadHosts: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&Bounds{ApplyConfiguration: applyBound})
+	g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a", Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"}})
 	f := newFollowers(g)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -232,7 +233,6 @@
 		source, hosts := newVersions(1), &quietHosts{}
 		g := follow(t, source)
 		g.options.Hosts = hosts
-		g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a", Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"}})
 		g.router, g.limiter = newRouter("north", g.boundsNow, "a"), quota.New()
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
--- a/gateway/gossip/bundle_test.go
+++ b/gateway/gossip/bundle_test.go
@@ -105,8 +105,13 @@
 	}
 	defer func() { _ = other.Close() }()
 	for _, packet := range [][]byte{
-		{byte(bundleFar)}, {byte(bundleFar), 0}, {byte(bundleFar), 0, 9, 1}, {byte(bundle), 0xff, 0xff, 1, 2, 3},
-		{byte(collect)}, append([]byte{byte(bundleFar), 0, 20}, make([]byte, 20)...), {},
+		{byte(bundleFar)},
+		{byte(bundleFar), 0},
+		{byte(bundleFar), 0, 9, 1},
+		{byte(bundle), 0xff, 0xff, 1, 2, 3},
+		{byte(collect)},
+		append([]byte{byte(bundleFar), 0, 20}, make([]byte, 20)...),
+		{},
 	} {
 		p.node.deliver(packet)
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -109,6 +109,9 @@
 	Exclude []settings.UpstreamID
 	// Repeatable requests may be lost at an upstream that is likely sick, because they can be sent again.
 	Repeatable bool
+	// Idempotent requests may run again, but perhaps this one cannot be sent again. They make the trials of a service of which
+	// less than the floor is in use.
+	Idempotent bool
 	// Again is true for a request that an upstream has failed already; it makes no trial.
 	Again bool
 	// Beside is true for an attempt beside one that still runs. It is worth making only at an upstream with room.
@@ -123,6 +126,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view := p.sort(now, upstreams, request, breakers)
+	if request.Idempotent && !request.Repeatable && view.belowFloor(request.Floor) {
+		request.Repeatable = true
+		view = p.sort(now, upstreams, request, breakers)
+	}
 	switch {
 	case request.Beside:
 		return p.pickBeside(now, &view, breakers)
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -30,7 +30,8 @@
 func (s states) Strikes(_ time.Time, id settings.UpstreamID) float64             { return s.strikes[id] }
 func (s states) MayTryEarly(time.Time, settings.UpstreamID) bool                 { return s.early }
 func (s states) Hangs(id settings.UpstreamID) bool                               { return s.hangs[id] }
-func (s states) MayBeWell(_ time.Time, id settings.UpstreamID) bool              { return s.well[id] }
+
+func (s states) MayBeWell(_ time.Time, id settings.UpstreamID) bool { return s.well[id] }
 
 // spread counts which upstreams n requests go to; each ends before the next begins if done.
 func spread(p *Pool, upstreams []settings.Upstream, r Request, b Breakers, n int, done bool) (map[settings.UpstreamID]int, int) {
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -28,7 +28,7 @@
 func (x *exchange) pick(beside bool) (Attempt, bool) {
 	route := durations.Route{Name: x.route.Name, Target: x.policy.TargetLatency}
 	return x.options.Upstreams.Pick(x.service, route, placement.Request{
-		Exclude: x.tried, Repeatable: x.repeatable(), Again: len(x.tried) > 0,
+		Exclude: x.tried, Repeatable: x.repeatable(), Idempotent: x.policy.Idempotent, Again: len(x.tried) > 0,
 		Beside: beside,
 	})
 }
--- /dev/null
+++ b/gateway/watch_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/breaker"
+	"github.com/bronzeyard/bronzeyard/gateway/durations"
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
+	"github.com/bronzeyard/bronzeyard/gateway/relay"
+	"github.com/bronzeyard/bronzeyard/settings"
+)
+
+var watchedRoute = durations.Route{Name: "book", Target: 600 * time.Millisecond}
+
+// newWatchedRouter returns a router that knows the durations of a service: 150 ms to 250 ms.
+func newWatchedRouter() (*router, *routedService) {
+	r := newRouter("north", func() Bounds { return Bounds{} }, "a")
+	r.tell = func([]breaker.Notice) {}
+	r.tellNear = func([]breaker.Notice) {}
+	r.changed = func(settings.UpstreamID, bool, string, string) {}
+	s := r.service("desk")
+	for i := range 100 {
+		s.durations.Observe(watchedRoute, 150*time.Millisecond+time.Duration(i)*time.Millisecond)
+	}
+	return r, s
+}
+
+// Guards the users' report of upstreams that hang: bookings went on to an upstream that had not answered any for a second.
+// Two attempts without an answer open its breaker within three times the usual duration.
+func TestSilenceOpensTheBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newWatchedRouter()
+		begin := time.Now()
+		r.watch(s, watchedRoute, "u", begin)
+		time.Sleep(20 * time.Millisecond)
+		r.watch(s, watchedRoute, "u", time.Now())
+		for !r.breakers.IsOpen("u") && time.Since(begin) < 5*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if took := time.Since(begin); took > 600*time.Millisecond {
+			t.Errorf("the breaker opened after %v", took)
+		}
+	})
+}
+
+// Guards against upstreams out of use because of answers that are only late: with the answers the breaker closes, and one
+// late attempt does not open it.
+func TestLateAnswersTakeTheEvidenceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newWatchedRouter()
+		one, other := r.watch(s, watchedRoute, "u", time.Now()), r.watch(s, watchedRoute, "u", time.Now())
+		r.watch(s, watchedRoute, "single", time.Now())
+		for !r.breakers.IsOpen("u") {
+			time.Sleep(time.Millisecond)
+		}
+		one.end(relay.Answered, 350*time.Millisecond)
+		other.end(relay.Answered, 350*time.Millisecond)
+		if r.breakers.IsOpen("u") {
+			t.Error("the breaker is open although both attempts were answered")
+		}
+		if strikes := r.breakers.Strikes(time.Now(), "u"); strikes > 0.05 {
+			t.Errorf("%v strikes are left", strikes)
+		}
+		time.Sleep(10 * time.Second)
+		if r.breakers.IsOpen("single") {
+			t.Error("one attempt without an answer has opened the breaker")
+		}
+	})
+}
+
+// Guards against a queue at a full upstream that is taken for sickness.
+func TestQueueDelaysTheEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newWatchedRouter()
+		opened := func(id settings.UpstreamID) time.Duration {
+			begin := time.Now()
+			r.watch(s, watchedRoute, id, begin)
+			r.watch(s, watchedRoute, id, begin)
+			for !r.breakers.IsOpen(id) {
+				s.pool.Hear(time.Now(), placement.Report{Upstream: "full", Load: 2})
+				time.Sleep(time.Millisecond)
+			}
+			return time.Since(begin)
+		}
+		if idle, full := opened("idle"), opened("full"); float64(full) < 1.8*float64(idle) {
+			t.Errorf("the breaker of a full upstream opened after %v, that of an idle one after %v", full, idle)
+		}
+	})
+}
+
+// Guards the users' report of a process that acts late after a pause: the answers that came while it was frozen are read
+// before their absence counts.
+func TestFrozenHostReadsAnswersFirst(t *testing.T) {
+	r, s := newWatchedRouter()
+	begin := time.Now().Add(-3 * time.Second) // the process has not run since the attempts began
+	for range 3 {
+		w := r.watch(s, watchedRoute, "u", begin)
+		w.mu.Lock()
+		w.due = begin.Add(300 * time.Millisecond)
+		w.mu.Unlock()
+		w.reached()
+	}
+	if r.breakers.IsOpen("u") {
+		t.Error("the breaker opened at the moment at which the process woke")
+	}
+}
