Retry budget: the slack flows in over its window

Cause: the budget allows ratio x requests + slack in each window, but the slack was a burst that came once.

Change: two fifths of the slack come at once, the rest flows in. A second attempt beside another needs clear room; one beside a trial needs none, since it stands in for an attempt that is likely lost.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -148,7 +148,7 @@
 		return Choice{}, false
 	}
 	chosen, load := p.choose(now, view.candidates, breakers)
-	if load >= fullLoad {
+	if load >= nearRoom {
 		return Choice{}, false
 	}
 	return take(chosen, Choice{Load: load, Candidates: len(view.candidates)}), true
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -156,7 +156,8 @@
 	if len(r.running) != 1 || r.x.sent+1 >= r.x.maxAttempts() {
 		return false
 	}
-	chosen, ok := r.x.pick(true)
+	// The second attempt beside a trial stands in for one that is likely lost; any other one is extra load.
+	chosen, ok := r.x.pick(!r.running[0].chosen.Trial)
 	if !ok {
 		return true
 	}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -20,6 +20,8 @@
 	// budgetShare is the share of the retry budget that the hosts use. The rest is for what they do before they have heard of
 	// each other.
 	budgetShare = 0.92
+	// atOncePart is the part of the slack that may come at once.
+	atOncePart = 0.4
 	// leastRetries is the rate of retries of a service without requests, per second. A limit of 0 would be none.
 	leastRetries = 0.1
 	// arrivalHalfLife is the time in which the rate of a service's requests follows a change by half.
@@ -279,14 +281,26 @@
 	return r.retries.Would(time.Now(), id, limit)
 }
 
-// retryLimit returns the retry budget of a service: the slack may come at once, and the ratio of the requests flows in.
-// Callers reach hosts at random, so the requests of all hosts are about those of this one times their number.
+// retryLimit returns the retry budget of a service. Callers reach hosts at random, so the requests of all hosts are about
+// those of this one times their number.
 func (r *router) retryLimit(service settings.CustomerID) (quota.Limit, bool) {
 	bounds := r.bounds()
 	requests := r.service(settings.ServiceName(service)).perSecond(time.Now()) * float64(r.hostCount())
-	return quota.Limit{
+	return retryBudget(&bounds, requests), true
+}
+
+// retryBudget is the limit for a number of requests per second. The bound holds for each window of some seconds, so the slack
+// comes again in each: a part of it may come at once, the rest flows in. If all of it came at once, a service in which
+// upstreams are sick for long would have used it up after the first seconds.
+func retryBudget(bounds *Bounds, requests float64) quota.Limit {
+	limit := quota.Limit{
 		Rate: budgetShare*bounds.RetryRatio*requests + leastRetries, Burst: budgetShare * bounds.RetrySlack,
-	}, true
+	}
+	if window := bounds.RetryWindow.Seconds(); window > 0 {
+		limit.Rate += (1 - atOncePart) * limit.Burst / window
+		limit.Burst *= atOncePart
+	}
+	return limit
 }
 
 // RefusedFor implements relay.Upstreams.
