What waited while a host was paused is not passed on as fresh

Cause: a datagram states the age of its sender's read of the upstreams when it is sent. One that waits in the socket of a paused relay, or in the outbox of a paused hub, was passed on and believed as if it had just been sent (TestPausedRelayDoesNotPassOnOldStateAsFresh: a read of 1.5 s ago came as one of 45 ms ago).

Change: a host that finds that it did not run passes nothing on and takes no sender's state for 100 ms; a hub drops what it gathered before, since the senders have sent it directly.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -336,7 +336,7 @@
 
 // receive takes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
-	if !m.Overtaken {
+	if !m.Old {
 		g.receiveState(now, m)
 	}
 	for _, notice := range m.Notices {
--- a/gateway/gossip/bundle.go
+++ b/gateway/gossip/bundle.go
@@ -34,7 +34,7 @@
 	mu sync.Mutex
 	// near go to the own data centre; far are those of them that go to the others too.
 	near, far [][]byte
-	gathering bool
+	since     time.Time // of the first of them; zero if there is none
 }
 
 // waiting is a datagram that was given to a hub and not yet seen in a bundle.
@@ -170,8 +170,8 @@
 	if !nearOnly {
 		n.outbox.far = append(n.outbox.far, own)
 	}
-	if !n.outbox.gathering {
-		n.outbox.gathering = true
+	if n.outbox.since.IsZero() {
+		n.outbox.since = time.Now()
 		time.AfterFunc(bundleInterval, n.flush)
 	}
 }
@@ -179,10 +179,13 @@
 // flush sends the bundles.
 func (n *Node) flush() {
 	n.outbox.mu.Lock()
-	near, far := n.outbox.near, n.outbox.far
-	n.outbox.near, n.outbox.far, n.outbox.gathering = nil, nil, false
+	near, far, since := n.outbox.near, n.outbox.far, n.outbox.since
+	n.outbox.near, n.outbox.far, n.outbox.since = nil, nil, time.Time{}
 	n.outbox.mu.Unlock()
 	now := time.Now()
+	if now.Sub(since) > echoWithin {
+		return // this host was paused, and the senders have sent directly
+	}
 	n.writeAll(bundles(bundle, near), n.table.nearTargets(now))
 	for _, packet := range bundles(bundleFar, far) {
 		n.writeAll([][]byte{packet}, n.table.farTargets(now))
@@ -237,7 +240,7 @@
 		}
 		rest = rest[size:]
 	}
-	if passage(packet[0]) == bundleFar && fresh {
+	if passage(packet[0]) == bundleFar && fresh && !n.paused(time.Now()) {
 		packet[0] = byte(bundle)
 		n.writeAll([][]byte{packet}, n.table.nearTargets(time.Now()))
 	}
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -26,6 +26,8 @@
 	usesInterval = 150 * time.Millisecond
 	// lateFrom is the lateness that is reported: the process was frozen or short of processor time.
 	lateFrom = 250 * time.Millisecond
+	// drainTime is the time after a pause in which what is read from the socket may have come during the pause.
+	drainTime = 100 * time.Millisecond
 	// coalesceNotices is for how long notices wait for others to share a datagram.
 	coalesceNotices = 5 * time.Millisecond
 	// headBytes precede the body of a packet: its passage and the MAC of the body.
@@ -42,8 +44,9 @@
 type Message struct {
 	Host     string
 	Sequence uint64
-	// Overtaken is true if a newer datagram has come before: what this one says of the sender's state is out of date.
-	Overtaken     bool
+	// Old is true if a newer datagram has come before, or this host was paused while it waited: what it says of the sender's
+	// state is out of date.
+	Old           bool
 	Leaving       bool
 	Configuration uint64
 	// StoreAway is true if the sender could not read the store lately, and AtStore if it waits there for a new configuration.
@@ -109,6 +112,9 @@
 	table    table
 	sequence atomic.Uint64
 	leaving  atomic.Bool
+	// ticked is the time of the last turn of the loop, and woken the time until which datagrams may have waited for the end of a
+	// pause. nil before the loop runs.
+	ticked, woken atomic.Pointer[time.Time]
 	// announced is set when a heartbeat is to be sent at once.
 	announced atomic.Bool
 	wake      chan struct{}
@@ -253,13 +259,15 @@
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.options.Conn.Close() })
 	defer stop()
-	go n.receive(ctx)
 	heartbeat := time.NewTicker(HeartbeatInterval)
 	defer heartbeat.Stop()
 	uses := time.NewTicker(usesInterval)
 	defer uses.Stop()
 	n.broadcast(n.collect(false), allHosts)
-	ticked := time.Now()
+	begun := time.Now()
+	ticked := begun
+	n.ticked.Store(&begun)
+	go n.receive(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -269,9 +277,12 @@
 		case <-uses.C:
 			now := time.Now()
 			if late := now.Sub(ticked) - usesInterval; late > lateFrom {
+				woken := now.Add(drainTime)
+				n.woken.Store(&woken)
 				n.options.Late(late)
 			}
 			ticked = now
+			n.ticked.Store(&now)
 			n.checkHub(now)
 			n.sendUrgent(n.collect(true))
 		case <-n.wake:
--- /dev/null
+++ b/gateway/gossip/paused_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/quota"
+)
+
+// Guards the users' report of a process that acts on something out of date after a pause: a datagram that waited in the
+// socket of a paused relay must not make its sender's read of the upstreams look fresh to the hosts behind it.
+func TestPausedRelayDoesNotPassOnOldStateAsFresh(t *testing.T) {
+	const pause, age = 1500 * time.Millisecond, 40 * time.Millisecond
+	sender, last := newPeer(t, "sender", "north"), newPeer(t, "last", "south")
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	none := func(time.Time, bool) []quota.Use { return nil }
+	relay := New(Options{
+		Self: Record{
+			ID: "relay", Incarnation: 7, Address: conn.LocalAddr().String(), CallerAddress: "127.0.0.1:1", DataCentre: "south",
+			Key: NewKey(),
+		},
+		Conn: conn, Configuration: func() uint64 { return 12 }, Retries: none, Uses: none,
+		Registry: func(time.Time) RegistryState { return RegistryState{} },
+		Receive:  func(time.Time, *Message) {}, Found: func(string) {}, Unknown: func(string) {}, Returned: func(string) {},
+	})
+	records := []Record{sender.node.options.Self, relay.options.Self, last.node.options.Self}
+	relay.Update(time.Now(), records)
+	last.node.Update(time.Now(), records)
+	sender.node.Update(time.Now(), records[1:2]) // it knows the relay only
+	sender.node.Announce()
+	time.Sleep(100 * time.Millisecond)
+	sender.node.Update(time.Now(), nil)
+	if err := sender.conn.Close(); err != nil { // nothing newer overtakes what waits
+		t.Fatal(err)
+	}
+	time.Sleep(pause)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		relay.receive(t.Context())
+	}()
+	time.Sleep(200 * time.Millisecond)
+	for _, m := range last.from("sender") {
+		if !m.Old && m.Registry.Digest != 0 && m.Registry.Age < pause-age {
+			t.Errorf("a read of more than %v ago came as one of %v ago", pause, m.Registry.Age)
+		}
+	}
+	if err := conn.Close(); err != nil {
+		t.Error(err)
+	}
+	<-ended
+}
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -54,7 +54,7 @@
 	}
 	from, accepted := n.accept(packet[1:])
 	switch {
-	case !accepted:
+	case !accepted, n.paused(time.Now()):
 	case as == direct:
 		n.passOn(packet, from)
 	case as == collect || as == collectNear:
@@ -91,7 +91,7 @@
 	}
 	now := time.Now()
 	message := decode(&m)
-	accepted, returned := n.table.accept(now, message)
+	accepted, returned := n.table.accept(now, message, n.paused(now))
 	if !accepted {
 		n.repeated.Add(1)
 		return "", false
@@ -103,6 +103,13 @@
 	return message.Host, true
 }
 
+// paused reports whether what is read from the socket may have waited there while this process did not run. How long is not
+// known, so it is not passed on, and does not count as news of its sender.
+func (n *Node) paused(now time.Time) bool {
+	ticked, woken := n.ticked.Load(), n.woken.Load()
+	return ticked == nil || now.Sub(*ticked) > usesInterval+lateFrom || (woken != nil && now.Before(*woken))
+}
+
 // acceptOwn takes a datagram of this host that has come back in a bundle.
 func (n *Node) acceptOwn(m *gossippb.Datagram, sealed []byte) {
 	self := &n.options.Self
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -94,8 +94,8 @@
 }
 
 // accept notes a verified datagram. It reports false for one that was taken before or is overtaken by too many. Only the
-// newest one states what the host is now.
-func (t *table) accept(now time.Time, m *Message) (accepted, returned bool) {
+// newest one states what the host is now, unless this host was paused.
+func (t *table) accept(now time.Time, m *Message, paused bool) (accepted, returned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	host := t.hosts[m.Host]
@@ -103,7 +103,7 @@
 		return false, false
 	}
 	fresh, overtaken := host.take(m.Sequence)
-	if m.Overtaken = overtaken; !fresh || overtaken {
+	if m.Old = overtaken || paused; !fresh || m.Old {
 		return fresh, false
 	}
 	returned = !host.heard || now.Sub(host.HeardAt) > AliveFor
