--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -419,7 +419,7 @@
 }
 
 // Guards against a request that hangs until its time is over because the retry budget had nothing left when its second attempt
-// was due (55 requests of quiet-1 of the kubha site).
+// was due (19 requests of a play of quiet-1 of the kubha site).
 func TestSecondAttemptWaitsForTheBudget(t *testing.T) {
 	r := newRig(t)
 	r.first.fault.Store(&fault{readOnly: -1, writeOnly: -1, silent: true})
