--- a/gateway/breaker/breaker.go
+++ b/gateway/breaker/breaker.go
@@ -114,22 +114,23 @@
 )
 
 type circuit struct {
-	strikes   float64
-	silent    float64 // the part of strikes that comes from attempts without an answer
-	strikesAt time.Time
-	doubted   bool // open because of silence alone
-	hangs     bool // the newest failure was silence
-	passed    int  // trials in a row that succeeded
-	badAt     time.Time
-	openedAt  time.Time
-	open      bool
-	until     time.Time
-	triedAt   time.Time // of the last trial of any host
-	hold      time.Duration
-	closedAt  time.Time
-	trial     bool // this host's trial is running
-	rank      int  // this host's place in the order of trials, as of the hosts of rankedFor
-	rankedFor int
+	strikes     float64
+	silent      float64 // the part of strikes that comes from attempts without an answer
+	strikesAt   time.Time
+	silenceOnly bool // open because of silence alone
+	hangs       bool // the newest failure was silence
+	passed      int  // trials in a row that succeeded
+	badAt       time.Time
+	// repeatableFrom is the time from which a request that can be sent again may make a trial.
+	repeatableFrom time.Time
+	open           bool
+	until          time.Time
+	triedAt        time.Time // of the last trial of any host
+	hold           time.Duration
+	closedAt       time.Time
+	trial          bool // this host's trial is running
+	rank           int  // this host's place in the order of trials, as of the hosts of rankedFor
+	rankedFor      int
 }
 
 // Set holds the breakers of all upstreams. It is safe for concurrent use.
@@ -180,7 +181,7 @@
 	rank := time.Duration(s.rank(id, c))
 	due := c.until.Add(rank * s.delayWithin(rankSpread))
 	if repeatable {
-		due = earlier(due, later(c.openedAt, c.triedAt).Add(repeatableHold+rank*s.delayWithin(repeatableRankSpread)))
+		due = earlier(due, c.repeatableFrom.Add(rank*s.delayWithin(repeatableRankSpread)))
 	}
 	if now.Before(due) {
 		return Open
@@ -247,7 +248,8 @@
 	if c == nil || !c.open {
 		return nil
 	}
-	c.trial, c.triedAt = true, now
+	c.trial = true
+	c.tried(now)
 	c.until = later(c.until, now.Add(trialHold))
 	return []Notice{{Kind: NoticeTrial, Upstream: id}}
 }
@@ -294,7 +296,8 @@
 		return s.bad(now, notice.Upstream, strikes)
 	case NoticeTrial:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open && !c.trial {
-			c.until, c.triedAt = later(c.until, now.Add(trialHold)), now
+			c.until = later(c.until, now.Add(trialHold))
+			c.tried(now)
 		}
 	case NoticePassed:
 		if c := s.circuits[notice.Upstream]; c != nil && c.open {
@@ -311,7 +314,7 @@
 		c := s.circuit(notice.Upstream)
 		if !c.open {
 			c.openFor(now)
-			c.doubted, c.hangs, c.badAt = true, true, now
+			c.silenceOnly, c.hangs, c.badAt = true, true, now
 			return true
 		}
 	}
@@ -363,7 +366,7 @@
 // failed takes a bad sample whose strikes were added. It reports whether it opens the breaker.
 func (c *circuit) failed(now time.Time) bool {
 	trial := c.trial || now.Sub(c.triedAt) < trialHold
-	c.trial, c.badAt, c.doubted, c.hangs = false, now, false, false
+	c.trial, c.badAt, c.silenceOnly, c.hangs = false, now, false, false
 	switch {
 	case c.open:
 		// Attempts from before the breaker opened say nothing new; a trial that failed does.
@@ -387,12 +390,12 @@
 		return true
 	}
 	// Requests that can be sent again come first.
-	c.trial, c.until, c.triedAt, c.openedAt = false, now.Add(unrepeatableDelay), time.Time{}, now.Add(-repeatableHold)
+	c.trial, c.until, c.triedAt, c.repeatableFrom = false, now.Add(unrepeatableDelay), time.Time{}, now
 	return false
 }
 
 func (c *circuit) openFor(now time.Time) {
-	c.open, c.openedAt, c.passed = true, now, 0
+	c.open, c.repeatableFrom, c.passed = true, now.Add(repeatableHold), 0
 	if c.hold == 0 || now.Sub(c.closedAt) > forgetHold {
 		c.hold = firstHold
 	} else {
@@ -401,6 +404,9 @@
 	c.until = now.Add(c.hold)
 }
 
+// tried notes the start of a trial of any host.
+func (c *circuit) tried(now time.Time) { c.triedAt, c.repeatableFrom = now, now.Add(repeatableHold) }
+
 func (c *circuit) reopen(now time.Time) {
 	c.passed = 0
 	c.grow()
@@ -410,7 +416,7 @@
 func (c *circuit) grow() { c.hold = min(longestHold, time.Duration(holdGrowth*float64(c.hold))) }
 
 func (c *circuit) close(now time.Time) {
-	c.open, c.trial, c.doubted, c.closedAt = false, false, false, now
+	c.open, c.trial, c.silenceOnly, c.closedAt = false, false, false, now
 	c.strikes, c.silent, c.strikesAt = strikesAfterTrial, 0, now
 }
 
--- a/gateway/breaker/breaker_test.go
+++ b/gateway/breaker/breaker_test.go
@@ -40,9 +40,9 @@
 		t.Error("a second error status right after did not open the breaker")
 	}
 	s = New("a")
-	for _, rung := range Rungs {
-		if _, all := s.ReportSilence(at(0), "u", Silence{Now: SilenceStrikes(rung)}); len(all) > 0 {
-			t.Errorf("one attempt, as old as 1 - %v of the good answers, opened the breaker", rung)
+	for _, level := range SilenceLevels {
+		if _, all := s.ReportSilence(at(0), "u", Silence{Now: SilenceStrikes(level)}); len(all) > 0 {
+			t.Errorf("one attempt, as old as 1 - %v of the good answers, opened the breaker", level)
 		}
 		s = New("a")
 	}
--- a/gateway/breaker/silence.go
+++ b/gateway/breaker/silence.go
@@ -7,8 +7,8 @@
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
-// Rungs are the probabilities that a good answer comes later, at which an attempt without an answer is weighed.
-var Rungs = [...]float64{0.12, 0.04, 0.015}
+// SilenceLevels are the probabilities that a good answer comes later, at which an attempt without an answer is weighed.
+var SilenceLevels = [...]float64{0.12, 0.04, 0.015}
 
 const (
 	// sickSilence is the share of the requests that an upstream which hangs leaves without an answer.
@@ -67,7 +67,7 @@
 	case c.strikes >= 1 && !c.open:
 		hard := c.strikes-c.silent >= hardStrikes
 		c.openFor(now)
-		c.badAt, c.doubted, c.hangs = now, !hard, true
+		c.badAt, c.silenceOnly, c.hangs = now, !hard, true
 		return true
 	default:
 		return false
@@ -76,7 +76,7 @@
 
 // answered closes a breaker that silence alone has opened, if answers have come after all.
 func (c *circuit) answered(now time.Time) (closed bool) {
-	if !c.open || !c.doubted || c.strikes >= confirmedStrikes {
+	if !c.open || !c.silenceOnly || c.strikes >= confirmedStrikes {
 		return false
 	}
 	strikes := c.strikes
--- a/gateway/breaker/silence_test.go
+++ b/gateway/breaker/silence_test.go
@@ -2,13 +2,13 @@
 
 import "testing"
 
-// silent is the evidence of an attempt that has passed a rung.
-func silent(rung int) Silence {
+// silent is the evidence of an attempt that has passed a level.
+func silent(level int) Silence {
 	before := 0.0
-	if rung > 0 {
-		before = SilenceStrikes(Rungs[rung-1])
+	if level > 0 {
+		before = SilenceStrikes(SilenceLevels[level-1])
 	}
-	return Silence{Before: before, Now: SilenceStrikes(Rungs[rung])}
+	return Silence{Before: before, Now: SilenceStrikes(SilenceLevels[level])}
 }
 
 // Guards against bookings that go on to an upstream that hangs: two attempts that only 1 in 25 answers exceed open its breaker,
@@ -17,8 +17,8 @@
 	a, far := New("a"), New("far")
 	var all []Notice
 	for range 2 {
-		for rung := range 2 {
-			_, told := a.ReportSilence(at(0), "u", silent(rung))
+		for level := range 2 {
+			_, told := a.ReportSilence(at(0), "u", silent(level))
 			all = append(all, told...)
 		}
 	}
@@ -42,14 +42,14 @@
 		}
 		var all []Notice
 		for range 2 {
-			for rung := range 2 {
-				_, told := a.ReportSilence(at(0), "u", silent(rung))
+			for level := range 2 {
+				_, told := a.ReportSilence(at(0), "u", silent(level))
 				all = append(all, told...)
 			}
 		}
 		expectState(t, a, 0.01, Open)
 		for range 2 {
-			_, told := a.ReportSilence(at(0.05), "u", Silence{Before: SilenceStrikes(Rungs[1])})
+			_, told := a.ReportSilence(at(0.05), "u", Silence{Before: SilenceStrikes(SilenceLevels[1])})
 			all = append(all, told...)
 		}
 		for _, notice := range all {
@@ -76,8 +76,8 @@
 		t.Errorf("after a good trial the next one is not due for a repeatable request: %v", got)
 	}
 	s.BeginTrial(at(6.3), "u")
-	for rung := range 2 {
-		s.ReportSilence(at(6.8), "u", silent(rung))
+	for level := range 2 {
+		s.ReportSilence(at(6.8), "u", silent(level))
 	}
 	expectState(t, s, 7.5, Open)
 	if got := s.State(at(6.9), "u", true); got != Open {
--- a/gateway/durations/durations_test.go
+++ b/gateway/durations/durations_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Guards the inverse: the ladder of ages and the weight of an age must agree.
+// Guards the inverse: the ages of the levels and the weight of an age must agree.
 func TestAgeIsTheInverseOfExceeds(t *testing.T) {
 	var m Model
 	for i := range 100 {
--- a/gateway/gossip/bundle.go
+++ b/gateway/gossip/bundle.go
@@ -90,7 +90,7 @@
 	}
 	candidates := []hubHost{{id: t.self, score: rendezvous.Score(t.dataCentre, t.self)}}
 	for id, host := range t.hosts {
-		if host.DataCentre == t.dataCentre && !host.Leaving && now.Sub(host.HeardAt) <= doubtAfter && usable(id) {
+		if host.DataCentre == t.dataCentre && !host.Leaving && now.Sub(host.HeardAt) <= silentAfter && usable(id) {
 			candidates = append(candidates, hubHost{id: id, to: host.to, score: rendezvous.Score(t.dataCentre, id)})
 		}
 	}
@@ -134,7 +134,7 @@
 	n.uplink.mu.Unlock()
 	n.options.HubFailed(hub)
 	// All of them go the same way, because hosts drop a datagram that a newer one has overtaken.
-	near, far := n.table.nearTargets(now), n.table.farTargets(now)
+	near, far := n.table.near(now), n.table.relays(now)
 	for _, w := range lost {
 		n.sendDirectly(w.packet, near, far, w.nearOnly)
 	}
@@ -148,16 +148,16 @@
 }
 
 // sendDirectly sends a sealed datagram to the hosts of the own data centre and to relays of the others.
-func (n *Node) sendDirectly(packet []byte, near, far []netip.AddrPort, nearOnly bool) {
+func (n *Node) sendDirectly(packet []byte, near, far []receiver, nearOnly bool) {
 	packet[0] = byte(direct)
-	for _, to := range near {
-		n.write(packet, to)
+	for _, host := range near {
+		n.write(packet, host.to)
 	}
 	if nearOnly {
 		return
 	}
-	for _, to := range far {
-		n.write(packet, to)
+	for _, host := range far {
+		n.write(packet, host.to)
 	}
 }
 
@@ -186,16 +186,16 @@
 	if now.Sub(since) > echoWithin {
 		return // this host was paused, and the senders have sent directly
 	}
-	n.writeAll(bundles(bundle, near), n.table.nearTargets(now))
+	n.writeAll(bundles(bundle, near), n.table.near(now))
 	for _, packet := range bundles(bundleFar, far) {
-		n.writeAll([][]byte{packet}, n.table.farTargets(now))
+		n.writeAll([][]byte{packet}, n.table.relays(now))
 	}
 }
 
-func (n *Node) writeAll(packets [][]byte, targets []netip.AddrPort) {
+func (n *Node) writeAll(packets [][]byte, targets []receiver) {
 	for _, packet := range packets {
-		for _, to := range targets {
-			n.write(packet, to)
+		for _, host := range targets {
+			n.write(packet, host.to)
 		}
 	}
 }
@@ -242,6 +242,6 @@
 	}
 	if passage(packet[0]) == bundleFar && fresh && !n.paused(time.Now()) {
 		packet[0] = byte(bundle)
-		n.writeAll([][]byte{packet}, n.table.nearTargets(time.Now()))
+		n.writeAll([][]byte{packet}, n.table.near(time.Now()))
 	}
 }
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -214,7 +214,7 @@
 		_, _, repeated := p.node.Counters()
 		copies += repeated
 	}
-	if most := int64(a.node.sequence.Load()) * hosts * (doubtRelays - 1); copies > most {
+	if most := int64(a.node.sequence.Load()) * hosts * (relaysSomeSilent - 1); copies > most {
 		t.Errorf("%d hosts got %d copies of %d datagrams, want %d at most", hosts, copies, newest, most)
 	}
 }
--- a/gateway/gossip/introduce.go
+++ b/gateway/gossip/introduce.go
@@ -19,7 +19,7 @@
 		return
 	}
 	now := time.Now()
-	n.sendRecord(introduction, body, n.table.nearHosts(now))
+	n.sendRecord(introduction, body, n.table.near(now))
 	n.sendRecord(introduction, body, n.table.relays(now))
 }
 
@@ -50,48 +50,10 @@
 	}
 	n.options.Found(record.ID)
 	if passage(packet[0]) == introduction && record.DataCentre != n.options.Self.DataCentre {
-		n.sendRecord(introductionPassedOn, sealed[macBytes:], n.table.nearHosts(now))
+		n.sendRecord(introductionPassedOn, sealed[macBytes:], n.table.near(now))
 	}
 }
 
-// receiver is a host to send to.
-type receiver struct {
-	to  netip.AddrPort
-	key []byte
-}
-
-// nearHosts returns the hosts of the own data centre.
-func (t *table) nearHosts(now time.Time) []receiver {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var near []receiver
-	for _, host := range t.hosts {
-		if host.DataCentre == t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
-			near = append(near, receiver{host.to, host.Key})
-		}
-	}
-	return near
-}
-
-// relays returns hosts of the other data centres that pass on what is sent to them.
-func (t *table) relays(now time.Time) []receiver {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	distant := make(map[string][]*Host)
-	for _, host := range t.hosts {
-		if host.DataCentre != t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
-			distant[host.DataCentre] = append(distant[host.DataCentre], host)
-		}
-	}
-	var far []receiver
-	for _, hosts := range distant {
-		for _, host := range drawn(now, hosts) {
-			far = append(far, receiver{host.to, host.Key})
-		}
-	}
-	return far
-}
-
 // introduce takes the record of a host that has started. It reports false for one that is known, or that a later start has
 // replaced.
 func (t *table) introduce(now time.Time, record Record) bool {
@@ -128,25 +90,25 @@
 		t.replaced[former{record.ID, known.Incarnation}] = true
 	}
 	t.hosts[record.ID] = &Host{Record: record, HeardAt: now, to: to}
-	delete(t.strangers, record.ID)
+	delete(t.unknownSince, record.ID)
 	return true
 }
 
-// stranger notes a datagram of a host whose record is not known. It reports whether the record must be read, because the host
+// overdue notes a datagram of a host whose record is not known. It reports whether the record must be read, because the host
 // has not introduced itself in time.
-func (t *table) stranger(now time.Time, id string) bool {
+func (t *table) overdue(now time.Time, id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	since, seen := t.strangers[id]
+	since, seen := t.unknownSince[id]
 	if !seen {
-		if len(t.strangers) < maxFormer {
-			t.strangers[id] = now
+		if len(t.unknownSince) < maxFormer {
+			t.unknownSince[id] = now
 		}
 		return false
 	}
 	if now.Sub(since) < introduceWithin {
 		return false
 	}
-	t.strangers[id] = now
+	t.unknownSince[id] = now
 	return true
 }
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -180,7 +180,7 @@
 	n.loads = make(map[settings.UpstreamID]float64)
 	n.table.self, n.table.dataCentre = options.Self.ID, options.Self.DataCentre
 	n.table.hosts = make(map[string]*Host)
-	n.table.replaced, n.table.strangers = make(map[former]bool), make(map[string]time.Time)
+	n.table.replaced, n.table.unknownSince = make(map[former]bool), make(map[string]time.Time)
 	return n
 }
 
@@ -386,10 +386,10 @@
 		return
 	}
 	packet := seal(n.options.Self.Key, body)
-	near, nearOnly := n.table.nearTargets(now), lane == ownDataCentre
+	near, nearOnly := n.table.near(now), lane == ownDataCentre
 	switch {
 	case lane == atOnce, !n.sendByHub(now, slices.Clone(packet), m.GetSequence(), nearOnly):
-		n.sendDirectly(packet, near, n.table.farTargets(now), nearOnly)
+		n.sendDirectly(packet, near, n.table.relays(now), nearOnly)
 	case len(c.notices) > 0 && !nearOnly:
 		n.sendDirectly(packet, near, nil, true)
 	}
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -76,7 +76,7 @@
 	key, newest, known := n.table.find(m.GetHost(), m.GetIncarnation())
 	if !known {
 		n.rejected.Add(1)
-		if n.table.stranger(time.Now(), m.GetHost()) {
+		if n.table.overdue(time.Now(), m.GetHost()) {
 			n.options.Unknown(m.GetHost())
 		}
 		return "", false
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -61,9 +61,9 @@
 
 	mu    sync.Mutex
 	hosts map[string]*Host
-	// replaced are earlier starts of hosts, and strangers hosts without a record by the time of their first datagram.
-	replaced  map[former]bool
-	strangers map[string]time.Time
+	// replaced are earlier starts of hosts, and unknownSince hosts without a record by the time of their first datagram.
+	replaced     map[former]bool
+	unknownSince map[string]time.Time
 }
 
 // update takes the records of the store. A record that is missing is kept while its host is heard.
@@ -131,46 +131,52 @@
 func (h *Host) Alive(now time.Time) bool { return now.Sub(h.HeardAt) <= AliveFor }
 
 const (
-	// calmRelays is the number of hosts of another data centre that get a datagram and pass it on there while all of them
+	// relaysAllHeard is the number of hosts of another data centre that get a datagram and pass it on there while all of them
 	// are heard. Each datagram goes to others, so that one lost does little harm.
-	calmRelays = 1
-	// doubtRelays is their number while a host there has not been heard for doubtAfter: those drawn may be away too.
-	doubtRelays = 2
-	doubtAfter  = 1300 * time.Millisecond
+	relaysAllHeard = 1
+	// relaysSomeSilent is their number while a host there has not been heard for silentAfter: those drawn may be away too.
+	relaysSomeSilent = 2
+	silentAfter      = 1300 * time.Millisecond
 )
 
-// farTargets returns the hosts of other data centres to which a datagram goes: in each one some that are drawn at random,
-// which pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away costs
-// only a part of the datagrams.
-func (t *table) farTargets(now time.Time) []netip.AddrPort {
+// receiver is a host to send to, with the key that introductions to it are sealed with.
+type receiver struct {
+	to  netip.AddrPort
+	key []byte
+}
+
+// near returns the hosts of the own data centre.
+func (t *table) near(now time.Time) []receiver {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var targets []netip.AddrPort
-	distant := make(map[string][]*Host)
+	var near []receiver
 	for _, host := range t.hosts {
-		if host.DataCentre != t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
-			distant[host.DataCentre] = append(distant[host.DataCentre], host)
-		}
-	}
-	for _, hosts := range distant {
-		for _, host := range drawn(now, hosts) {
-			targets = append(targets, host.to)
+		if host.DataCentre == t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
+			near = append(near, receiver{host.to, host.Key})
 		}
 	}
-	return targets
+	return near
 }
 
-// nearTargets returns the hosts of the own data centre.
-func (t *table) nearTargets(now time.Time) []netip.AddrPort {
+// relays returns the hosts of other data centres to which a datagram goes: in each one some that are drawn at random, which
+// pass it on there. Traffic between data centres is dear, and with a new draw each time a host that is away costs only a part of
+// the datagrams.
+func (t *table) relays(now time.Time) []receiver {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var targets []netip.AddrPort
+	distant := make(map[string][]*Host)
 	for _, host := range t.hosts {
-		if host.DataCentre == t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
-			targets = append(targets, host.to)
+		if host.DataCentre != t.dataCentre && now.Sub(host.HeardAt) <= countedFor {
+			distant[host.DataCentre] = append(distant[host.DataCentre], host)
 		}
 	}
-	return targets
+	var relays []receiver
+	for _, hosts := range distant {
+		for _, host := range drawn(now, hosts) {
+			relays = append(relays, receiver{host.to, host.Key})
+		}
+	}
+	return relays
 }
 
 // drawn draws relays, and prefers hosts that were heard lately and stay.
@@ -181,13 +187,13 @@
 			continue
 		}
 		staying = append(staying, host)
-		if now.Sub(host.HeardAt) <= doubtAfter {
+		if now.Sub(host.HeardAt) <= silentAfter {
 			heard = append(heard, host)
 		}
 	}
-	relays := doubtRelays
+	relays := relaysSomeSilent
 	if len(heard) == len(staying) {
-		relays = calmRelays
+		relays = relaysAllHeard
 	}
 	if len(heard) > 0 {
 		hosts = heard
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -203,12 +203,12 @@
 // Guards bookings against an upstream that may hang: they go elsewhere while attempts there are late, repeatable requests do
 // not, because they find out.
 func TestBookingsAvoidDoubt(t *testing.T) {
-	upstreams := []settings.Upstream{upstream("doubted", "north"), upstream("well", "north")}
-	breakers := states{strikes: map[settings.UpstreamID]float64{"doubted": 0.37}}
-	if counts, _ := spread(pool(), upstreams, Request{}, breakers, 50, true); counts["doubted"] != 0 {
+	upstreams := []settings.Upstream{upstream("silenceOnly", "north"), upstream("well", "north")}
+	breakers := states{strikes: map[settings.UpstreamID]float64{"silenceOnly": 0.37}}
+	if counts, _ := spread(pool(), upstreams, Request{}, breakers, 50, true); counts["silenceOnly"] != 0 {
 		t.Errorf("50 bookings went %v", counts)
 	}
-	if counts, _ := spread(pool(), upstreams, Request{Repeatable: true}, breakers, 50, true); counts["doubted"] == 0 {
+	if counts, _ := spread(pool(), upstreams, Request{Repeatable: true}, breakers, 50, true); counts["silenceOnly"] == 0 {
 		t.Errorf("50 repeatable requests went %v", counts)
 	}
 }
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -330,12 +330,12 @@
 }
 
 // Guards against decisions that spend what they only ask about.
-func TestWouldTakesNothing(t *testing.T) {
+func TestWouldAdmitTakesNothing(t *testing.T) {
 	l := New()
 	limit := Limit{Rate: 0.001, Burst: 10}
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for range 50 {
-		if !l.Would(begin, "c", limit) {
+		if !l.WouldAdmit(begin, "c", limit) {
 			t.Fatal("a full bucket would allow nothing")
 		}
 	}
@@ -343,7 +343,7 @@
 	for l.Admit(begin, "c", limit).Allowed {
 		admitted++
 	}
-	if admitted == 0 || l.Would(begin, "c", limit) {
+	if admitted == 0 || l.WouldAdmit(begin, "c", limit) {
 		t.Errorf("%d admitted, and then one more would be", admitted)
 	}
 }
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -45,10 +45,10 @@
 	Load float64
 	// Age is the age of the list of upstreams that the choice was made from.
 	Age time.Duration
-	// Patience is the time without an answer after which a repeatable request is also sent elsewhere, and Usual the time in
+	// HedgeAfter is the time without an answer after which a repeatable request is also sent elsewhere, and Usual the time in
 	// which most good answers come; 0 if unknown.
-	Patience, Usual time.Duration
-	Done            func(Result)
+	HedgeAfter, Usual time.Duration
+	Done              func(Result)
 }
 
 // Upstreams chooses upstreams.
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -197,7 +197,7 @@
 		if !tried {
 			return Attempt{
 				Upstream: settings.Upstream{ID: settings.UpstreamID(u.id), Address: u.listener.Addr().String()}, Done: func(Result) {},
-				Patience: 100 * time.Millisecond, Trial: o.trial && i == 0,
+				HedgeAfter: 100 * time.Millisecond, Trial: o.trial && i == 0,
 			}, true
 		}
 	}
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -104,7 +104,7 @@
 }
 
 func (r *race) run() *pipeline.Response {
-	hang := time.NewTimer(r.patience())
+	hang := time.NewTimer(r.hedgeDelay())
 	defer hang.Stop()
 	for {
 		select {
@@ -121,7 +121,7 @@
 			if refusal := r.again(a); refusal != nil {
 				return r.lost(refusal)
 			}
-			hang.Reset(r.patience())
+			hang.Reset(r.hedgeDelay())
 		case <-hang.C:
 			if r.launchBeside() {
 				hang.Reset(budgetWait)
@@ -130,14 +130,14 @@
 	}
 }
 
-// patience is the time after which a second attempt starts beside the newest one. It leaves at least half of the remaining
+// hedgeDelay is the time after which a second attempt starts beside the newest one. It leaves at least half of the remaining
 // time for it, and the usual duration of an answer before the time within which answers are worth most.
-func (r *race) patience() time.Duration {
+func (r *race) hedgeDelay() time.Duration {
 	chosen := &r.running[len(r.running)-1].chosen
 	now := time.Now()
 	after := r.x.deadline.Sub(now) / 2
-	if chosen.Patience > 0 {
-		after = min(after, chosen.Patience)
+	if chosen.HedgeAfter > 0 {
+		after = min(after, chosen.HedgeAfter)
 	}
 	if target := r.x.policy.TargetLatency; target > 0 && chosen.Usual > 0 {
 		if last := r.x.request.ReadAt.Add(target).Sub(now) - chosen.Usual; last >= chosen.Usual {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -28,10 +28,10 @@
 	arrivalHalfLife = 5 * time.Second
 	// shortestRetryAfter and retrySpread make callers that were refused come back spread over time.
 	shortestRetryAfter = 300 * time.Millisecond
-	// leastPatience and trialPatience are the probabilities that a good answer is still to come, at which a second attempt
+	// hedgeChance and trialHedgeChance are the probabilities that a good answer is still to come, at which a second attempt
 	// starts beside one at an upstream without strikes, and beside a trial.
-	leastPatience = 0.07
-	trialPatience = 0.3
+	hedgeChance      = 0.07
+	trialHedgeChance = 0.3
 	// usualChance is the probability that a good answer takes longer than usual.
 	usualChance = 0.25
 	retrySpread = 0.5
@@ -166,17 +166,17 @@
 	attempt := relay.Attempt{
 		Upstream: choice.Upstream, Trial: choice.Trial, Load: choice.Load, Age: now.Sub(view.ReadAt), Done: done,
 	}
-	attempt.Patience, _ = s.durations.Age(route, patienceChance(choice, r.breakers.Strikes(now, id)))
+	attempt.HedgeAfter, _ = s.durations.Age(route, hedgeChanceFor(choice, r.breakers.Strikes(now, id)))
 	attempt.Usual, _ = s.durations.Age(route, usualChance)
 	return attempt, true
 }
 
-// patienceChance is the probability that an attempt still gets a good answer when a second one is started beside it.
-func patienceChance(choice placement.Choice, strikes float64) float64 {
+// hedgeChanceFor is the probability that an attempt still gets a good answer when a second one is started beside it.
+func hedgeChanceFor(choice placement.Choice, strikes float64) float64 {
 	if choice.Trial {
-		return trialPatience
+		return trialHedgeChance
 	}
-	return leastPatience + (trialPatience-leastPatience)*min(1, strikes)
+	return hedgeChance + (trialHedgeChance-hedgeChance)*min(1, strikes)
 }
 
 // done takes the result of an attempt.
@@ -278,7 +278,7 @@
 func (r *router) MayRetry(service settings.ServiceName) bool {
 	id := settings.CustomerID(service)
 	limit, _ := r.retryLimit(id)
-	return r.retries.Would(time.Now(), id, limit)
+	return r.retries.WouldAdmit(time.Now(), id, limit)
 }
 
 // retryLimit returns the retry budget of a service. Callers reach hosts at random, so the requests of all hosts are about
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -18,7 +18,7 @@
 	unknownWait = 100 * time.Millisecond
 	// lateTimer is the lateness of a timer from which the process was frozen or short of processor time.
 	lateTimer = 100 * time.Millisecond
-	// keptSilence is the part of the strikes that stays when an answer comes after the last rung: the upstream is slow.
+	// keptSilence is the part of the strikes that stays when an answer comes after the last level: the upstream is slow.
 	keptSilence = 0.5
 )
 
@@ -34,7 +34,7 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	due   time.Time
-	rung  int // the next one
+	level int // the next one
 	told  float64
 	ended bool
 }
@@ -49,12 +49,12 @@
 	return w
 }
 
-// untilRung is the time until the next rung, if there is one. A queue at the upstream delays it.
-func (w *watch) untilRung(now time.Time) (time.Duration, bool) {
-	if w.rung >= len(breaker.Rungs) {
+// untilLevel is the time until the next level, if there is one. A queue at the upstream delays it.
+func (w *watch) untilLevel(now time.Time) (time.Duration, bool) {
+	if w.level >= len(breaker.SilenceLevels) {
 		return 0, false
 	}
-	age, ok := w.service.durations.Age(w.route, breaker.Rungs[w.rung])
+	age, ok := w.service.durations.Age(w.route, breaker.SilenceLevels[w.level])
 	if !ok {
 		return 0, false
 	}
@@ -66,11 +66,11 @@
 	return min(max(1, w.service.pool.Reported(now, w.upstream)), longestQueue)
 }
 
-// wait sets the timer for the next rung. Where nothing is known of the service, answers of others may tell soon.
+// wait sets the timer for the next level. Where nothing is known of the service, answers of others may tell soon.
 func (w *watch) wait(now time.Time) {
-	left, ok := w.untilRung(now)
+	left, ok := w.untilLevel(now)
 	switch {
-	case w.rung >= len(breaker.Rungs):
+	case w.level >= len(breaker.SilenceLevels):
 		return
 	case !ok:
 		left = unknownWait
@@ -83,7 +83,7 @@
 	w.timer.Reset(left)
 }
 
-// reached reports the rung, unless the queue at the upstream has grown meanwhile. A process that was frozen first reads the
+// reached reports the level, unless the queue at the upstream has grown meanwhile. A process that was frozen first reads the
 // answers that came in this time.
 func (w *watch) reached() {
 	w.mu.Lock()
@@ -96,9 +96,9 @@
 		w.waitFor(now, lateTimer)
 		return
 	}
-	if left, ok := w.untilRung(now); ok && left <= 0 {
-		w.tell(breaker.SilenceStrikes(breaker.Rungs[w.rung]))
-		w.rung++
+	if left, ok := w.untilLevel(now); ok && left <= 0 {
+		w.tell(breaker.SilenceStrikes(breaker.SilenceLevels[w.level]))
+		w.level++
 	}
 	w.wait(now)
 }
@@ -125,7 +125,7 @@
 	}
 	switch {
 	case w.told == 0:
-	case w.rung >= len(breaker.Rungs) && outcome == relay.Answered:
+	case w.level >= len(breaker.SilenceLevels) && outcome == relay.Answered:
 		w.tell(keptSilence * w.told)
 	default:
 		w.tell(0)
