Log from which position a configuration was read, and how long the read waited

The configuration line now has took_ms, written (the transaction that wrote it), store_version and, of a waiting read, the position after which it waited.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -92,7 +92,8 @@
 	if f.fetchFromPeers(ctx) {
 		return
 	}
-	next, _, err := f.readWhole(ctx)
+	began := time.Now()
+	next, at, err := f.readWhole(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.awaitReturn(ctx, dependency, err, f.retryConfiguration, f.rereadConfiguration)
@@ -100,7 +101,7 @@
 		return
 	}
 	dependency.worked()
-	f.apply(next, hintedRead)
+	f.apply(next, configurationRead{source: hintedRead, at: at, took: time.Since(began)})
 }
 
 // fetchFromPeers reports whether a host has passed on a newer configuration.
@@ -114,7 +115,7 @@
 		if err == nil {
 			var next *Configuration
 			if next, err = f.options.Configurations.Decode(raw); err == nil {
-				f.apply(next, peerRead)
+				f.apply(next, configurationRead{source: peerRead})
 			}
 		}
 		if err != nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -95,6 +95,7 @@
 			known = false // the feed begins with a read of all
 			continue
 		}
+		began := time.Now()
 		next, at, source, err := f.readConfiguration(ctx, position, known)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -107,12 +108,32 @@
 		case err == nil:
 			f.storeAway.Store(false)
 			dependency.worked()
+			f.apply(next, configurationRead{source: source, after: position, at: at, took: time.Since(began)})
 			position, known = at, true
-			f.apply(next, source)
 		}
 	}
 }
 
+// configurationRead is a read that brought a configuration, or confirmed the one in force.
+type configurationRead struct {
+	source configurationSource
+	// after is the position from which it waited for a change, and at the one that the store stated.
+	after, at Position
+	took      time.Duration
+}
+
+// describe adds what tells a change that was reported late from one that a read passed over.
+func (r configurationRead) describe(line *zerolog.Event, next *Configuration) *zerolog.Event {
+	line = line.Str("source", r.source.String())
+	if r.source == peerRead {
+		return line
+	}
+	if r.source == feedRead {
+		line = line.Uint64("after", uint64(r.after))
+	}
+	return line.Uint64("written", uint64(next.Written)).Uint64("store_version", uint64(r.at)).Dur("took_ms", r.took)
+}
+
 // configurationSource is the kind of read that brought a configuration.
 type configurationSource int
 
@@ -201,7 +222,7 @@
 }
 
 // apply puts a configuration in force unless the one in force is as new. nil confirms the one in force.
-func (f *followers) apply(next *Configuration, source configurationSource) {
+func (f *followers) apply(next *Configuration, read configurationRead) {
 	current := f.current.Load()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
 		if current != nil {
@@ -213,11 +234,11 @@
 	fresh, added, removed := newInForce(now, next, current)
 	f.packed.Store(new(confsync.Pack(next.Raw)))
 	f.current.Store(fresh)
-	if source != peerRead {
+	if read.source != peerRead {
 		f.node.Announce() // hosts that do not wait at the store ask for it
 	}
-	f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current)).
-		Str("source", source.String()).Dur("behind_ms", f.newer.reached(now, next.Version())).Int("bytes", next.Bytes).
+	line := f.logger.Info().Str("event", "configuration").Uint64("version", next.Version()).Uint64("before", versionOf(current))
+	read.describe(line, next).Dur("behind_ms", f.newer.reached(now, next.Version())).Int("bytes", next.Bytes).
 		Int("routes", len(next.Routes)).Int("added", added).Int("removed", removed).Send()
 }
 
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -28,6 +28,8 @@
 	Bytes int
 	// Raw is the configuration as the store has it.
 	Raw []byte
+	// Written is the position at which the store took it; 0 if another host has passed it on.
+	Written Position
 }
 
 // Version is the version of the configuration.
