Read the configuration's changes when the store has moved on and no waiting read was answered

Cause: the hosts that follow the configuration did so by one read each that waits up to 20 s for a change. After the store had dropped its history it answered none of them until their wait was over. All six were in the same state, so no host stated a newer version and the hint that ends such a wait never came. That no notification had come was taken for no change.

Change: the host that reads the upstreams in its turn learns the store's version with each read. If it is ahead of this host's last read of the configuration, it reads the changes since, without a wait; the others hear of what it finds. A store in which nothing changes gets no more calls, and one that writes all the time one more with each read of the upstreams, for the whole fleet. Reads of the upstreams follow config_apply_ms as well where it is shorter than drain_ms.

Ruled out: shorter waits, spread over the hosts that wait. They cost calls also where nothing changes, and a lone host would call a hundred times a minute (TestQuietHostCallsTheStoreSeldom).

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -82,6 +82,8 @@
 			return
 		case <-f.rereadConfiguration:
 		case <-f.retryConfiguration:
+		case <-f.storeChanged:
+			f.checkConfiguration(ctx, dependency)
 		case <-ticker.C:
 		}
 	}
@@ -102,6 +104,7 @@
 	}
 	dependency.worked()
 	f.apply(next, configurationRead{source: hintedRead, at: at, took: time.Since(began)})
+	f.position = at
 }
 
 // fetchFromPeers reports whether a host has passed on a newer configuration.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,14 +39,21 @@
 	// retryConfiguration and retryHosts tell that the store is back.
 	retryConfiguration chan struct{}
 	retryHosts         chan struct{}
-	peers              *confsync.Client
-	waitsLogged        bool // only for the follower of the configuration
+	// storeChanged tells that a read of the upstreams has stated storeVersion.
+	storeChanged chan struct{}
+	storeVersion atomic.Uint64
+	peers        *confsync.Client
+
+	// Only for the follower of the configuration.
+	waitsLogged bool
+	// position is where this host has last read the configuration, 0 before the first read.
+	position Position
 }
 
 func newFollowers(g *Gateway) *followers {
 	return &followers{
 		Gateway: g, retryConfiguration: make(chan struct{}, 1), retryHosts: make(chan struct{}, 1),
-		peers: confsync.NewClient(),
+		storeChanged: make(chan struct{}, 1), peers: confsync.NewClient(),
 	}
 }
 
@@ -87,7 +95,6 @@
 // configuration follows the operator's configuration.
 func (f *followers) configuration(ctx context.Context) {
 	dependency := f.dependency("configuration")
-	var position Position
 	known := false
 	for ctx.Err() == nil {
 		if f.current.Load() != nil && !f.waits() {
@@ -96,10 +103,10 @@
 			continue
 		}
 		began := time.Now()
-		next, at, source, err := f.readConfiguration(ctx, position, known)
+		next, at, source, err := f.readConfiguration(ctx, known)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(position)).Send()
+			f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(f.position)).Send()
 			known = false
 		case err != nil && ctx.Err() == nil:
 			known = false // a read of all may succeed where the feed fails, and finds what was missed
@@ -108,8 +115,8 @@
 		case err == nil:
 			f.storeAway.Store(false)
 			dependency.worked()
-			f.apply(next, configurationRead{source: source, after: position, at: at, took: time.Since(began)})
-			position, known = at, true
+			f.apply(next, configurationRead{source: source, after: f.position, at: at, took: time.Since(began)})
+			f.position, known = at, true
 		}
 	}
 }
@@ -128,7 +135,7 @@
 	if r.source == peerRead {
 		return line
 	}
-	if r.source == feedRead {
+	if r.source == feedRead || r.source == checkRead {
 		line = line.Uint64("after", uint64(r.after))
 	}
 	return line.Uint64("written", uint64(next.Written)).Uint64("store_version", uint64(r.at)).Dur("took_ms", r.took)
@@ -144,6 +151,8 @@
 	feedRead
 	// hintedRead is a whole read because another host has a newer version.
 	hintedRead
+	// checkRead did not wait for a change, because the store has changed since the position.
+	checkRead
 	// peerRead was passed on by another host.
 	peerRead
 )
@@ -157,6 +166,8 @@
 		return "feed"
 	case hintedRead:
 		return "hint"
+	case checkRead:
+		return "check"
 	case peerRead:
 		return "host"
 	default:
@@ -164,11 +175,8 @@
 	}
 }
 
-// readConfiguration reads the newest configuration, or waits for the next one. A hint that another host has a newer one
-// ends the wait.
-func (f *followers) readConfiguration(
-	ctx context.Context, after Position, known bool,
-) (*Configuration, Position, configurationSource, error) {
+// readConfiguration reads the newest configuration, or waits for the next one. News that this host is behind ends the wait.
+func (f *followers) readConfiguration(ctx context.Context, known bool) (*Configuration, Position, configurationSource, error) {
 	if !known {
 		next, at, err := f.readWhole(ctx)
 		return next, at, wholeRead, err
@@ -178,36 +186,43 @@
 	interrupt := make(chan struct{})
 	ended := make(chan struct{})
 	defer close(ended)
-	go f.interruptWhenBehind(ended, interrupt)
-	next, at, err := f.options.Configurations.ConfigurationAfter(waiting, after, configurationWait, interrupt)
+	go f.interruptWhenBehind(f.position, ended, interrupt)
+	next, at, err := f.options.Configurations.ConfigurationAfter(waiting, f.position, configurationWait, interrupt)
 	if !errors.Is(err, ErrInterrupted) {
 		return next, at, feedRead, err
 	}
+	if f.storeBeyond(f.position) && !f.newer.beyond(f.version()) {
+		return f.readChanges(ctx)
+	}
 	next, at, err = f.readWhole(ctx)
 	return next, at, hintedRead, err
 }
 
-// interruptWhenBehind closes interrupt if another host has a newer version and the read of this one does not bring it in
-// the grace: its connection may have gone silent. Without a grace most hosts would read each version twice, because it is
-// in force at some host before all others have read it. It also closes interrupt when the store is back after it was away:
-// the store may have forgotten who waits.
-func (f *followers) interruptWhenBehind(ended <-chan struct{}, interrupt chan<- struct{}) {
+// interruptWhenBehind closes interrupt if another host has a newer version, or the store has changed since the position, and
+// the read of this host does not end in the grace: its connection may have gone silent, or the store does not answer it.
+// Without a grace most hosts would read each version twice, because it is in force at some host before all others have read
+// it. It also closes interrupt when the store is back after it was away: the store may have forgotten who waits.
+func (f *followers) interruptWhenBehind(after Position, ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
 	for {
 		select {
 		case <-f.rereadConfiguration:
+		case <-f.storeChanged:
 		case <-f.retryConfiguration:
 			close(interrupt)
 			return
 		case <-ended:
 			return
 		}
+		if !f.newer.beyond(f.version()) && !f.storeBeyond(after) {
+			continue
+		}
 		select {
 		case <-time.After(grace):
 		case <-ended:
 			return
 		}
-		if f.newer.beyond(f.version()) {
+		if f.newer.beyond(f.version()) || f.storeBeyond(after) {
 			close(interrupt)
 			return
 		}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -26,8 +26,10 @@
 	transfer time.Duration
 	// forgets makes reads that wait for a change wait for ever.
 	forgets bool
-	whole   int // reads of the newest configuration
-	feed    int // reads that wait for a change
+	// oldest is the position before which changes are no longer told.
+	oldest Position
+	whole  int // reads of the newest configuration
+	feed   int // reads that wait for a change
 }
 
 // silence is the time after which a source gives up a call without progress.
@@ -95,9 +97,12 @@
 ) (*Configuration, Position, error) {
 	v.mu.Lock()
 	v.feed++
-	forgets := v.forgets
+	forgets, gone := v.forgets, after < v.oldest
 	v.mu.Unlock()
-	if forgets {
+	if gone {
+		return nil, 0, ErrHistoryGone
+	}
+	if forgets && wait > 0 {
 		select {
 		case <-interrupt:
 			return nil, 0, ErrInterrupted
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// freshPart is the part of Bounds.StopLeaving for which a read of the upstreams stays fresh. The rest is for the hosts
-	// that are to read next and fail, for the way to the others, and for their own reads.
+	// freshPart is the part of Bounds.StopLeaving and of Bounds.ApplyConfiguration for which a read of the upstreams stays
+	// fresh. The rest is for the hosts that are to read next and fail, for the way to the others, and for their own reads.
 	freshPart = 0.45
 	// turnDelay is the time between the turns of two hosts to read, and longestTurn the most that a host waits.
 	turnDelay   = 50 * time.Millisecond
@@ -100,6 +100,7 @@
 	f.registryChanged(f.router.registry.Update(started, version, entries), version, "")
 	if inTurn {
 		f.turnRead.Store(started.UnixNano())
+		f.storeRead(version)
 	}
 	return nil
 }
@@ -174,7 +175,7 @@
 
 // untilTurn is the time until this host reads the upstreams if no other does: earlier if entries that are kept end before.
 func (f *followers) untilTurn() time.Duration {
-	fresh := time.Duration(freshPart * float64(f.boundsNow().StopLeaving))
+	fresh := time.Duration(freshPart * float64(f.boundsNow().readStore()))
 	wait := time.Until(f.router.registry.View().ReadAt.Add(fresh)) + f.turn()
 	if until, kept := f.router.registry.KeptUntil(); kept {
 		wait = min(wait, time.Until(until))
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -45,9 +45,9 @@
 type ConfigurationSource interface {
 	// Configuration returns the newest configuration, nil if there is none yet, and the position of the read.
 	Configuration(ctx context.Context) (*Configuration, Position, error)
-	// ConfigurationAfter waits up to wait for a configuration newer than the position. It returns nil if there is none, and
-	// ErrHistoryGone if the position is too old. When interrupt is closed before an answer has begun to arrive, it returns
-	// ErrInterrupted; an answer that arrives is read to its end.
+	// ConfigurationAfter waits up to wait for a configuration newer than the position; 0 does not wait. It returns nil if
+	// there is none, and ErrHistoryGone if the position is too old. When interrupt is closed before an answer has begun to
+	// arrive, it returns ErrInterrupted; an answer that arrives is read to its end.
 	ConfigurationAfter(
 		ctx context.Context, after Position, wait time.Duration, interrupt <-chan struct{},
 	) (*Configuration, Position, error)
@@ -57,7 +57,8 @@
 
 // UpstreamSource reads the entries of all upstreams.
 type UpstreamSource interface {
-	// Upstreams returns the entries that could be decoded, and the store's version.
+	// Upstreams returns the entries that could be decoded, and the store's version, which grows with every change of the
+	// configuration and can be compared with the Position of a read of it.
 	Upstreams(ctx context.Context) ([]registry.Entry, uint64, error)
 }
 
@@ -89,3 +90,12 @@
 	// LimitTolerance is the number of requests by which all hosts together may exceed a customer's limit.
 	LimitTolerance float64
 }
+
+// readStore is the time in which what a read of the upstreams finds must have taken effect: upstreams that leave, and by the
+// store's version changes of the configuration.
+func (b Bounds) readStore() time.Duration {
+	if b.ApplyConfiguration == 0 {
+		return b.StopLeaving
+	}
+	return min(b.StopLeaving, b.ApplyConfiguration)
+}
