--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,8 +201,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.leave()
-	return nil
+	return g.leave(served)
 }
 
 // settingsHeaderTimeout bounds the time in which another host sends its question.
