A read of the hosts' records does not replace what came after it began

Report of other operators: after a restart, a key that had been withdrawn was in use again. Cause here: a host that reads the records slowly, or is paused while it does, may hear the introduction of a host that has started again before it takes what it has read. The record of the earlier start with its key then replaced the newer one, whose later introductions were dropped as those of a start that is over; the host was heard again only after another read of the store.

Change: a record that was taken after a read began is not replaced by that read. Incarnations are random and have no order, so they cannot decide it; refusing records of replaced starts would refuse the newer one for good where the earlier one comes first.

Before: TestReadThatAnIntroductionHasOvertaken fails in both cases (earlier start known, not known). After: it passes, with the tests of gateway and gateway/gossip, also under the race detector.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -288,6 +288,7 @@
 		*written = true
 		defer f.introduce(ctx)
 	}
+	readAt := time.Now()
 	stored, err := f.options.Hosts.Hosts(calling)
 	if err != nil {
 		return err
@@ -301,7 +302,7 @@
 		}
 		records = append(records, record)
 	}
-	for _, id := range f.node.Update(time.Now(), records) {
+	for _, id := range f.node.Update(readAt, records) {
 		f.hostFound(id)
 	}
 	f.countHosts()
--- a/gateway/gossip/introduce.go
+++ b/gateway/gossip/introduce.go
@@ -89,7 +89,7 @@
 		}
 		t.replaced[former{record.ID, known.Incarnation}] = true
 	}
-	t.hosts[record.ID] = &Host{Record: record, HeardAt: now, to: to}
+	t.hosts[record.ID] = &Host{Record: record, HeardAt: now, putAt: now, to: to}
 	delete(t.unknownSince, record.ID)
 	return true
 }
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -184,8 +184,10 @@
 	return n
 }
 
-// Update takes the records of the store and returns the ids of hosts whose process is new.
-func (n *Node) Update(now time.Time, records []Record) []string { return n.table.update(now, records) }
+// Update takes the records of a read of the store that began at readAt, and returns the ids of hosts whose process is new.
+func (n *Node) Update(readAt time.Time, records []Record) []string {
+	return n.table.update(readAt, records)
+}
 
 // Hosts returns the other hosts of the fleet.
 func (n *Node) Hosts(now time.Time) []Host { return n.table.list(now) }
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -30,8 +30,9 @@
 	StoreAway bool
 
 	to       netip.AddrPort
-	sequence uint64 // the newest of its datagrams
-	taken    uint64 // bit i is set if the one that is i older was taken
+	putAt    time.Time // when the record was taken
+	sequence uint64    // the newest of its datagrams
+	taken    uint64    // bit i is set if the one that is i older was taken
 	heard    bool
 }
 
@@ -66,13 +67,15 @@
 	unknownSince map[string]time.Time
 }
 
-// update takes the records of the store. A record that is missing is kept while its host is heard.
-func (t *table) update(now time.Time, records []Record) (changed []string) {
+// update takes the records of a read of the store. A record that is missing is kept while its host is heard. One that was put
+// after the read began may be newer than what the read has found.
+func (t *table) update(readAt time.Time, records []Record) (changed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for _, record := range records {
 		known := t.hosts[record.ID]
-		if record.ID == t.self || (known != nil && known.Incarnation == record.Incarnation) {
+		if record.ID == t.self || (known != nil && (known.Incarnation == record.Incarnation || known.putAt.After(readAt))) {
 			continue
 		}
 		if t.put(now, record) {
