--- a/gateway/gossip/bundle_test.go
+++ b/gateway/gossip/bundle_test.go
@@ -97,6 +97,12 @@
 	if took := time.Since(begin); took > 2*echoWithin {
 		t.Errorf("a message has reached all hosts %v after its hub failed", took)
 	}
+	from.node.uplink.mu.Lock()
+	_, avoided := from.node.uplink.avoided[hub]
+	from.node.uplink.mu.Unlock()
+	if !avoided {
+		t.Error("the hub that failed is not avoided")
+	}
 	tell(t, alive, from, "later")
 }
 
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -43,7 +44,7 @@
 	reset bool
 	// twice writes each answer two times, and late does so when the next request arrives.
 	twice, late bool
-	// silent reads requests and never answers.
+	// silent runs requests and never answers.
 	silent bool
 	// notRun refuses each request.
 	notRun bool
@@ -130,10 +131,10 @@
 			return
 		}
 		u.size.Store(source.n - int64(reader.Buffered()) - begin)
+		text := u.answer(request, f)
 		if f.silent {
 			continue
 		}
-		text := u.answer(request, f)
 		if f.writeOnly >= 0 {
 			_, _ = io.WriteString(conn, text[:min(f.writeOnly, len(text))])
 			u.end(conn, f)
@@ -282,7 +283,9 @@
 func (r *rig) expect(what string, repeatable bool, response *pipeline.Response, id string) {
 	r.t.Helper()
 	if !repeatable {
-		r.bookings = append(r.bookings, booking{what: what, id: id, status: response.Status})
+		r.bookings = append(r.bookings, booking{
+			what: what, id: id, status: response.Status, outcome: response.Header.Get(errkind.OutcomeHeader),
+		})
 	}
 	if repeatable && response.Status != http.StatusOK {
 		r.t.Errorf("%s: status %d although the second upstream is sound", what, response.Status)
@@ -293,10 +296,11 @@
 	}
 }
 
-// booking is a request that must run at most once, and the status that its caller got.
+// booking is a request that must run at most once, and the status and the stated outcome that its caller got.
 type booking struct {
 	what, id string
 	status   int
+	outcome  string
 }
 
 // expectAtMostOnce checks all bookings when the upstreams have ended, because one may run after its answer.
@@ -309,6 +313,9 @@
 		if promisesNotRun(b.status) && runs > 0 {
 			r.t.Errorf("%s: status %d, but the booking ran", b.what, b.status)
 		}
+		if b.outcome == string(errkind.NotRun) && runs > 0 {
+			r.t.Errorf("%s: status %d says that the booking did not run, and it ran", b.what, b.status)
+		}
 	}
 }
 
