--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -37,7 +37,7 @@
 // Attach adds the command to the parser.
 func Attach(parser *flaggy.Parser, out io.Writer) *Command {
 	c := &Command{subcommand: flaggy.NewSubcommand("soak"), out: out, seeds: 1, parallel: 2, hosts: 4}
-	c.subcommand.Description = "play random faults against host processes on this machine; about 40 s a seed"
+	c.subcommand.Description = "play random faults against host processes on this machine; about 45 s a seed"
 	c.subcommand.UInt64(&c.first, "", "seed", "first seed (default: drawn)")
 	c.subcommand.Int(&c.seeds, "", "seeds", "number of seeds")
 	c.subcommand.Int(&c.parallel, "", "parallel", "seeds that are played at the same time")
@@ -80,6 +80,8 @@
 		failed error
 		broken int
 		all    sync.WaitGroup
+		tried  = make(map[soak.Kind]int)
+		judged int
 	)
 	places := make(chan struct{}, max(1, c.parallel))
 	for seed := c.first; seed < c.first+uint64(c.seeds); seed++ {
@@ -96,10 +98,18 @@
 			if len(report.Violations) > 0 {
 				broken++
 			}
+			for i := range report.Incidents {
+				tried[report.Incidents[i].Kind]++
+			}
+			judged += report.Probes
+			for _, n := range report.Answers {
+				judged += n
+			}
 			c.print(report)
 		})
 	}
 	all.Wait()
+	_, _ = fmt.Fprintf(c.out, "incidents by kind: %v\n%d requests\n", tried, judged)
 	_, _ = fmt.Fprintf(c.out, "%d seeds from %d on: %d with a broken promise\n", c.seeds, c.first, broken)
 	if broken > 0 {
 		return exitBroken, failed
@@ -120,7 +130,8 @@
 }
 
 func (c *Command) print(report *soak.Report) {
-	_, _ = fmt.Fprintf(c.out, "seed %d: answers by status %v\n", report.Seed, report.Answers)
+	_, _ = fmt.Fprintf(c.out, "seed %d: answers by status %v, %d probes, %d of them bound by a change\n",
+		report.Seed, report.Answers, report.Probes, report.Judged)
 	if len(report.Violations) == 0 {
 		return
 	}
