After a pause, requests wait until the host has read the store again

Report of other operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile. Cause here: a host that wakes reads the requests in its sockets and serves them with the configuration and the upstreams from before the pause; its reads of the store come some milliseconds later. Nothing had reached that case: the soak's bounds are stretched by the pause, and the tests of pauses looked at datagrams and evidence.

Change: a pause of 0.35 of the shorter one of ApplyConfiguration and StopLeaving (0.7 s) or more is noticed by the control loop, or by the first request that finds that the loop has not run. The host then reads the configuration and the upstreams, whatever waits at the store, and holds requests until both reads, begun after the pause, are in force; 0.3 s at most, because a host goes on with what it knows while the store is away. Ruled out: 503 until then, which sends callers away for some tens of milliseconds; taking other hosts' statements, which may have been paused too.

TestRequestsWaitForReadsAfterAPause fails without either read. That a request notices the pause before the loop does is not shown by a test: without it the first one passes too.

Cost: two calls of the store for each pause of a host, of which the read of the upstreams was due anyway after 1.2 s. In a fleet of hundreds the read of the configuration is a call more for each paused host.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -82,6 +82,9 @@
 			return
 		case <-f.rereadConfiguration:
 		case <-f.retryConfiguration:
+		case <-f.rereadAfterPause.configuration:
+			f.fetchFromStore(ctx, dependency)
+			return
 		case <-ticker.C:
 		}
 	}
@@ -89,9 +92,13 @@
 
 // fetchNewer asks hosts that have a newer configuration for it, and then the store.
 func (f *followers) fetchNewer(ctx context.Context, dependency *dependency) {
-	if f.fetchFromPeers(ctx) {
-		return
+	if !f.fetchFromPeers(ctx) {
+		f.fetchFromStore(ctx, dependency)
 	}
+}
+
+// fetchFromStore reads the configuration once.
+func (f *followers) fetchFromStore(ctx context.Context, dependency *dependency) {
 	next, _, err := f.readWhole(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,6 +40,8 @@
 	retryHosts         chan struct{}
 	peers              *confsync.Client
 	waitsLogged        bool // only for the follower of the configuration
+	// wholeRead is the start of the newest whole read of the configuration. Only for its follower.
+	wholeRead time.Time
 }
 
 func newFollowers(g *Gateway) *followers {
@@ -169,7 +171,7 @@
 // interruptWhenBehind closes interrupt if another host has a newer version and the read of this one does not bring it in
 // the grace: its connection may have gone silent. Without a grace most hosts would read each version twice, because it is
 // in force at some host before all others have read it. It also closes interrupt when the store is back after it was away:
-// the store may have forgotten who waits.
+// the store may have forgotten who waits. After a pause of this process, what the wait has brought may be long overtaken.
 func (f *followers) interruptWhenBehind(ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
 	for {
@@ -178,11 +180,17 @@
 		case <-f.retryConfiguration:
 			close(interrupt)
 			return
+		case <-f.rereadAfterPause.configuration:
+			close(interrupt)
+			return
 		case <-ended:
 			return
 		}
 		select {
 		case <-time.After(grace):
+		case <-f.rereadAfterPause.configuration:
+			close(interrupt)
+			return
 		case <-ended:
 			return
 		}
@@ -197,11 +205,17 @@
 func (f *followers) readWhole(ctx context.Context) (*Configuration, Position, error) {
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f.options.Configurations.Configuration(reading)
+	started := time.Now()
+	next, at, err := f.options.Configurations.Configuration(reading)
+	if err == nil {
+		f.wholeRead = started
+	}
+	return next, at, err
 }
 
 // apply puts a configuration in force unless the one in force is as new. nil confirms the one in force.
 func (f *followers) apply(next *Configuration, source configurationSource) {
+	defer f.configurationRead.Store(new(f.wholeRead)) // once it is in force
 	current := f.current.Load()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
 		if current != nil {
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -117,6 +117,9 @@
 		case <-ctx.Done():
 		case <-timer.C:
 			return true
+		case <-f.rereadAfterPause.upstreams:
+			timer.Stop()
+			return false
 		case news := <-f.registryNews:
 			if news.Settled && time.Since(news.readAt) < recentRead && f.router.registry.EndKept() {
 				timer.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,11 @@
 	// rereadConfiguration and rereadHosts ask the followers to read now.
 	rereadConfiguration chan struct{}
 	rereadHosts         chan struct{}
+	// rereadAfterPause asks the followers to read because this process was paused, until pausedUntil the last time.
+	rereadAfterPause struct{ configuration, upstreams chan struct{} }
+	pausedUntil      atomic.Pointer[time.Time]
+	// configurationRead is the start of the newest whole read of the configuration whose result is in force.
+	configurationRead atomic.Pointer[time.Time]
 	// registryNews carries what other hosts have read of the upstreams.
 	registryNews chan registryNews
 }
@@ -113,6 +118,7 @@
 		rereadConfiguration: make(chan struct{}, 1), rereadHosts: make(chan struct{}, 1),
 		registryNews: make(chan registryNews, 1), log: newDecisionLog(options.Logger),
 	}
+	g.rereadAfterPause.configuration, g.rereadAfterPause.upstreams = make(chan struct{}, 1), make(chan struct{}, 1)
 	g.bounds.Store(&options.Bounds)
 	g.router = newRouter(options.DataCentre, g.boundsNow, options.HostID)
 	buffers := int64(defaultBufferBytes)
@@ -130,8 +136,12 @@
 		Forwarder: g.forwarder, Headers: options.Headers, Observe: g.observe, Draw: rand.Float64,
 		LimitOf: g.limitOfCustomer,
 	})
+	serve := func(ctx context.Context, request *pipeline.Request) *pipeline.Response {
+		g.awaitFresh(ctx)
+		return handler.Serve(ctx, request)
+	}
 	g.server = pipeline.New(pipeline.Options{
-		Handler: handler.Serve, Limits: g.limits, Refuse: refuse, Budget: budget, MaxConnections: options.Connections,
+		Handler: serve, Limits: g.limits, Refuse: refuse, Budget: budget, MaxConnections: options.Connections,
 		Written: g.answerWritten,
 	})
 	return g, g.listen(ctx)
@@ -168,7 +178,7 @@
 		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
 		Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown: func(string) { poke(g.rereadHosts) },
-		Late:    g.log.processLate,
+		Late:    g.processLate,
 		HubFailed: func(host string) {
 			g.logger.Warn().Str("event", "hub_failed").Str("host_id", host).Send()
 		},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -56,6 +56,18 @@
 }
 
 func (s *source) start(t *testing.T) *Gateway {
+	t.Helper()
+	return startWith(t, s)
+}
+
+// store is all that a gateway reads.
+type store interface {
+	ConfigurationSource
+	UpstreamSource
+	HostStore
+}
+
+func startWith(t *testing.T, s store) *Gateway {
 	t.Helper()
 	g, err := New(t.Context(), Options{
 		HostID: "a", DataCentre: "north", CallerAddress: "127.0.0.1:0", GossipAddress: "127.0.0.1:0",
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -110,6 +110,15 @@
 	return ticked == nil || now.Sub(*ticked) > usesInterval+lateFrom || (woken != nil && now.Before(*woken))
 }
 
+// SilentFor is the time since the last turn of the node's loop; 0 before its first. It turns each 0.15 s while the process runs.
+func (n *Node) SilentFor(now time.Time) time.Duration {
+	ticked := n.ticked.Load()
+	if ticked == nil {
+		return 0
+	}
+	return now.Sub(*ticked)
+}
+
 // acceptOwn takes a datagram of this host that has come back in a bundle.
 func (n *Node) acceptOwn(m *gossippb.Datagram, sealed []byte) {
 	self := &n.options.Self
--- /dev/null
+++ b/gateway/pause_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// waitingSource is a source whose waits for changes can be interrupted, and whose reads of the configuration may fail.
+type waitingSource struct {
+	*source
+	away  atomic.Bool
+	reads atomic.Int64
+}
+
+func (s *waitingSource) Configuration(ctx context.Context) (*Configuration, Position, error) {
+	if s.away.Load() {
+		return nil, 0, errAway
+	}
+	s.reads.Add(1)
+	return s.source.Configuration(ctx)
+}
+
+func (s *waitingSource) ConfigurationAfter(
+	ctx context.Context, _ Position, _ time.Duration, interrupt <-chan struct{},
+) (*Configuration, Position, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-interrupt:
+		return nil, 0, ErrInterrupted
+	}
+}
+
+func newWaitingGateway(t *testing.T) (*Gateway, *waitingSource) {
+	t.Helper()
+	s := &waitingSource{source: newSource()}
+	close(s.records)
+	close(s.upstreams)
+	g := startWith(t, s)
+	g.SetBounds(Bounds{ApplyConfiguration: 2 * time.Second, StopLeaving: 2 * time.Second, AddressTTL: time.Second})
+	expectReady(t, g)
+	return g, s
+}
+
+// Guards the users' report of a process that was paused and acts on a permission that has run out: a request that is read
+// after a pause waits for reads of the configuration and of the upstreams which began after it.
+func TestRequestsWaitForReadsAfterAPause(t *testing.T) {
+	g, s := newWaitingGateway(t)
+	before := s.reads.Load()
+	g.awaitFresh(t.Context())
+	if reads := s.reads.Load(); reads != before {
+		t.Errorf("%d reads without a pause", reads-before)
+	}
+	paused := time.Now()
+	g.processLate(g.pauseLimit() + time.Millisecond)
+	g.awaitFresh(t.Context())
+	if !g.readSince(paused) {
+		t.Error("the request does not wait for the reads")
+	}
+	if took := time.Since(paused); took >= holdAfterPause {
+		t.Errorf("the reads took %v", took)
+	}
+	if reads := s.reads.Load(); reads != before+1 {
+		t.Errorf("the configuration was read %d times after a pause, want once", reads-before)
+	}
+}
+
+// Guards against requests that wait for a store that is away: a host goes on with what it knows, as without a pause.
+func TestRequestsDoNotWaitLongForTheStoreAfterAPause(t *testing.T) {
+	g, s := newWaitingGateway(t)
+	s.away.Store(true)
+	paused := time.Now()
+	g.processLate(g.pauseLimit() + time.Millisecond)
+	g.awaitFresh(t.Context())
+	if took := time.Since(paused); took > 2*holdAfterPause {
+		t.Errorf("a request waited %v while the store was away", took)
+	}
+	begin := time.Now()
+	g.awaitFresh(t.Context())
+	if took := time.Since(begin); took > holdAfterPause/2 {
+		t.Errorf("a later request waited %v", took)
+	}
+}
