A host that cannot reach the store asks others for a newer configuration also when it is the only one of its data centre

Report of other operators: after a restart, a key that had been withdrawn was in use again. Found by a test of it with real processes: one host was stopped and its link to the store held while a key was withdrawn, the other one killed and started. The latter took nothing of what the former told. But the former, told by datagrams of a newer version, went on with its old one. Cause: hosts that do not wait at the store ask the others; one that is the only one of its data centre always waits at the store, and while its reads failed it asked nobody.

Change: it asks the hosts that state a newer version before it tries the store again.

Without the change TestRestartedHostUsesNothingThatIsGone fails.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -97,6 +97,10 @@
 			known = false // the feed begins with a read of all
 			continue
 		}
+		if f.storeAway.Load() && f.newer.beyond(f.version()) {
+			// The only hosts of a data centre wait at the store also while they cannot reach it.
+			f.fetchFromPeers(ctx)
+		}
 		next, at, source, err := f.readConfiguration(ctx, position, known)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
