--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -84,6 +84,9 @@
 		case <-f.retryConfiguration:
 		case <-f.storeChanged:
 			f.checkConfiguration(ctx, dependency)
+		case <-f.rereadAfterPause.configuration:
+			f.fetchFromStore(ctx, dependency)
+			return
 		case <-ticker.C:
 		}
 	}
@@ -91,9 +94,13 @@
 
 // fetchNewer asks hosts that have a newer configuration for it, and then the store.
 func (f *followers) fetchNewer(ctx context.Context, dependency *dependency) {
-	if f.fetchFromPeers(ctx) {
-		return
+	if !f.fetchFromPeers(ctx) {
+		f.fetchFromStore(ctx, dependency)
 	}
+}
+
+// fetchFromStore reads the configuration once.
+func (f *followers) fetchFromStore(ctx context.Context, dependency *dependency) {
 	began := time.Now()
 	next, at, err := f.readWhole(ctx)
 	if err != nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -48,6 +48,8 @@
 	waitsLogged bool
 	// position is where this host has last read the configuration, 0 before the first read.
 	position Position
+	// asOf is the start of the newest read that found all changes of the configuration up to then.
+	asOf time.Time
 }
 
 func newFollowers(g *Gateway) *followers {
@@ -102,6 +104,10 @@
 			known = false // the feed begins with a read of all
 			continue
 		}
+		if f.storeAway.Load() && f.newer.beyond(f.version()) {
+			// The only hosts of a data centre wait at the store also while they cannot reach it.
+			f.fetchFromPeers(ctx)
+		}
 		began := time.Now()
 		next, at, source, err := f.readConfiguration(ctx, known)
 		switch {
@@ -201,7 +207,8 @@
 // interruptWhenBehind closes interrupt if another host has a newer version, or the store has changed since the position, and
 // the read of this host does not end in the grace: its connection may have gone silent, or the store does not answer it.
 // Without a grace most hosts would read each version twice, because it is in force at some host before all others have read
-// it. It also closes interrupt when the store is back after it was away: the store may have forgotten who waits.
+// it. It also closes interrupt when the store is back after it was away, since the store may have forgotten who waits, and
+// after a pause of this process, since what the wait has brought may be long overtaken.
 func (f *followers) interruptWhenBehind(after Position, ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
 	for {
@@ -211,6 +218,9 @@
 		case <-f.retryConfiguration:
 			close(interrupt)
 			return
+		case <-f.rereadAfterPause.configuration:
+			close(interrupt)
+			return
 		case <-ended:
 			return
 		}
@@ -219,6 +229,9 @@
 		}
 		select {
 		case <-time.After(grace):
+		case <-f.rereadAfterPause.configuration:
+			close(interrupt)
+			return
 		case <-ended:
 			return
 		}
@@ -233,11 +246,17 @@
 func (f *followers) readWhole(ctx context.Context) (*Configuration, Position, error) {
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f.options.Configurations.Configuration(reading)
+	started := time.Now()
+	next, at, err := f.options.Configurations.Configuration(reading)
+	if err == nil {
+		f.asOf = started
+	}
+	return next, at, err
 }
 
 // apply puts a configuration in force unless the one in force is as new. nil confirms the one in force.
 func (f *followers) apply(next *Configuration, read configurationRead) {
+	defer f.configurationAsOf.Store(new(f.asOf)) // once it is in force
 	current := f.current.Load()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
 		if current != nil {
@@ -324,6 +343,7 @@
 		*written = true
 		defer f.introduce(ctx)
 	}
+	readAt := time.Now()
 	stored, err := f.options.Hosts.Hosts(calling)
 	if err != nil {
 		return err
@@ -337,7 +357,7 @@
 		}
 		records = append(records, record)
 	}
-	for _, id := range f.node.Update(time.Now(), records) {
+	for _, id := range f.node.Update(readAt, records) {
 		f.hostFound(id)
 	}
 	f.countHosts()
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -50,11 +50,15 @@
 	}
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := time.Now()
 	next, at, err := f.options.Configurations.ConfigurationAfter(reading, f.position, 0, nil)
 	if errors.Is(err, ErrHistoryGone) {
 		f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(f.position)).Send()
 		next, at, err = f.readWhole(ctx)
 		return next, max(at, atLeast), wholeRead, err
 	}
+	if err == nil {
+		f.asOf = started
+	}
 	return next, max(at, atLeast), checkRead, err
 }
