Keep the owner's refusal and the backoff after a failed call apart

Callers saw: a request whose customer was within its rate was refused as rate limited (429, retry after 50 ms) on a host without a slice, although the customer's owner could be reached again and had tokens. The wait for a new owner ended with it.

Cause: held.blockedUntil stood for two things, the time that the owner stated when it refused, and the backoff of 100 ms after a call that failed; held.unreachable said which. The answer that "lends nothing" is no refusal: it answers a renewal, which asks for nothing. Limiter.apply took it as proof that the owner was in reach, cleared unreachable and left blockedUntil, so for the rest of the backoff the failed call counted as the owner's refusal. waitForOwner goes on only after Unavailable.

Evidence: a trace of a failing run. The calls of 0 and 300 ms fail at 200 and 500 ms, the second blocks until 600 ms; the renewal of 500 ms is answered at 502 ms with nothing asked and nothing lent; the try of 550 ms is refused, rate limited, retry after 50 ms. Chance decides at 300 ms whether the try or the end of the cut comes first, and at 500 ms whether the end of the call or the renewal does.

Ruled out: an owner without tokens (its reserve is full in the first epoch), an owner that does not grant (the answer says that it does), load and races (all in fake time, on one processor).

The same cause the other way round: a failed renewal replaced the owner's refusal by its backoff, so a customer over its limit was told unavailable, retry after 46 ms, in place of rate limited, retry after 500 ms.

Change: refusedUntil and backoffUntil. An applied answer of a granting owner ends the backoff; a refusal ends with its time or its epoch; a failed call changes only the backoff. Only a request that the owner has refused, or one on a host with a slice, is refused as rate limited. What is lent does not change, so the bound does not either.

--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -64,8 +64,11 @@
 	// of it.
 	owner   *fleet.Member
 	ownerIn *fleet.View
-	// blockedUntil is the time before which the owner is not asked again.
-	blockedUntil int64
+	// refusedUntil is the time until which the owner has refused to lend.
+	refusedUntil int64
+	// backoffUntil is the time before which the owner is not asked again because it did not answer or does not grant yet. It is
+	// kept apart from refusedUntil: an answer ends the backoff but not an earlier refusal, and a failed call ends neither.
+	backoffUntil int64
 	measuredAt   int64
 	// done is closed when the outstanding call has ended; nil if there is none.
 	done chan struct{}
@@ -74,8 +77,6 @@
 	// requests counts since measuredAt.
 	requests uint32
 	waiters  int32
-	// unreachable is true if the last call to the owner failed or lent nothing because the owner is not granting.
-	unreachable bool
 }
 
 type shard struct {
@@ -239,8 +240,8 @@
 		}
 		return c, now, Decision{Allowed: true, Reason: Allowed}
 	}
-	if now.UnixNano() < c.blockedUntil {
-		return c, now, c.refuse(now, c.unreachable)
+	if now.UnixNano() < c.askableAt() {
+		return c, now, c.refuse(now)
 	}
 	return c, now, Decision{}
 }
@@ -269,16 +270,19 @@
 	return limits, ok && limits.valid()
 }
 
-// refuse returns the refusal with the time until the own slice or the owner's reserve has a token.
-func (c *held) refuse(now time.Time, unreachable bool) Decision {
+// askableAt returns the time from which the owner may be asked again.
+func (c *held) askableAt() int64 { return max(c.refusedUntil, c.backoffUntil) }
+
+// refuse returns the refusal with the time until the own slice has a token or the owner may be asked.
+func (c *held) refuse(now time.Time) Decision {
 	wait := c.holder.NextToken(now)
-	if blocked := time.Duration(c.blockedUntil - now.UnixNano()); blocked > 0 {
+	if blocked := time.Duration(c.askableAt() - now.UnixNano()); blocked > 0 {
 		wait = min(wait, blocked)
 	}
 	if wait == never {
 		wait = retryUnknown
 	}
-	if unreachable && !c.holder.HasSlice(now) {
+	if now.UnixNano() >= c.refusedUntil && !c.holder.HasSlice(now) {
 		return Decision{Reason: Unavailable, RetryAfter: wait}
 	}
 	return Decision{Reason: RateLimited, RetryAfter: wait}
@@ -312,7 +316,7 @@
 		}
 		if c, now = latest, at; ended {
 			// The owner has not answered in time.
-			return c.refuse(now, true)
+			return c.refuse(now)
 		}
 	}
 }
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -317,10 +317,13 @@
 	if !e.c.holder.Apply(now, grant) {
 		return
 	}
-	e.c.unreachable = false
-	if grant.RetryAfter > 0 {
-		e.c.blockedUntil = now.Add(grant.RetryAfter).UnixNano()
-		e.c.unreachable = grant.NotGranting
+	// A renewal asks for nothing, so its answer says nothing about an earlier refusal. It shows that the owner can be asked.
+	e.c.backoffUntil = 0
+	switch until := now.Add(grant.RetryAfter).UnixNano(); {
+	case grant.NotGranting:
+		e.c.backoffUntil = until
+	case grant.RetryAfter > 0:
+		e.c.refusedUntil = until
 	}
 	if grant.Confirm {
 		l.confirm(e.customer, e.c)
@@ -354,8 +357,7 @@
 		now := l.options.Clock.Now()
 		if e.c.holder.Outstanding() == e.seq {
 			e.c.holder.Abandon(now)
-			e.c.unreachable = true
-			e.c.blockedUntil = now.Add(backoff).UnixNano()
+			e.c.backoffUntil = now.Add(backoff).UnixNano()
 		}
 		s.mu.Unlock()
 	}
