Keep places in the wait for a new owner for customers with few requests

Callers saw: while owners were out of reach at the start of an epoch, a customer within its rate was refused as unavailable at once, in place of waiting for its owner, if another customer had 512 requests in the wait on that host.

Cause: maxHandoverWaiters is one bound for all customers, and a place was given to whoever came first, also to requests of a customer that could not all be served.

Change: half of the places are for customers of which fewer than 32 requests wait, and a customer has at most as many waiting requests on a host as its burst and rate admit within the wait; any more could not be served and are refused at once. The bound on all waiting requests stays at 512. A customer without limits is refused at once; no owner could lend to it.

Not shown: how often this happens in a fleet.

--- a/fleet/ratelimit/handover_test.go
+++ b/fleet/ratelimit/handover_test.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +128,39 @@
 		})
 	}
 }
+
+// Guards against a customer whose many requests take all the places of the wait for a new owner, so that those of a customer
+// within its rate are refused at once: here the owners are out of reach for the first 300 ms of an epoch.
+func TestOneCustomerLeavesPlacesToWait(t *testing.T) {
+	for _, limits := range []Limits{{Rate: 10, Burst: 10}, {Rate: 10_000, Burst: 10_000}} {
+		t.Run(fmt.Sprint("rate ", limits.Rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(2, limits)
+				owner := f.ownerOf("zoo")
+				host := f.hosts[1-owner].limiter
+				setCut := func(cut bool) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.hosts[owner].cut = cut
+				}
+				quiet := "quiet-0"
+				for i := 1; f.ownerOf(quiet) != owner; i++ {
+					quiet = fmt.Sprint("quiet-", i)
+				}
+				setCut(true)
+				var requests sync.WaitGroup
+				for range 2 * maxHandoverWaiters {
+					requests.Go(func() { host.Admit(t.Context(), "zoo") })
+				}
+				time.Sleep(2 * BorrowWait)
+				time.AfterFunc(200*time.Millisecond, func() { setCut(false) })
+				if d := host.Admit(t.Context(), quiet); !d.Allowed {
+					t.Errorf("decision %+v beside many requests of another customer, want allowed", d)
+				}
+				requests.Wait()
+				f.stop()
+				f.checkBound(t)
+			})
+		})
+	}
+}
--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -77,6 +77,8 @@
 	// requests counts since measuredAt.
 	requests uint32
 	waiters  int32
+	// handoverWaiters counts the requests in waitForOwner.
+	handoverWaiters int32
 }
 
 type shard struct {
@@ -198,11 +200,11 @@
 
 // waitForOwner tries again until the customer's owner lends, for at most HandoverWait.
 func (l *Limiter) waitForOwner(ctx context.Context, s *shard, customer string, refusal Decision) Decision {
-	if l.handoverWaiters.Add(1) > maxHandoverWaiters {
-		l.handoverWaiters.Add(-1)
+	leave, ok := l.enterHandover(s, customer)
+	if !ok {
 		return refusal
 	}
-	defer l.handoverWaiters.Add(-1)
+	defer leave()
 	ctx, cancel := context.WithTimeout(ctx, HandoverWait)
 	defer cancel()
 	retry := time.NewTicker(handoverRetry)
@@ -218,6 +220,37 @@
 	return refusal
 }
 
+// enterHandover takes a place to wait for the customer's owner and returns the function that gives it back, and false if the
+// request may not wait. Half of the places are for customers of which few requests wait, and more requests of one customer
+// than its limits admit in the time could not all be served.
+func (l *Limiter) enterHandover(s *shard, customer string) (leave func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.customers[customer]
+	if c == nil {
+		return nil, false
+	}
+	limits := c.holder.limits
+	places := int64(maxHandoverWaiters)
+	if c.handoverWaiters >= fewHandoverWaiters {
+		places /= 2
+	}
+	if float64(c.handoverWaiters) >= limits.Burst+limits.Rate*HandoverWait.Seconds() {
+		return nil, false
+	}
+	if l.handoverWaiters.Add(1) > places {
+		l.handoverWaiters.Add(-1)
+		return nil, false
+	}
+	c.handoverWaiters++
+	return func() {
+		l.handoverWaiters.Add(-1)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.handoverWaiters--
+	}, true
+}
+
 // try decides on a request from what the host knows. A decision without a reason means that the owner may be asked. The
 // shard is locked.
 func (l *Limiter) try(s *shard, customer string, first bool) (*held, time.Time, Decision) {
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -39,6 +39,9 @@
 	handoverRetry = 50 * time.Millisecond
 	// maxHandoverWaiters bounds the requests that wait on one host, so that a lost owner does not pile them up.
 	maxHandoverWaiters = 512
+	// fewHandoverWaiters is the number of waiting requests up to which a customer may take any of these places. The half that
+	// is kept for such customers has room for eight of them.
+	fewHandoverWaiters = 32
 )
 
 // Report is what a holder tells the owner of a customer: all that it holds at the moment of sending. From that moment
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -223,7 +223,8 @@
 
 // idle reports whether the customer's state can be dropped: it holds nothing, and nobody asks.
 func (c *held) idle(now time.Time) bool {
-	return c.demand == 0 && c.requests == 0 && c.waiters == 0 && c.done == nil && c.holder.Empty(now)
+	waiting := c.waiters != 0 || c.handoverWaiters != 0
+	return c.demand == 0 && c.requests == 0 && !waiting && c.done == nil && c.holder.Empty(now)
 }
 
 // single returns a batch with one customer. The shard is locked.
