Do not refuse as rate limited while a new owner cannot know the use

Callers saw: after a change of owner, also by a host that leaves in good order, a customer that had sent nothing was refused as rate limited (429) at once, for as long as a token takes to refill; at 10/s that is 100 ms.

Cause: a new owner starts with an empty reserve, since it does not know what the former one had lent, and its refusal looked like that of an owner that has seen the burst used up. A host with a slice also said rate limited when the owner answered that it does not grant yet. In both cases the request did not wait for the new owner, because that goes on only after Unavailable.

Change: each answer of an owner says whether its reserve may lack tokens only because it did not start full (Grant.Refilling, for the time in which the missing part of the burst refills, 5 s at most, the window of the wait). From a new epoch until an owner has answered that can know, a refusal is Unavailable, also on a host with a slice, and the request waits as before for at most 600 ms. It is refused at once if the owner has named a time beyond that, or if more requests wait than the rate admits in that time. The owner lends what it lent before and no earlier, so the bound does not change. Older hosts ignore the new field.

TestUnservableRequestsDoNotWait and TestRefusalAfterRefill guard the limits of the wait.

Ruled out: a change of who is admitted.

--- a/fleet/ratelimit/handover_test.go
+++ b/fleet/ratelimit/handover_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/fleet"
 )
 
 // Guards against requests that are refused while the ownership of their customer changes hands, although the new owner is
@@ -129,6 +132,163 @@
 	}
 }
 
+// leave issues the next epoch, in which a host is leaving and owns nothing.
+func (f *testFleet) leave(host int) {
+	f.mu.Lock()
+	next := fleet.Epoch{Number: f.epoch.Number + 1, Members: slices.Clone(f.epoch.Members)}
+	next.Members[host].State = fleet.Leaving
+	f.epoch = next
+	f.mu.Unlock()
+	for _, h := range f.hosts {
+		f.mu.Lock()
+		old := h.view
+		now := time.Now()
+		h.view.Epoch, h.view.LearnedAt, h.view.FreeAt, h.view.RemovalFreeAt = next, now, now.Add(freeAfter), now
+		latest := h.view
+		f.mu.Unlock()
+		h.limiter.OnView(&old, &latest)
+	}
+}
+
+// Guards against a customer that has sent nothing and is refused as rate limited because its new owner started with an empty
+// reserve. A request whose token is due within the wait has to get it; another is refused at once, but not as rate limited.
+func TestQuietCustomerAfterChangeOfOwner(t *testing.T) {
+	for _, rate := range []float64{1, 2, 5, 10, 50} {
+		for _, after := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond, 50 * time.Millisecond} {
+			t.Run(fmt.Sprint("rate ", rate, " after ", after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(3, Limits{Rate: rate, Burst: 10})
+					time.Sleep(3*time.Second + 33*time.Millisecond)
+					former := f.ownerOf("zoo")
+					f.leave(former)
+					time.Sleep(after)
+					start := time.Now()
+					d := f.hosts[3-former-f.ownerOf("zoo")].limiter.Admit(t.Context(), "zoo")
+					waited := time.Since(start)
+					switch {
+					case rate > 1 && !d.Allowed:
+						t.Errorf("decision %+v after %v, want allowed", d, waited)
+					case rate == 1 && (d.Reason != Unavailable || after+waited+d.RetryAfter < time.Second || waited > 200*time.Millisecond):
+						t.Errorf("decision %+v after %v, want unavailable at once, until a token is due at 1 s", d, waited)
+					}
+					f.stop()
+					f.checkBound(t)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a customer within its rate whose short bursts are refused as rate limited by a host with a slice, because its
+// new owner does not grant yet, is out of reach for the first 250 ms or started with an empty reserve.
+func TestBurstAfterChangeOfOwner(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		cut   bool
+	}{{after: time.Millisecond}, {after: 50 * time.Millisecond}, {after: 150 * time.Millisecond}, {50 * time.Millisecond, true}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(3, Limits{Rate: 100, Burst: 100})
+				former := f.ownerOf("zoo")
+				hosts := []int{(former + 1) % 3, (former + 2) % 3}
+				f.load(hosts, "zoo", 10, 5*time.Second)
+				f.leave(former)
+				host := f.hosts[3-former-f.ownerOf("zoo")]
+				setCut := func(cut bool) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					host.cut = cut
+				}
+				setCut(c.cut)
+				time.AfterFunc(250*time.Millisecond, func() { setCut(false) })
+				time.Sleep(c.after)
+				var requests sync.WaitGroup
+				for range 20 {
+					requests.Go(func() {
+						if d := host.limiter.Admit(t.Context(), "zoo"); !d.Allowed {
+							t.Errorf("decision %+v in a burst of 20, want allowed", d)
+						}
+					})
+				}
+				counts := f.load(hosts, "zoo", 10, 2*time.Second)
+				requests.Wait()
+				f.stop()
+				f.checkBound(t)
+				if counts[Allowed] != 40 {
+					t.Errorf("decisions %v at a fifth of the rate, want 40 allowed", counts)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that wait for a new owner although they cannot be served: more than the burst and the rate admit
+// while the owner is out of reach, and more than the rate admits when it has answered that its reserve is empty.
+func TestUnservableRequestsDoNotWait(t *testing.T) {
+	for _, c := range []struct {
+		cut   bool
+		until time.Duration
+		want  int64
+	}{{true, BorrowWait + handoverRetry/2, 16}, {false, 10 * time.Millisecond, 6}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(3, Limits{Rate: 10, Burst: 10})
+				former := f.ownerOf("zoo")
+				f.leave(former)
+				time.Sleep(150 * time.Millisecond)
+				host := f.hosts[3-former-f.ownerOf("zoo")]
+				f.mu.Lock()
+				host.cut = c.cut
+				f.mu.Unlock()
+				var requests sync.WaitGroup
+				for range 100 {
+					requests.Go(func() { host.limiter.Admit(t.Context(), "zoo") })
+				}
+				time.Sleep(c.until)
+				if got := host.limiter.handoverWaiters.Load(); got != c.want {
+					t.Errorf("%d requests wait, want %d", got, c.want)
+				}
+				requests.Wait()
+				f.stop()
+				f.checkBound(t)
+			})
+		})
+	}
+}
+
+// Guards against a customer that is over its limit and is not told so because its owner once started with an empty reserve.
+func TestRefusalAfterRefill(t *testing.T) {
+	start := time.Unix(1000, 0)
+	limits := Limits{Rate: 10, Burst: 10}
+	holder := fleet.Identity{ID: "a", Incarnation: 1}
+	carrying := NewCarryingOwner(start, limits)
+	carrying.Start(start)
+	slow := NewOwner(start, Limits{Rate: 1, Burst: 1000}, 0)
+	for _, c := range []struct {
+		name  string
+		owner *Owner
+		after time.Duration
+		want  bool
+	}{
+		{"full at the start", NewOwner(start, limits, 1), 0, false},
+		{"empty", carrying, 0, true},
+		{"not yet refilled", carrying, time.Second - 1, true},
+		{"refilled and used", carrying, time.Second, false},
+		{"half of the burst", NewOwner(start, limits, 0.5), 500*time.Millisecond - 1, true},
+		{"half of the burst, refilled", NewOwner(start, limits, 0.5), 500 * time.Millisecond, false},
+		{"large burst", slow, handoverWindow - 1, true},
+		{"large burst after the handover window", slow, handoverWindow, false},
+	} {
+		now := start.Add(c.after)
+		c.owner.reserve.Take(now, c.owner.reserve.Tokens(now))
+		need := tokensUp(c.owner.limits.cost())
+		grant := c.owner.Handle(now, holder, Report{Seq: uint64(now.UnixNano()), Need: need, Want: need}, SliceLife)
+		if grant.RetryAfter == 0 || grant.Refilling != c.want {
+			t.Errorf("%s: grant %+v, want a refusal with refilling %v", c.name, grant, c.want)
+		}
+	}
+}
+
 // Guards against a customer whose many requests take all the places of the wait for a new owner, so that those of a customer
 // within its rate are refused at once: here the owners are out of reach for the first 300 ms of an epoch.
 func TestOneCustomerLeavesPlacesToWait(t *testing.T) {
--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -24,7 +24,8 @@
 	Allowed Reason = iota + 1
 	// RateLimited means that the customer is over its limit.
 	RateLimited
-	// Unavailable means that the host has no slice and the owner cannot lend it one.
+	// Unavailable means that the host has no slice and the owner cannot lend it one, or that a new owner cannot know yet
+	// whether the customer is over its limit.
 	Unavailable
 	// Inactive means that the host holds no activity lease or is leaving.
 	Inactive
@@ -79,6 +80,8 @@
 	waiters  int32
 	// handoverWaiters counts the requests in waitForOwner.
 	handoverWaiters int32
+	// undecided is true from a new epoch until the owner can know whether the customer is over its limit.
+	undecided bool
 }
 
 type shard struct {
@@ -205,11 +208,12 @@
 		return refusal
 	}
 	defer leave()
+	deadline := l.options.Clock.Now().Add(HandoverWait)
 	ctx, cancel := context.WithTimeout(ctx, HandoverWait)
 	defer cancel()
 	retry := time.NewTicker(handoverRetry)
 	defer retry.Stop()
-	for refusal.Reason == Unavailable {
+	for refusal.Reason == Unavailable && !s.refusedBeyond(customer, deadline) {
 		select {
 		case <-ctx.Done():
 			return refusal
@@ -220,9 +224,17 @@
 	return refusal
 }
 
+// refusedBeyond reports whether the owner has refused to lend until after the deadline.
+func (s *shard) refusedBeyond(customer string, deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.customers[customer]
+	return c != nil && c.refusedUntil > deadline.UnixNano()
+}
+
 // enterHandover takes a place to wait for the customer's owner and returns the function that gives it back, and false if the
 // request may not wait. Half of the places are for customers of which few requests wait, and more requests of one customer
-// than its limits admit in the time could not all be served.
+// than its limits admit in the time could not all be served: the rate, and the burst unless the owner has just refused.
 func (l *Limiter) enterHandover(s *shard, customer string) (leave func(), ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,11 +243,15 @@
 		return nil, false
 	}
 	limits := c.holder.limits
+	admitted := limits.Rate * HandoverWait.Seconds()
+	if l.options.Clock.Now().UnixNano() >= c.refusedUntil {
+		admitted += limits.Burst
+	}
 	places := int64(maxHandoverWaiters)
 	if c.handoverWaiters >= fewHandoverWaiters {
 		places /= 2
 	}
-	if float64(c.handoverWaiters) >= limits.Burst+limits.Rate*HandoverWait.Seconds() {
+	if float64(c.handoverWaiters) >= max(1, admitted) {
 		return nil, false
 	}
 	if l.handoverWaiters.Add(1) > places {
@@ -315,10 +331,10 @@
 	if wait == never {
 		wait = retryUnknown
 	}
-	if now.UnixNano() >= c.refusedUntil && !c.holder.HasSlice(now) {
-		return Decision{Reason: Unavailable, RetryAfter: wait}
+	if !c.undecided && (now.UnixNano() < c.refusedUntil || c.holder.HasSlice(now)) {
+		return Decision{Reason: RateLimited, RetryAfter: wait}
 	}
-	return Decision{Reason: RateLimited, RetryAfter: wait}
+	return Decision{Reason: Unavailable, RetryAfter: wait}
 }
 
 // wait waits for the outstanding call about the customer, which it starts if there is none, and tries again. The shard is
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -82,6 +82,9 @@
 	Confirm bool
 	// RetryAfter is set if nothing could be borrowed: the time until a token is due in the reserve.
 	RetryAfter time.Duration
+	// Refilling is true while the reserve may lack tokens only because it did not start full: that nothing can be borrowed does
+	// not show then that the customer is over its limit.
+	Refilling bool
 }
 
 // empty reports whether the holder holds nothing and asks for nothing.
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -40,11 +40,16 @@
 	granting bool
 	// nextTurn is the time at which the next holder that is refused may ask again.
 	nextTurn int64
+	// refilledAt is the time until which the reserve may lack tokens only because it did not start full. A refusal before does
+	// not show that the customer is over its limit.
+	refilledAt int64
 }
 
 // NewOwner returns an owner that grants at once. tokens is the level of its reserve in bursts, between 0 and 1.
 func NewOwner(now time.Time, limits Limits, tokens float64) *Owner {
-	return &Owner{limits: limits, granting: true, reserve: NewBucket(now, limits.refill(), 1, tokens)}
+	o := &Owner{limits: limits, granting: true, reserve: NewBucket(now, limits.refill(), 1, tokens)}
+	o.startRefill(now, 1-tokens)
+	return o
 }
 
 // NewCarryingOwner returns an owner that follows another: it honours the slices that holders report and grants nothing
@@ -58,9 +63,17 @@
 func (o *Owner) Start(now time.Time) {
 	o.granting = true
 	o.reserve = NewBucket(now, 0, 0, 0)
+	o.startRefill(now, 1)
 	o.settle(now)
 }
 
+// startRefill notes how long it takes until the missing part of the burst has refilled. Holders wait for a new owner only
+// during the handover window, and a large burst may take hours.
+func (o *Owner) startRefill(now time.Time, missing float64) {
+	seconds := min(max(0, missing)/o.limits.refill(), handoverWindow.Seconds())
+	o.refilledAt = now.UnixNano() + int64(seconds*float64(time.Second))
+}
+
 // Granting reports whether the owner grants anything new.
 func (o *Owner) Granting() bool { return o.granting }
 
@@ -115,6 +128,7 @@
 	o.accept(now, l, report)
 	grant := Grant{Seq: report.Seq, Life: life}
 	if o.granting {
+		grant.Refilling = now.UnixNano() < o.refilledAt
 		o.grantSlice(now, l, report, &grant)
 		o.grantBorrow(now, l, report, &grant)
 	} else {
--- a/fleet/ratelimit/renew.go
+++ b/fleet/ratelimit/renew.go
@@ -326,6 +326,7 @@
 	case grant.RetryAfter > 0:
 		e.c.refusedUntil = until
 	}
+	e.c.undecided = grant.NotGranting || grant.Refilling
 	if grant.Confirm {
 		l.confirm(e.customer, e.c)
 	}
--- a/fleet/ratelimit/serve.go
+++ b/fleet/ratelimit/serve.go
@@ -332,7 +332,7 @@
 		for _, c := range s.customers {
 			c.holder.Abandon(now)
 			c.holder.EndEpoch()
-			c.refusedUntil, c.backoffUntil = 0, 0
+			c.refusedUntil, c.backoffUntil, c.undecided = 0, 0, true
 			c.done = nil
 		}
 		s.mu.Unlock()
--- a/fleet/ratelimit/wire.go
+++ b/fleet/ratelimit/wire.go
@@ -39,6 +39,7 @@
 		RetryAfterUs: uint32(g.RetryAfter / time.Microsecond),
 		NotGranting:  g.NotGranting,
 		Confirm:      g.Confirm,
+		Refilling:    g.Refilling,
 	}
 }
 
@@ -50,5 +51,6 @@
 		RetryAfter:  time.Duration(m.GetRetryAfterUs()) * time.Microsecond,
 		NotGranting: m.GetNotGranting(),
 		Confirm:     m.GetConfirm(),
+		Refilling:   m.GetRefilling(),
 	}
 }
