--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -24,7 +24,8 @@
 	Allowed Reason = iota + 1
 	// RateLimited means that the customer is over its limit.
 	RateLimited
-	// Unavailable means that the host has no slice and the owner cannot lend it one.
+	// Unavailable means that the host has no slice and the owner cannot lend it one, or that a new owner cannot know yet
+	// whether the customer is over its limit.
 	Unavailable
 	// Inactive means that the host holds no activity lease or is leaving.
 	Inactive
@@ -64,8 +65,11 @@
 	// of it.
 	owner   *fleet.Member
 	ownerIn *fleet.View
-	// blockedUntil is the time before which the owner is not asked again.
-	blockedUntil int64
+	// refusedUntil is the time until which the owner has refused to lend.
+	refusedUntil int64
+	// backoffUntil is the time before which the owner is not asked again because it did not answer or does not grant yet. It is
+	// kept apart from refusedUntil: an answer ends the backoff but not an earlier refusal, and a failed call ends neither.
+	backoffUntil int64
 	measuredAt   int64
 	// done is closed when the outstanding call has ended; nil if there is none.
 	done chan struct{}
@@ -74,8 +78,10 @@
 	// requests counts since measuredAt.
 	requests uint32
 	waiters  int32
-	// unreachable is true if the last call to the owner failed or lent nothing because the owner is not granting.
-	unreachable bool
+	// handoverWaiters counts the requests in waitForOwner.
+	handoverWaiters int32
+	// undecided is true from a new epoch until the owner can know whether the customer is over its limit.
+	undecided bool
 }
 
 type shard struct {
@@ -197,16 +203,17 @@
 
 // waitForOwner tries again until the customer's owner lends, for at most HandoverWait.
 func (l *Limiter) waitForOwner(ctx context.Context, s *shard, customer string, refusal Decision) Decision {
-	if l.handoverWaiters.Add(1) > maxHandoverWaiters {
-		l.handoverWaiters.Add(-1)
+	leave, ok := l.enterHandover(s, customer)
+	if !ok {
 		return refusal
 	}
-	defer l.handoverWaiters.Add(-1)
+	defer leave()
+	deadline := l.options.Clock.Now().Add(HandoverWait)
 	ctx, cancel := context.WithTimeout(ctx, HandoverWait)
 	defer cancel()
 	retry := time.NewTicker(handoverRetry)
 	defer retry.Stop()
-	for refusal.Reason == Unavailable {
+	for refusal.Reason == Unavailable && !s.refusedBeyond(customer, deadline) {
 		select {
 		case <-ctx.Done():
 			return refusal
@@ -217,6 +224,49 @@
 	return refusal
 }
 
+// refusedBeyond reports whether the owner has refused to lend until after the deadline.
+func (s *shard) refusedBeyond(customer string, deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.customers[customer]
+	return c != nil && c.refusedUntil > deadline.UnixNano()
+}
+
+// enterHandover takes a place to wait for the customer's owner and returns the function that gives it back, and false if the
+// request may not wait. Half of the places are for customers of which few requests wait, and more requests of one customer
+// than its limits admit in the time could not all be served: the rate, and the burst unless the owner has just refused.
+func (l *Limiter) enterHandover(s *shard, customer string) (leave func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.customers[customer]
+	if c == nil {
+		return nil, false
+	}
+	limits := c.holder.limits
+	admitted := limits.Rate * HandoverWait.Seconds()
+	if l.options.Clock.Now().UnixNano() >= c.refusedUntil {
+		admitted += limits.Burst
+	}
+	places := int64(maxHandoverWaiters)
+	if c.handoverWaiters >= fewHandoverWaiters {
+		places /= 2
+	}
+	if float64(c.handoverWaiters) >= max(1, admitted) {
+		return nil, false
+	}
+	if l.handoverWaiters.Add(1) > places {
+		l.handoverWaiters.Add(-1)
+		return nil, false
+	}
+	c.handoverWaiters++
+	return func() {
+		l.handoverWaiters.Add(-1)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.handoverWaiters--
+	}, true
+}
+
 // try decides on a request from what the host knows. A decision without a reason means that the owner may be asked. The
 // shard is locked.
 func (l *Limiter) try(s *shard, customer string, first bool) (*held, time.Time, Decision) {
@@ -239,8 +289,8 @@
 		}
 		return c, now, Decision{Allowed: true, Reason: Allowed}
 	}
-	if now.UnixNano() < c.blockedUntil {
-		return c, now, c.refuse(now, c.unreachable)
+	if now.UnixNano() < c.askableAt() {
+		return c, now, c.refuse(now)
 	}
 	return c, now, Decision{}
 }
@@ -269,19 +319,22 @@
 	return limits, ok && limits.valid()
 }
 
-// refuse returns the refusal with the time until the own slice or the owner's reserve has a token.
-func (c *held) refuse(now time.Time, unreachable bool) Decision {
+// askableAt returns the time from which the owner may be asked again.
+func (c *held) askableAt() int64 { return max(c.refusedUntil, c.backoffUntil) }
+
+// refuse returns the refusal with the time until the own slice has a token or the owner may be asked.
+func (c *held) refuse(now time.Time) Decision {
 	wait := c.holder.NextToken(now)
-	if blocked := time.Duration(c.blockedUntil - now.UnixNano()); blocked > 0 {
+	if blocked := time.Duration(c.askableAt() - now.UnixNano()); blocked > 0 {
 		wait = min(wait, blocked)
 	}
 	if wait == never {
 		wait = retryUnknown
 	}
-	if unreachable && !c.holder.HasSlice(now) {
-		return Decision{Reason: Unavailable, RetryAfter: wait}
+	if !c.undecided && (now.UnixNano() < c.refusedUntil || c.holder.HasSlice(now)) {
+		return Decision{Reason: RateLimited, RetryAfter: wait}
 	}
-	return Decision{Reason: RateLimited, RetryAfter: wait}
+	return Decision{Reason: Unavailable, RetryAfter: wait}
 }
 
 // wait waits for the outstanding call about the customer, which it starts if there is none, and tries again. The shard is
@@ -312,7 +365,7 @@
 		}
 		if c, now = latest, at; ended {
 			// The owner has not answered in time.
-			return c.refuse(now, true)
+			return c.refuse(now)
 		}
 	}
 }
--- a/fleet/ratelimit/message.go
+++ b/fleet/ratelimit/message.go
@@ -39,6 +39,9 @@
 	handoverRetry = 50 * time.Millisecond
 	// maxHandoverWaiters bounds the requests that wait on one host, so that a lost owner does not pile them up.
 	maxHandoverWaiters = 512
+	// fewHandoverWaiters is the number of waiting requests up to which a customer may take any of these places. The half that
+	// is kept for such customers has room for eight of them.
+	fewHandoverWaiters = 32
 )
 
 // Report is what a holder tells the owner of a customer: all that it holds at the moment of sending. From that moment
@@ -79,6 +82,9 @@
 	Confirm bool
 	// RetryAfter is set if nothing could be borrowed: the time until a token is due in the reserve.
 	RetryAfter time.Duration
+	// Refilling is true while the reserve may lack tokens only because it did not start full: that nothing can be borrowed does
+	// not show then that the customer is over its limit.
+	Refilling bool
 }
 
 // empty reports whether the holder holds nothing and asks for nothing.
