Read a change that is seen while the answer to a wait is on its way

The signal that a read of the upstreams has found the store ahead could be received by the wait that was just ending. The next wait began without it and went on, although the store was known to be ahead, until the next read of the upstreams: up to 0.45 config_apply_ms later, plus the turn and the grace. In a store that answers no wait this is past config_apply_ms.

Cause: interruptWhenBehind looked at the state only after a signal. It now looks before it waits for one.

Evidence: TestChangeSeenAtTheEndOfAWaitIsRead fails on (version 2 in force 625 ms after the store was seen to have 3) and passes with the change. The same held for a version that another host had stated.

Ruled out: to keep the signal when a wait ends. It has a capacity of one and two receivers for a moment, so either may get it.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -204,7 +204,20 @@
 // it. It also closes interrupt when the store is back after it was away: the store may have forgotten who waits.
 func (f *followers) interruptWhenBehind(after Position, ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
+	behind := func() bool { return f.newer.beyond(f.version()) || f.storeBeyond(after) }
 	for {
+		// The news may have come, and its signal been received, while the wait before this one ended.
+		if behind() {
+			select {
+			case <-time.After(grace):
+			case <-ended:
+				return
+			}
+			if behind() {
+				close(interrupt)
+				return
+			}
+		}
 		select {
 		case <-f.rereadConfiguration:
 		case <-f.storeChanged:
@@ -214,18 +227,6 @@
 		case <-ended:
 			return
 		}
-		if !f.newer.beyond(f.version()) && !f.storeBeyond(after) {
-			continue
-		}
-		select {
-		case <-time.After(grace):
-		case <-ended:
-			return
-		}
-		if f.newer.beyond(f.version()) || f.storeBeyond(after) {
-			close(interrupt)
-			return
-		}
 	}
 }
 
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -51,3 +51,22 @@
 		}
 	})
 }
+
+// Guards against a change that is seen while the answer to a wait is on its way: the signal ended with that wait, and the
+// next wait, which the store does not answer, went on although the store was known to be ahead.
+func TestChangeSeenAtTheEndOfAWaitIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		f := followWith(t, source)
+		time.Sleep(time.Second)
+		f.storeRead(3)
+		time.Sleep(time.Duration(hintGracePart / 2 * float64(applyBound)))
+		source.set(func() { source.newest, source.forgets = 2, true }) // answers the wait that runs, and no later one
+		synctest.Wait()
+		source.set(func() { source.newest = 3 })
+		time.Sleep(applyBound / 4)
+		if f.version() != 3 {
+			t.Errorf("version %d is in force %v after the store was seen to have version 3", f.version(), applyBound/4)
+		}
+	})
+}
