Repeat a failed check of the configuration with the next read of the upstreams

After its second failure a read of the configuration paused up to 2 s. Only the return of the reads of the upstreams, or another host, ended that pause. Where reads of the upstreams work all along and no host has the change, nothing did: the only host that looks whether the store is ahead (the first in turn) slept, and config_apply_ms passed.

Change: a read of the upstreams in its turn signals the follower of the configuration by the same channel as other hosts' news, which ends the pause. A host that does not wait at the store looks at the state, not at the signal, so a failed check is not dropped with it. The separate channel is gone.

Cost: while reads of the configuration fail and those of the upstreams work, one call with each read of the upstreams instead of one in 2 s, by the host in turn only.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -72,18 +72,20 @@
 func (f *followers) awaitNewer(ctx context.Context, dependency *dependency) {
 	ticker := time.NewTicker(waitersCheck)
 	defer ticker.Stop()
-	for !f.waits() {
+	for ctx.Err() == nil && !f.waits() {
 		if f.newer.beyond(f.version()) {
 			f.fetchNewer(ctx, dependency)
 			return
 		}
+		if f.storeBeyond(f.position) {
+			f.checkConfiguration(ctx, dependency)
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.rereadConfiguration:
 		case <-f.retryConfiguration:
-		case <-f.storeChanged:
-			f.checkConfiguration(ctx, dependency)
 		case <-ticker.C:
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,8 +39,7 @@
 	// retryConfiguration and retryHosts tell that the store is back.
 	retryConfiguration chan struct{}
 	retryHosts         chan struct{}
-	// storeChanged tells that a read of the upstreams has stated storeVersion.
-	storeChanged chan struct{}
+	// storeVersion is the newest version that a read of the upstreams has stated.
 	storeVersion atomic.Uint64
 	peers        *confsync.Client
 
@@ -53,7 +52,7 @@
 func newFollowers(g *Gateway) *followers {
 	return &followers{
 		Gateway: g, retryConfiguration: make(chan struct{}, 1), retryHosts: make(chan struct{}, 1),
-		storeChanged: make(chan struct{}, 1), peers: confsync.NewClient(),
+		peers: confsync.NewClient(),
 	}
 }
 
@@ -220,7 +219,6 @@
 		}
 		select {
 		case <-f.rereadConfiguration:
-		case <-f.storeChanged:
 		case <-f.retryConfiguration:
 			close(interrupt)
 			return
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -11,10 +11,11 @@
 // store's version with the position of its last read of the configuration, and reads the changes since when the store is
 // ahead. A store in which nothing changes is not called for this.
 
-// storeRead notes the version that a read of the upstreams has stated.
+// storeRead notes the version that a read of the upstreams has stated. It also ends the pause after a failed read of the
+// configuration.
 func (f *followers) storeRead(version uint64) {
 	f.storeVersion.Store(max(version, f.storeVersion.Load()))
-	poke(f.storeChanged)
+	poke(f.rereadConfiguration)
 }
 
 // storeBeyond reports whether the store has changed since the position.
@@ -22,11 +23,8 @@
 	return Position(f.storeVersion.Load()) > position
 }
 
-// checkConfiguration reads the changes of the configuration if the store has changed since the last read of it.
+// checkConfiguration reads the changes of the configuration since the last read of it.
 func (f *followers) checkConfiguration(ctx context.Context, dependency *dependency) {
-	if !f.storeBeyond(f.position) {
-		return
-	}
 	began := time.Now()
 	next, at, source, err := f.readChanges(ctx)
 	if err != nil {
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
 )
 
 // Guards against a change that no host hears of because the store answers no read that waits for it (incident DENIED).
@@ -70,3 +73,58 @@
 		}
 	})
 }
+
+// othersWait makes hosts known that wait at the store in place of this one, for as long as they count as heard.
+func othersWait(f *followers, incarnation uint64) {
+	records := make([]gossip.Record, 10)
+	for i := range records {
+		records[i] = gossip.Record{
+			ID: fmt.Sprint("other-", i), Incarnation: incarnation, Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2",
+		}
+	}
+	f.node.Update(time.Now(), records)
+}
+
+// Guards against a change that stays out of force because reads of the configuration have failed before: those of the
+// upstreams worked all along, so nothing but them told that the store was ahead, and none ended the pause after a failure.
+func TestCheckThatFailedIsRepeated(t *testing.T) {
+	const period = time.Duration(freshPart * float64(applyBound)) // between two reads of the upstreams
+	for _, waits := range []bool{true, false} {
+		for failing := time.Second; failing < 5*time.Second; failing += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				source := newVersions(1)
+				source.forgets = true
+				f := followWith(t, source)
+				synctest.Wait()
+				start := time.Now()
+				ended := false
+				await := func(end time.Time) {
+					for ; !ended && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+						if !waits {
+							othersWait(f, uint64(time.Since(start))+1)
+						}
+						if time.Since(start)%period < 50*time.Millisecond {
+							f.storeRead(source.newest)
+						}
+						ended = f.version() == 2
+					}
+				}
+				await(start.Add(100 * time.Millisecond))
+				poke(f.retryConfiguration) // ends the wait that has begun before the others were known
+				await(start.Add(time.Second))
+				if f.atStore.Load() != waits {
+					t.Fatalf("the host waits at the store: %v, want %v", !waits, waits)
+				}
+				source.set(func() { source.away, source.newest = true, 2 })
+				await(time.Now().Add(failing))
+				source.set(func() { source.away = false })
+				back := time.Now()
+				await(back.Add(2 * applyBound))
+				if took := time.Since(back); took > applyBound {
+					t.Errorf("waits %v: after %v of failures version 2 came into force %v after their end, want %v at most",
+						waits, failing, took, applyBound)
+				}
+			})
+		}
+	}
+}
