Do not move the position past changes that a read may have left out

After a read of the changes the position moved to the version that the read of the upstreams had stated, also where the answer itself stated an older one. If an answer holds only the first changes (PROTOCOL.md bounds no answer of rows-feed; rows-get ends at 500 rows or 1 MB), the later ones were passed over until the next whole read.

Change: where the answer brings a version and moves the position, its own position counts. The next wait, or check, reads on from there. An answer without a change still moves the position to the stated version, so that changes of other tables are not checked again. With a store whose answers state its newest version, as the stand-in does, nothing changes and no call is added.

Evidence: TestChangesReadInPartAreNotPassedOver fails before (version 2 after 2.5 s, want 3) and passes with the change.

--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -28,6 +28,8 @@
 	forgets bool
 	// oldest is the position before which changes are no longer told.
 	oldest Position
+	// single makes a read of the changes return the first one only.
+	single bool
 	whole  int // reads of the newest configuration
 	feed   int // reads that wait for a change
 }
@@ -77,12 +79,22 @@
 	case <-failed:
 		return nil, 0, errAway
 	case <-arrived:
-		return &Configuration{Snapshot: settings.NewSnapshot(version, nil, nil, nil)}, Position(version), nil
+		return newVersion(version), Position(version), nil
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
 	}
 }
 
+func newVersion(version uint64) *Configuration {
+	return &Configuration{Snapshot: settings.NewSnapshot(version, nil, nil, nil)}
+}
+
+func (v *versions) firstOnly() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.single
+}
+
 func (v *versions) Configuration(ctx context.Context) (*Configuration, Position, error) {
 	v.mu.Lock()
 	v.whole++
@@ -114,6 +126,9 @@
 	for {
 		version, away, changed, _ := v.state()
 		if away || Position(version) > after {
+			if v.firstOnly() {
+				return newVersion(uint64(after) + 1), after + 1, nil
+			}
 			return v.answer(ctx)
 		}
 		select {
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -40,7 +40,7 @@
 
 // readChanges reads what has changed since the position, without a wait, or all if that is not known.
 func (f *followers) readChanges(ctx context.Context) (*Configuration, Position, configurationSource, error) {
-	// The read begins after the one that has stated this version, so it holds all changes up to there.
+	// The read begins after the one that has stated this version. If it finds all, or nothing, it holds all changes up to there.
 	atLeast := Position(f.storeVersion.Load())
 	if f.position == 0 {
 		next, at, err := f.readWhole(ctx)
@@ -54,5 +54,8 @@
 		next, at, err = f.readWhole(ctx)
 		return next, max(at, atLeast), wholeRead, err
 	}
+	if next != nil && at > f.position {
+		return next, at, checkRead, err // the answer may hold a part of the changes
+	}
 	return next, max(at, atLeast), checkRead, err
 }
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -128,3 +128,20 @@
 		}
 	}
 }
+
+// Guards against changes that are passed over because a read of the changes has returned a part of them, while the position
+// moved to the store's version.
+func TestChangesReadInPartAreNotPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		source.forgets, source.single = true, true
+		f := followWith(t, source)
+		time.Sleep(time.Second)
+		source.set(func() { source.newest = 3 })
+		f.storeRead(3)
+		time.Sleep(applyBound)
+		if f.version() != 3 {
+			t.Errorf("version %d is in force %v after the store was seen to have version 3", f.version(), applyBound)
+		}
+	})
+}
