State the age of the configuration since a read of the store has confirmed it

Cause: a host took each datagram of a host that waits at the store and has the same version for a confirmation. A wait without an answer confirms nothing, and hosts that all wait confirmed each other.

Change: datagrams state the age of the sender's configuration (configuration_age_ms, 16) in place of at_store, and a receiver with the same version takes the newer of its own and the stated time. A read of the upstreams that states no newer store version than the last read of the configuration confirms it as well; otherwise the age would grow to the 20 s of a wait where nothing changes. A version that another host has passed on is as old as that host stated, and a passed-on version that is not newer no longer confirms the one in force. A host of an older program states no age, which confirms nothing.

Not changed: a read of this host counts from its end, not from its beginning.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -54,9 +54,6 @@
 	return !away && ableBefore < waitersPerDataCentre
 }
 
-// storeState is what other hosts are told of this one's reads of the store.
-func (g *Gateway) storeState() (away, waits bool) { return g.storeAway.Load(), g.atStore.Load() }
-
 // waits decides whether this host waits at the store.
 func (f *followers) waits() bool {
 	now := time.Now()
@@ -81,6 +78,7 @@
 			f.checkConfiguration(ctx, dependency)
 			continue
 		}
+		f.confirmUnchanged(f.position)
 		select {
 		case <-ctx.Done():
 			return
@@ -120,7 +118,7 @@
 		if err == nil {
 			var next *Configuration
 			if next, err = f.options.Configurations.Decode(raw); err == nil {
-				f.apply(next, configurationRead{source: peerRead})
+				f.apply(next, configurationRead{source: peerRead, confirmedAt: peer.ConfirmedAt})
 			}
 		}
 		if err != nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -41,7 +41,9 @@
 	retryHosts         chan struct{}
 	// storeVersion is the newest version that a read of the upstreams has stated.
 	storeVersion atomic.Uint64
-	peers        *confsync.Client
+	// storeReadAt is when the newest of these reads was started, in Unix nanoseconds. It is stored after storeVersion.
+	storeReadAt atomic.Int64
+	peers       *confsync.Client
 
 	// Only for the follower of the configuration.
 	waitsLogged bool
@@ -126,6 +128,8 @@
 	// after is the position from which it waited for a change, and at the one that the store stated.
 	after, at Position
 	took      time.Duration
+	// confirmedAt is when the host that has passed it on knew it to be the newest; zero for a read of this host.
+	confirmedAt time.Time
 }
 
 // describe adds what tells a change that was reported late from one that a read passed over.
@@ -217,6 +221,7 @@
 				return
 			}
 		}
+		f.confirmUnchanged(after)
 		select {
 		case <-f.rereadConfiguration:
 		case <-f.retryConfiguration:
@@ -238,14 +243,18 @@
 // apply puts a configuration in force unless the one in force is as new. nil confirms the one in force.
 func (f *followers) apply(next *Configuration, read configurationRead) {
 	current := f.current.Load()
+	now := time.Now()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
-		if current != nil {
-			current.confirmed.Store(time.Now().UnixNano())
+		if current != nil && read.source != peerRead {
+			current.confirm(now)
 		}
 		return
 	}
-	now := time.Now()
 	fresh, added, removed := newInForce(now, next, current)
+	if read.confirmedAt.IsZero() {
+		read.confirmedAt = now
+	}
+	fresh.confirm(read.confirmedAt)
 	f.packed.Store(new(confsync.Pack(next.Raw)))
 	f.current.Store(fresh)
 	if read.source != peerRead {
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -100,7 +100,7 @@
 	f.registryChanged(f.router.registry.Update(started, version, entries), version, "")
 	if inTurn {
 		f.turnRead.Store(started.UnixNano())
-		f.storeRead(version)
+		f.storeRead(started, version)
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,8 +164,8 @@
 			CallerAddress: g.options.CallerAddress, DataCentre: g.options.DataCentre, Key: key,
 			SettingsAddress: g.settingsListener.Addr().String(),
 		},
-		Store: g.storeState, Found: g.hostFound,
-		Conn: packets, Registry: g.registryState, Configuration: g.version, Uses: g.limiter.Uses,
+		StoreAway: g.storeAway.Load, Found: g.hostFound,
+		Conn: packets, Registry: g.registryState, Configuration: g.configurationState, Uses: g.limiter.Uses,
 		Retries: g.router.retries.Uses, Receive: g.receive,
 		Unknown: func(string) { poke(g.rereadHosts) },
 		Late:    g.log.processLate,
@@ -303,10 +303,16 @@
 }
 
 func (g *Gateway) settingsAge() time.Duration {
+	_, age := g.configurationState()
+	return age
+}
+
+// configurationState returns the version in force and its age; 0 if there is none.
+func (g *Gateway) configurationState() (version uint64, age time.Duration) {
 	if current := g.current.Load(); current != nil {
-		return time.Since(time.Unix(0, current.confirmed.Load()))
+		return current.Version(), time.Since(current.confirmedAt())
 	}
-	return 0
+	return 0, 0
 }
 
 func (g *Gateway) limits() pipeline.Limits {
@@ -351,8 +357,8 @@
 
 // receiveState takes what another host says of its own state.
 func (g *Gateway) receiveState(now time.Time, m *gossip.Message) {
-	if current := g.current.Load(); current != nil && m.AtStore && !m.StoreAway && m.Configuration == current.Version() {
-		current.confirmed.Store(now.UnixNano())
+	if current := g.current.Load(); current != nil && m.ConfigurationAge > 0 && m.Configuration == current.Version() {
+		current.confirm(now.Add(-m.ConfigurationAge))
 	}
 	if version := g.version(); m.Configuration > version {
 		g.newer.heard(g.logger, now, m.Host, m.Configuration, version)
--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -46,7 +46,7 @@
 			ID: id, Incarnation: 7, Address: conn.LocalAddr().String(), CallerAddress: "127.0.0.1:1", DataCentre: dataCentre,
 			Key: NewKey(),
 		},
-		Conn: conn, Configuration: func() uint64 { return 12 }, Retries: none,
+		Conn: conn, Configuration: func() (uint64, time.Duration) { return 12, 3 * time.Second }, Retries: none,
 		Registry: func(time.Time) RegistryState {
 			return RegistryState{
 				Digest: 99, Age: 40 * time.Millisecond, Settled: true, Version: 5,
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -49,10 +50,12 @@
 	Old           bool
 	Leaving       bool
 	Configuration uint64
-	// StoreAway is true if the sender could not read the store lately, and AtStore if it waits there for a new configuration.
-	StoreAway, AtStore bool
-	Notices            []breaker.Notice
-	Uses               []quota.Use
+	// ConfigurationAge is the time since a read of the store has confirmed Configuration; 0 if not known.
+	ConfigurationAge time.Duration
+	// StoreAway is true if the sender could not read the store lately.
+	StoreAway bool
+	Notices   []breaker.Notice
+	Uses      []quota.Use
 	// Retries counts the use of retry budgets; Customer holds the name of the service.
 	Retries []quota.Use
 	// Loads are the upstreams that the sender has found to be full.
@@ -79,11 +82,10 @@
 	Self Record
 	// Conn receives datagrams at Self.Address. Required.
 	Conn net.PacketConn
-	// Configuration returns the version in force at this host. Required.
-	Configuration func() uint64
-	// Store returns whether this host could not read the store lately, and whether it waits there for a new configuration.
-	// Default neither.
-	Store func() (away, waits bool)
+	// Configuration returns the version in force at this host and the time since a read of the store has confirmed it. Required.
+	Configuration func() (version uint64, age time.Duration)
+	// StoreAway returns whether this host could not read the store lately. Default no.
+	StoreAway func() bool
 	// Registry returns this host's own newest read of the upstreams. Required.
 	Registry func(now time.Time) RegistryState
 	// Uses returns the counts to report. Required.
@@ -166,8 +168,8 @@
 	if options.Late == nil {
 		options.Late = func(time.Duration) {}
 	}
-	if options.Store == nil {
-		options.Store = func() (away, waits bool) { return false, false }
+	if options.StoreAway == nil {
+		options.StoreAway = func() bool { return false }
 	}
 	if options.HubFailed == nil {
 		options.HubFailed = func(string) {}
@@ -374,9 +376,10 @@
 func (n *Node) send(c content, lane lane) {
 	m := &gossippb.Datagram{
 		Host: n.options.Self.ID, Incarnation: n.options.Self.Incarnation, Sequence: n.sequence.Add(1),
-		Leaving: n.leaving.Load(), Configuration: n.options.Configuration(),
+		Leaving: n.leaving.Load(), StoreAway: n.options.StoreAway(),
 	}
-	m.StoreAway, m.AtStore = n.options.Store()
+	version, age := n.options.Configuration()
+	m.Configuration, m.ConfigurationAgeMs = version, uint32(min((age+transit).Milliseconds(), math.MaxUint32))
 	now := time.Now()
 	encodeRegistry(m, n.options.Registry(now))
 	encodeContent(m, c)
--- a/gateway/gossip/paused_test.go
+++ b/gateway/gossip/paused_test.go
@@ -23,7 +23,7 @@
 			ID: "relay", Incarnation: 7, Address: conn.LocalAddr().String(), CallerAddress: "127.0.0.1:1", DataCentre: "south",
 			Key: NewKey(),
 		},
-		Conn: conn, Configuration: func() uint64 { return 12 }, Retries: none, Uses: none,
+		Conn: conn, Configuration: func() (uint64, time.Duration) { return 12, 3 * time.Second }, Retries: none, Uses: none,
 		Registry: func(time.Time) RegistryState { return RegistryState{} },
 		Receive:  func(time.Time, *Message) {}, Found: func(string) {}, Unknown: func(string) {}, Returned: func(string) {},
 	})
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -131,7 +131,8 @@
 func decode(m *gossippb.Datagram) *Message {
 	message := &Message{
 		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
-		Registry: decodeRegistry(m), StoreAway: m.GetStoreAway(), AtStore: m.GetAtStore(),
+		Registry: decodeRegistry(m), StoreAway: m.GetStoreAway(),
+		ConfigurationAge: time.Duration(m.GetConfigurationAgeMs()) * time.Millisecond,
 	}
 	for _, notice := range m.GetNotices() {
 		message.Notices = append(message.Notices, decodeNotice(notice))
--- a/gateway/gossip/scale_test.go
+++ b/gateway/gossip/scale_test.go
@@ -41,7 +41,7 @@
 				ID: fmt.Sprint("edge-", i), Incarnation: 7, Address: conn.LocalAddr().String(), CallerAddress: "127.0.0.1:1",
 				DataCentre: fmt.Sprint("dc-", i%5), Key: NewKey(),
 			},
-			Conn: conn, Configuration: func() uint64 { return 12 },
+			Conn: conn, Configuration: func() (uint64, time.Duration) { return 12, 3 * time.Second },
 			Retries:  func(time.Time, bool) []quota.Use { return nil },
 			Registry: func(time.Time) RegistryState { return RegistryState{Digest: 99, Age: time.Second, Settled: true} },
 			Uses: func(_ time.Time, urgent bool) []quota.Use {
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -26,6 +26,8 @@
 	Leaving bool
 	// Configuration is the version in force there, 0 if not yet heard.
 	Configuration uint64
+	// ConfirmedAt is when a read of the store has confirmed that version; zero if not known.
+	ConfirmedAt time.Time
 	// StoreAway is true if the host could not read the store lately.
 	StoreAway bool
 
@@ -110,6 +112,9 @@
 	host.HeardAt, host.heard = now, true
 	host.Leaving, host.Configuration = m.Leaving, max(host.Configuration, m.Configuration)
 	host.StoreAway = m.StoreAway
+	if m.ConfigurationAge > 0 {
+		host.ConfirmedAt = now.Add(-m.ConfigurationAge)
+	}
 	return true, returned
 }
 
--- a/gateway/inforce.go
+++ b/gateway/inforce.go
@@ -8,12 +8,12 @@
 	"github.com/rs/zerolog"
 )
 
-// inForce is the configuration in force and when it was last confirmed by the store.
+// inForce is the configuration in force and when a read of the store, by this host or another, last confirmed it.
 type inForce struct {
 	*Configuration
 	// since is when this process had its first configuration.
 	since     time.Time
-	confirmed atomic.Int64 // unix nanoseconds
+	confirmed atomic.Int64 // Unix nanoseconds
 	// broughtBy holds the version that brought each route, as far as this process has seen it.
 	broughtBy map[string]uint64
 }
@@ -21,7 +21,6 @@
 // newInForce returns what is in force after a configuration, and how many routes it adds and removes.
 func newInForce(now time.Time, next *Configuration, before *inForce) (fresh *inForce, added, removed int) {
 	fresh = &inForce{Configuration: next, since: now, broughtBy: make(map[string]uint64, len(next.Routes))}
-	fresh.confirmed.Store(now.UnixNano())
 	var old map[string]uint64
 	if before != nil {
 		fresh.since, old = before.since, before.broughtBy
@@ -40,6 +39,19 @@
 	return fresh, added, len(old) - kept
 }
 
+// confirm notes that a read of the store has shown this version to be the newest. An earlier time than the one known changes
+// nothing.
+func (c *inForce) confirm(at time.Time) {
+	for {
+		before := c.confirmed.Load()
+		if at.UnixNano() <= before || c.confirmed.CompareAndSwap(before, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+func (c *inForce) confirmedAt() time.Time { return time.Unix(0, c.confirmed.Load()) }
+
 // versionOf is the version of a configuration, 0 if there is none.
 func versionOf(c *inForce) uint64 {
 	if c == nil {
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -13,8 +13,9 @@
 
 // storeRead notes the version that a read of the upstreams has stated. It also ends the pause after a failed read of the
 // configuration.
-func (f *followers) storeRead(version uint64) {
+func (f *followers) storeRead(started time.Time, version uint64) {
 	f.storeVersion.Store(max(version, f.storeVersion.Load()))
+	f.storeReadAt.Store(started.UnixNano())
 	poke(f.rereadConfiguration)
 }
 
@@ -23,6 +24,17 @@
 	return Position(f.storeVersion.Load()) > position
 }
 
+// confirmUnchanged confirms the configuration if a read of the upstreams has shown that the store has not changed since the
+// position, which is that of the last read of the configuration.
+func (f *followers) confirmUnchanged(position Position) {
+	readAt := f.storeReadAt.Load() // before the version, which may be of a later read then, not of an earlier one
+	current := f.current.Load()
+	if readAt == 0 || current == nil || f.storeBeyond(position) {
+		return
+	}
+	current.confirm(time.Unix(0, readAt))
+}
+
 // checkConfiguration reads the changes of the configuration since the last read of it.
 func (f *followers) checkConfiguration(ctx context.Context, dependency *dependency) {
 	began := time.Now()
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -19,7 +19,7 @@
 				f := followWith(t, source)
 				time.Sleep(time.Second)
 				source.set(func() { source.newest, source.oldest = 2, oldest })
-				f.storeRead(2)
+				f.storeRead(time.Now(), 2)
 				time.Sleep(applyBound / 4)
 				if f.version() != 2 {
 					t.Errorf("version %d is in force %v after the store was seen to have changed, want 2", f.version(), applyBound/4)
@@ -39,14 +39,14 @@
 		reads := func() int { return source.feedReads() + source.wholeReads() }
 		before := reads()
 		for range 15 {
-			f.storeRead(1)
+			f.storeRead(time.Now(), 1)
 			time.Sleep(time.Second)
 		}
 		if calls := reads() - before; calls != 0 {
 			t.Errorf("%d calls in 15 s in which nothing has changed", calls)
 		}
 		for range 4 {
-			f.storeRead(5)
+			f.storeRead(time.Now(), 5)
 			time.Sleep(time.Second)
 		}
 		if calls := reads() - before; calls > 2 { // the check, and the next wait
@@ -62,7 +62,7 @@
 		source := newVersions(1)
 		f := followWith(t, source)
 		time.Sleep(time.Second)
-		f.storeRead(3)
+		f.storeRead(time.Now(), 3)
 		time.Sleep(time.Duration(hintGracePart / 2 * float64(applyBound)))
 		source.set(func() { source.newest, source.forgets = 2, true }) // answers the wait that runs, and no later one
 		synctest.Wait()
@@ -104,7 +104,7 @@
 							othersWait(f, uint64(time.Since(start))+1)
 						}
 						if time.Since(start)%period < 50*time.Millisecond {
-							f.storeRead(source.newest)
+							f.storeRead(time.Now(), source.newest)
 						}
 						ended = f.version() == 2
 					}
@@ -138,10 +138,42 @@
 		f := followWith(t, source)
 		time.Sleep(time.Second)
 		source.set(func() { source.newest = 3 })
-		f.storeRead(3)
+		f.storeRead(time.Now(), 3)
 		time.Sleep(applyBound)
 		if f.version() != 3 {
 			t.Errorf("version %d is in force %v after the store was seen to have version 3", f.version(), applyBound)
 		}
 	})
 }
+
+// Guards against an age of the configuration that stays small while no read of the store confirms it: in incident DENIED it
+// did for 10 s, because each host took the others' waits at the store for a confirmation.
+func TestAgeOfTheConfigurationCountsFromAReadOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		source.forgets = true
+		f := followWith(t, source)
+		synctest.Wait()
+		expect := func(want time.Duration, what string) {
+			t.Helper()
+			synctest.Wait()
+			if age := f.settingsAge(); age != want {
+				t.Errorf("age %v, want %v: %s", age, want, what)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		expect(5*time.Second, "a wait that has no answer is no confirmation")
+		f.storeRead(time.Now().Add(-time.Second), 1)
+		expect(time.Second, "a read of the upstreams, begun 1 s ago, has shown that the store has not changed")
+		state := func(version uint64, age time.Duration) {
+			f.receiveState(time.Now(), &gossip.Message{Host: "b", Configuration: version, ConfigurationAge: age})
+		}
+		time.Sleep(9 * time.Second)
+		state(1, 12*time.Second)
+		expect(10*time.Second, "the other host's confirmation is older")
+		state(1, 0)
+		expect(10*time.Second, "the other host's confirmation is not known")
+		state(1, 4*time.Second)
+		expect(4*time.Second, "the other host's confirmation is newer")
+	})
+}
