--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,10 +39,11 @@
 	// retryConfiguration and retryHosts tell that the store is back.
 	retryConfiguration chan struct{}
 	retryHosts         chan struct{}
-	// storeChanged tells that a read of the upstreams has stated storeVersion.
-	storeChanged chan struct{}
+	// storeVersion is the newest version that a read of the upstreams has stated.
 	storeVersion atomic.Uint64
-	peers        *confsync.Client
+	// storeReadAt is when the newest of these reads was started, in Unix nanoseconds. It is stored after storeVersion.
+	storeReadAt atomic.Int64
+	peers       *confsync.Client
 
 	// Only for the follower of the configuration.
 	waitsLogged bool
@@ -55,7 +56,7 @@
 func newFollowers(g *Gateway) *followers {
 	return &followers{
 		Gateway: g, retryConfiguration: make(chan struct{}, 1), retryHosts: make(chan struct{}, 1),
-		storeChanged: make(chan struct{}, 1), peers: confsync.NewClient(),
+		peers: confsync.NewClient(),
 	}
 }
 
@@ -133,6 +134,8 @@
 	// after is the position from which it waited for a change, and at the one that the store stated.
 	after, at Position
 	took      time.Duration
+	// confirmedAt is when the host that has passed it on knew it to be the newest; zero for a read of this host.
+	confirmedAt time.Time
 }
 
 // describe adds what tells a change that was reported late from one that a read passed over.
@@ -211,10 +214,26 @@
 // after a pause of this process, since what the wait has brought may be long overtaken.
 func (f *followers) interruptWhenBehind(after Position, ended <-chan struct{}, interrupt chan<- struct{}) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
+	behind := func() bool { return f.newer.beyond(f.version()) || f.storeBeyond(after) }
 	for {
+		// The news may have come, and its signal been received, while the wait before this one ended.
+		if behind() {
+			select {
+			case <-time.After(grace):
+			case <-f.rereadAfterPause.configuration:
+				close(interrupt)
+				return
+			case <-ended:
+				return
+			}
+			if behind() {
+				close(interrupt)
+				return
+			}
+		}
+		f.confirmUnchanged(after)
 		select {
 		case <-f.rereadConfiguration:
-		case <-f.storeChanged:
 		case <-f.retryConfiguration:
 			close(interrupt)
 			return
@@ -224,21 +243,6 @@
 		case <-ended:
 			return
 		}
-		if !f.newer.beyond(f.version()) && !f.storeBeyond(after) {
-			continue
-		}
-		select {
-		case <-time.After(grace):
-		case <-f.rereadAfterPause.configuration:
-			close(interrupt)
-			return
-		case <-ended:
-			return
-		}
-		if f.newer.beyond(f.version()) || f.storeBeyond(after) {
-			close(interrupt)
-			return
-		}
 	}
 }
 
@@ -258,14 +262,18 @@
 func (f *followers) apply(next *Configuration, read configurationRead) {
 	defer f.configurationAsOf.Store(new(f.asOf)) // once it is in force
 	current := f.current.Load()
+	now := time.Now()
 	if next == nil || (current != nil && next.Version() <= current.Version()) {
-		if current != nil {
-			current.confirmed.Store(time.Now().UnixNano())
+		if current != nil && read.source != peerRead {
+			current.confirm(now)
 		}
 		return
 	}
-	now := time.Now()
 	fresh, added, removed := newInForce(now, next, current)
+	if read.confirmedAt.IsZero() {
+		read.confirmedAt = now
+	}
+	fresh.confirm(read.confirmedAt)
 	f.packed.Store(new(confsync.Pack(next.Raw)))
 	f.current.Store(fresh)
 	if read.source != peerRead {
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -11,10 +11,12 @@
 // store's version with the position of its last read of the configuration, and reads the changes since when the store is
 // ahead. A store in which nothing changes is not called for this.
 
-// storeRead notes the version that a read of the upstreams has stated.
-func (f *followers) storeRead(version uint64) {
+// storeRead notes the version that a read of the upstreams has stated. It also ends the pause after a failed read of the
+// configuration.
+func (f *followers) storeRead(started time.Time, version uint64) {
 	f.storeVersion.Store(max(version, f.storeVersion.Load()))
-	poke(f.storeChanged)
+	f.storeReadAt.Store(started.UnixNano())
+	poke(f.rereadConfiguration)
 }
 
 // storeBeyond reports whether the store has changed since the position.
@@ -22,11 +24,19 @@
 	return Position(f.storeVersion.Load()) > position
 }
 
-// checkConfiguration reads the changes of the configuration if the store has changed since the last read of it.
-func (f *followers) checkConfiguration(ctx context.Context, dependency *dependency) {
-	if !f.storeBeyond(f.position) {
+// confirmUnchanged confirms the configuration if a read of the upstreams has shown that the store has not changed since the
+// position, which is that of the last read of the configuration.
+func (f *followers) confirmUnchanged(position Position) {
+	readAt := f.storeReadAt.Load() // before the version, which may be of a later read then, not of an earlier one
+	current := f.current.Load()
+	if readAt == 0 || current == nil || f.storeBeyond(position) {
 		return
 	}
+	current.confirm(time.Unix(0, readAt))
+}
+
+// checkConfiguration reads the changes of the configuration since the last read of it.
+func (f *followers) checkConfiguration(ctx context.Context, dependency *dependency) {
 	began := time.Now()
 	next, at, source, err := f.readChanges(ctx)
 	if err != nil {
@@ -42,7 +52,7 @@
 
 // readChanges reads what has changed since the position, without a wait, or all if that is not known.
 func (f *followers) readChanges(ctx context.Context) (*Configuration, Position, configurationSource, error) {
-	// The read begins after the one that has stated this version, so it holds all changes up to there.
+	// The read begins after the one that has stated this version. If it finds all, or nothing, it holds all changes up to there.
 	atLeast := Position(f.storeVersion.Load())
 	if f.position == 0 {
 		next, at, err := f.readWhole(ctx)
@@ -57,8 +67,12 @@
 		next, at, err = f.readWhole(ctx)
 		return next, max(at, atLeast), wholeRead, err
 	}
-	if err == nil {
-		f.asOf = started
+	if err != nil {
+		return nil, 0, checkRead, err
+	}
+	if at > f.position && at < atLeast {
+		return next, at, checkRead, nil // the answer may hold a part of the changes
 	}
-	return next, max(at, atLeast), checkRead, err
+	f.asOf = started
+	return next, max(at, atLeast), checkRead, nil
 }
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
 )
 
 // Guards against a change that no host hears of because the store answers no read that waits for it (incident DENIED).
@@ -16,7 +19,7 @@
 				f := followWith(t, source)
 				time.Sleep(time.Second)
 				source.set(func() { source.newest, source.oldest = 2, oldest })
-				f.storeRead(2)
+				f.storeRead(time.Now(), 2)
 				time.Sleep(applyBound / 4)
 				if f.version() != 2 {
 					t.Errorf("version %d is in force %v after the store was seen to have changed, want 2", f.version(), applyBound/4)
@@ -36,14 +39,14 @@
 		reads := func() int { return source.feedReads() + source.wholeReads() }
 		before := reads()
 		for range 15 {
-			f.storeRead(1)
+			f.storeRead(time.Now(), 1)
 			time.Sleep(time.Second)
 		}
 		if calls := reads() - before; calls != 0 {
 			t.Errorf("%d calls in 15 s in which nothing has changed", calls)
 		}
 		for range 4 {
-			f.storeRead(5)
+			f.storeRead(time.Now(), 5)
 			time.Sleep(time.Second)
 		}
 		if calls := reads() - before; calls > 2 { // the check, and the next wait
@@ -51,3 +54,126 @@
 		}
 	})
 }
+
+// Guards against a change that is seen while the answer to a wait is on its way: the signal ended with that wait, and the
+// next wait, which the store does not answer, went on although the store was known to be ahead.
+func TestChangeSeenAtTheEndOfAWaitIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		f := followWith(t, source)
+		time.Sleep(time.Second)
+		f.storeRead(time.Now(), 3)
+		time.Sleep(time.Duration(hintGracePart / 2 * float64(applyBound)))
+		source.set(func() { source.newest, source.forgets = 2, true }) // answers the wait that runs, and no later one
+		synctest.Wait()
+		source.set(func() { source.newest = 3 })
+		time.Sleep(applyBound / 4)
+		if f.version() != 3 {
+			t.Errorf("version %d is in force %v after the store was seen to have version 3", f.version(), applyBound/4)
+		}
+	})
+}
+
+// othersWait makes hosts known that wait at the store in place of this one, for as long as they count as heard.
+func othersWait(f *followers, incarnation uint64) {
+	records := make([]gossip.Record, 10)
+	for i := range records {
+		records[i] = gossip.Record{
+			ID: fmt.Sprint("other-", i), Incarnation: incarnation, Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2",
+		}
+	}
+	f.node.Update(time.Now(), records)
+}
+
+// Guards against a change that stays out of force because reads of the configuration have failed before: those of the
+// upstreams worked all along, so nothing but them told that the store was ahead, and none ended the pause after a failure.
+func TestCheckThatFailedIsRepeated(t *testing.T) {
+	const period = time.Duration(freshPart * float64(applyBound)) // between two reads of the upstreams
+	for _, waits := range []bool{true, false} {
+		for failing := time.Second; failing < 5*time.Second; failing += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				source := newVersions(1)
+				source.forgets = true
+				f := followWith(t, source)
+				synctest.Wait()
+				start := time.Now()
+				ended := false
+				await := func(end time.Time) {
+					for ; !ended && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+						if !waits {
+							othersWait(f, uint64(time.Since(start))+1)
+						}
+						if time.Since(start)%period < 50*time.Millisecond {
+							f.storeRead(time.Now(), source.newest)
+						}
+						ended = f.version() == 2
+					}
+				}
+				await(start.Add(100 * time.Millisecond))
+				poke(f.retryConfiguration) // ends the wait that has begun before the others were known
+				await(start.Add(time.Second))
+				if f.atStore.Load() != waits {
+					t.Fatalf("the host waits at the store: %v, want %v", !waits, waits)
+				}
+				source.set(func() { source.away, source.newest = true, 2 })
+				await(time.Now().Add(failing))
+				source.set(func() { source.away = false })
+				back := time.Now()
+				await(back.Add(2 * applyBound))
+				if took := time.Since(back); took > applyBound {
+					t.Errorf("waits %v: after %v of failures version 2 came into force %v after their end, want %v at most",
+						waits, failing, took, applyBound)
+				}
+			})
+		}
+	}
+}
+
+// Guards against changes that are passed over because a read of the changes has returned a part of them, while the position
+// moved to the store's version.
+func TestChangesReadInPartAreNotPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		source.forgets, source.single = true, true
+		f := followWith(t, source)
+		time.Sleep(time.Second)
+		source.set(func() { source.newest = 3 })
+		f.storeRead(time.Now(), 3)
+		time.Sleep(applyBound)
+		if f.version() != 3 {
+			t.Errorf("version %d is in force %v after the store was seen to have version 3", f.version(), applyBound)
+		}
+	})
+}
+
+// Guards against an age of the configuration that stays small while no read of the store confirms it: in incident DENIED it
+// did for 10 s, because each host took the others' waits at the store for a confirmation.
+func TestAgeOfTheConfigurationCountsFromAReadOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newVersions(1)
+		source.forgets = true
+		f := followWith(t, source)
+		synctest.Wait()
+		expect := func(want time.Duration, what string) {
+			t.Helper()
+			synctest.Wait()
+			if age := f.settingsAge(); age != want {
+				t.Errorf("age %v, want %v: %s", age, want, what)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		expect(5*time.Second, "a wait that has no answer is no confirmation")
+		f.storeRead(time.Now().Add(-time.Second), 1)
+		expect(time.Second, "a read of the upstreams, begun 1 s ago, has shown that the store has not changed")
+		state := func(version uint64, age time.Duration) {
+			f.receiveState(time.Now(), &gossip.Message{Host: "b", Configuration: version, ConfigurationAge: age})
+		}
+		time.Sleep(9 * time.Second)
+		state(1, 12*time.Second)
+		expect(10*time.Second, "the other host's confirmation is older")
+		state(1, 0)
+		expect(10*time.Second, "the other host's confirmation is not known")
+		state(1, 4*time.Second)
+		expect(4*time.Second, "the other host's confirmation is newer")
+	})
+}
