A host that others precede ends its wait at the store

Cause: a host reads the configuration before it has read the records of the other hosts, takes itself for one of the first two and begins a wait of 20 s, during which it did not look again at its place. So a whole fleet waits at the store for 20 s after its start (5 of 5 hosts, or 3 or 4 where a host was slow to start), and each of them gets the next version from the store. A short delay of the end of a wait makes it fail.

Change: a host that waits at the store looks at its place each 0.5 s and ends the wait when others have come first for 3 s. The end costs no call of the store. Records of hosts that have ended count as alive for 2.5 s, so they do not end a wait.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -18,6 +18,9 @@
 	waitersPerDataCentre = 2
 	// waitersCheck is the time between two looks at which hosts these are.
 	waitersCheck = 500 * time.Millisecond
+	// precededFor is for how long others must come first before a host ends its wait at the store. Hosts that have ended count
+	// as alive for gossip.AliveFor after their records are read.
+	precededFor = gossip.AliveFor + waitersCheck
 	// peersAsked is the number of hosts that are asked for a configuration before the store is.
 	peersAsked = 2
 	// waitersKey orders the hosts.
@@ -57,10 +60,14 @@
 // storeState is what other hosts are told of this one's reads of the store.
 func (g *Gateway) storeState() (away, waits bool) { return g.storeAway.Load(), g.atStore.Load() }
 
+// comesFirst reports whether this host is one of those that are to wait at the store.
+func (f *followers) comesFirst(now time.Time) bool {
+	return waitsAtStore(now, f.options.HostID, f.options.DataCentre, f.storeAway.Load(), f.node.Hosts(now))
+}
+
 // waits decides whether this host waits at the store.
 func (f *followers) waits() bool {
-	now := time.Now()
-	waits := waitsAtStore(now, f.options.HostID, f.options.DataCentre, f.storeAway.Load(), f.node.Hosts(now))
+	waits := f.comesFirst(time.Now())
 	if f.atStore.Swap(waits) != waits || !f.waitsLogged {
 		f.waitsLogged = true
 		f.logger.Info().Str("event", "configuration_follower").Bool("at_store", waits).Send()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -100,6 +101,8 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(position)).Send()
 			known = false
+		case errors.Is(err, ErrInterrupted): // other hosts wait
+			known = false
 		case err != nil && ctx.Err() == nil:
 			known = false // a read of all may succeed where the feed fails, and finds what was missed
 			f.storeAway.Store(true)
@@ -144,7 +147,7 @@
 }
 
 // readConfiguration reads the newest configuration, or waits for the next one. A hint that another host has a newer one
-// ends the wait.
+// ends the wait. The error is ErrInterrupted if the wait has ended because others are to wait in place of this host.
 func (f *followers) readConfiguration(
 	ctx context.Context, after Position, known bool,
 ) (*Configuration, Position, configurationSource, error) {
@@ -157,9 +160,10 @@
 	interrupt := make(chan struct{})
 	ended := make(chan struct{})
 	defer close(ended)
-	go f.interruptWhenBehind(ended, interrupt)
+	var preceded atomic.Bool
+	go f.interruptWhenBehind(ended, interrupt, &preceded)
 	next, at, err := f.options.Configurations.ConfigurationAfter(waiting, after, configurationWait, interrupt)
-	if !errors.Is(err, ErrInterrupted) {
+	if !errors.Is(err, ErrInterrupted) || preceded.Load() {
 		return next, at, feedRead, err
 	}
 	next, at, err = f.readWhole(ctx)
@@ -169,9 +173,13 @@
 // interruptWhenBehind closes interrupt if another host has a newer version and the read of this one does not bring it in
 // the grace: its connection may have gone silent. Without a grace most hosts would read each version twice, because it is
 // in force at some host before all others have read it. It also closes interrupt when the store is back after it was away:
-// the store may have forgotten who waits.
-func (f *followers) interruptWhenBehind(ended <-chan struct{}, interrupt chan<- struct{}) {
+// the store may have forgotten who waits. And it sets preceded and closes interrupt when others have come first for
+// precededFor: a host that has just started begins to wait before it knows them.
+func (f *followers) interruptWhenBehind(ended <-chan struct{}, interrupt chan<- struct{}, preceded *atomic.Bool) {
 	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
+	check := time.NewTicker(waitersCheck)
+	defer check.Stop()
+	cameFirst := time.Now()
 	for {
 		select {
 		case <-f.rereadConfiguration:
@@ -180,6 +188,17 @@
 			return
 		case <-ended:
 			return
+		case <-check.C:
+			now := time.Now()
+			if f.comesFirst(now) {
+				cameFirst = now
+			}
+			if now.Sub(cameFirst) >= precededFor {
+				preceded.Store(true)
+				close(interrupt)
+				return
+			}
+			continue
 		}
 		select {
 		case <-time.After(grace):
