--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -115,6 +115,8 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("event", "history_gone").Uint64("position", uint64(f.position)).Send()
 			known = false
+		case errors.Is(err, ErrInterrupted): // other hosts come first
+			known = false
 		case err != nil && ctx.Err() == nil:
 			known = false // a read of all may succeed where the feed fails, and finds what was missed
 			f.storeAway.Store(true)
@@ -184,68 +186,6 @@
 	}
 }
 
-// readConfiguration reads the newest configuration, or waits for the next one. News that this host is behind ends the wait.
-func (f *followers) readConfiguration(ctx context.Context, known bool) (*Configuration, Position, configurationSource, error) {
-	if !known {
-		next, at, err := f.readWhole(ctx)
-		return next, at, wholeRead, err
-	}
-	waiting, cancel := context.WithTimeout(ctx, configurationWait+callTimeout)
-	defer cancel()
-	interrupt := make(chan struct{})
-	ended := make(chan struct{})
-	defer close(ended)
-	go f.interruptWhenBehind(f.position, ended, interrupt)
-	next, at, err := f.options.Configurations.ConfigurationAfter(waiting, f.position, configurationWait, interrupt)
-	if !errors.Is(err, ErrInterrupted) {
-		return next, at, feedRead, err
-	}
-	if f.storeBeyond(f.position) && !f.newer.beyond(f.version()) {
-		return f.readChanges(ctx)
-	}
-	next, at, err = f.readWhole(ctx)
-	return next, at, hintedRead, err
-}
-
-// interruptWhenBehind closes interrupt if another host has a newer version, or the store has changed since the position, and
-// the read of this host does not end in the grace: its connection may have gone silent, or the store does not answer it.
-// Without a grace most hosts would read each version twice, because it is in force at some host before all others have read
-// it. It also closes interrupt when the store is back after it was away, since the store may have forgotten who waits, and
-// after a pause of this process, since what the wait has brought may be long overtaken.
-func (f *followers) interruptWhenBehind(after Position, ended <-chan struct{}, interrupt chan<- struct{}) {
-	grace := time.Duration(hintGracePart * float64(f.boundsNow().ApplyConfiguration))
-	behind := func() bool { return f.newer.beyond(f.version()) || f.storeBeyond(after) }
-	for {
-		// The news may have come, and its signal been received, while the wait before this one ended.
-		if behind() {
-			select {
-			case <-time.After(grace):
-			case <-f.rereadAfterPause.configuration:
-				close(interrupt)
-				return
-			case <-ended:
-				return
-			}
-			if behind() {
-				close(interrupt)
-				return
-			}
-		}
-		f.confirmUnchanged(after)
-		select {
-		case <-f.rereadConfiguration:
-		case <-f.retryConfiguration:
-			close(interrupt)
-			return
-		case <-f.rereadAfterPause.configuration:
-			close(interrupt)
-			return
-		case <-ended:
-			return
-		}
-	}
-}
-
 // readWhole reads the newest configuration.
 func (f *followers) readWhole(ctx context.Context) (*Configuration, Position, error) {
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
