--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -29,10 +29,8 @@
 	rateHalfLife     = 0.5
 	shortestInterval = 0.1
 	// agreement is the weight of another host's view of a bucket in the own one, and agreementTime the least time in which all
-	// views together weigh as much as the own one. A view is as old as its way was long, so a bucket that empties seems to
-	// empty more slowly, by the part that this age is of agreementTime. With a weight for each report alone, 177 hosts that
-	// heard of each other up to 0.3 s late admitted 256 requests in 5 s, of 218 allowed; with 2 s, views that cuts had set
-	// apart stayed so for too long.
+	// views together weigh as much as the own one. A view is as old as its way was long, so without this bound the late views
+	// of many hosts hide the use that this one has just heard of. A longer time keeps views apart that differ after a cut.
 	agreement     = 1.0 / 16
 	agreementTime = 1500 * time.Millisecond
 	// shareDepth is the debt, in seconds of the rate, from which a host admits nothing, not even its own part.
