A host that has read the configuration from the store is no longer away

A host whose read had failed, and in whose place others wait at the store, went on stating store_away after reads that worked: the check of the store's version and the whole read after a hint did not take it back. Hosts that state it are passed over, so fewer hosts of a data centre than two wait at the store.

--- a/gateway/atstore.go
+++ b/gateway/atstore.go
@@ -116,6 +116,7 @@
 		}
 		return
 	}
+	f.storeAway.Store(false)
 	dependency.worked()
 	f.apply(next, configurationRead{source: hintedRead, at: at, took: time.Since(began)})
 	f.position = at
--- a/gateway/storecheck.go
+++ b/gateway/storecheck.go
@@ -45,6 +45,7 @@
 		}
 		return
 	}
+	f.storeAway.Store(false)
 	dependency.worked()
 	f.apply(next, configurationRead{source: source, after: f.position, at: at, took: time.Since(began)})
 	f.position = at
--- a/gateway/storecheck_test.go
+++ b/gateway/storecheck_test.go
@@ -177,3 +177,30 @@
 		expect(4*time.Second, "the other host's confirmation is newer")
 	})
 }
+
+// Guards against a host that goes on stating that it cannot read the store after it has: it was never again one of those that
+// wait there, so that fewer did.
+func TestHostThatHasReadTheStoreIsNotAway(t *testing.T) {
+	for name, read := range map[string]func(f *followers){
+		"check": func(f *followers) { f.storeRead(time.Now(), 2) },
+		"hint":  func(f *followers) { hear(f.Gateway, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := newVersions(1)
+				f := followWith(t, source)
+				synctest.Wait()
+				othersWait(f, 1)
+				poke(f.retryConfiguration) // ends the wait that has begun before the others were known
+				synctest.Wait()
+				f.storeAway.Store(true) // a read has failed, and others wait in place of this host
+				source.set(func() { source.newest = 2 })
+				read(f)
+				time.Sleep(time.Second)
+				if f.version() != 2 || f.storeAway.Load() {
+					t.Errorf("version %d is in force and the host states that it cannot read the store: %v", f.version(), f.storeAway.Load())
+				}
+			})
+		})
+	}
+}
