review: case 1, a booking with TRACE runs twice when its answer is lost (TWICE)

Cause: isReplayedMethod (traffic/forward/request.go) leaves TRACE out, which http.Transport resends by itself.

--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -31,6 +31,10 @@
 	// Late returns bytes that are sent on the connection after the answer to the request, late: when the next request on it has
 	// arrived, before its answer. nil sends none.
 	Late func(request *http.Request) []byte
+	// Lost decides whether the connection is reset in place of the answer to a request that has run. nil loses none.
+	Lost func(request *http.Request) bool
+	// Unframed decides whether an answer has no length and ends with its connection. nil frames all.
+	Unframed func(request *http.Request) bool
 	// Sent is called with late bytes that were sent, and the id of the request that was waiting then.
 	Sent func(waiting string)
 
@@ -148,9 +152,22 @@
 		return false
 	}
 	finish(true, false)
+	if b.Lost != nil && b.Lost(request) {
+		_ = conn.(*net.TCPConn).SetLinger(0) // the close resets the connection
+		return false
+	}
 	body := "answer to " + id + " by " + b.ID
+	length := len(body)
+	if request.Method == http.MethodHead {
+		body = ""
+	}
+	if b.Unframed != nil && b.Unframed(request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: %s\r\nConnection: close\r\n\r\n%s",
+			echo, Signature(id), body)
+		return false
+	}
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: %s\r\nContent-Length: %s\r\n\r\n%s",
-		echo, Signature(id), strconv.Itoa(len(body)), body)
+		echo, Signature(id), strconv.Itoa(length), body)
 	return err == nil
 }
 
--- a/review/stage/record.go
+++ b/review/stage/record.go
@@ -129,6 +129,22 @@
 	return nil
 }
 
+// Restart kills a host, starts it again after a time and waits until it is ready.
+func (s *Scene) Restart(host *Host, after time.Duration) error {
+	host.Kill()
+	s.Printf("host %s was killed", host.Name)
+	time.Sleep(after)
+	if err := host.Start(); err != nil {
+		return err
+	}
+	s.Printf("host %s was started again", host.Name)
+	if err := host.AwaitReady(10 * time.Second); err != nil {
+		return err
+	}
+	s.Printf("host %s is ready again", host.Name)
+	return nil
+}
+
 func (s *Scene) end() {
 	for _, host := range s.Hosts {
 		host.Kill()
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -41,6 +41,9 @@
 	version uint64
 	changed chan struct{}
 	lose    func(put []Row) Loss
+	// Calls on the silent table are not answered until silentUntil.
+	silent      string
+	silentUntil time.Time
 }
 
 // NewStore starts a store at a free port of a loopback address.
@@ -88,6 +91,20 @@
 	return s.rows[name(Row{Table: table, Key: key})].Value
 }
 
+// Silence leaves the calls on one table without an answer, and not performed, for a time.
+func (s *Store) Silence(table string, length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.silentUntil = table, time.Now().Add(length)
+}
+
+// isSilent reports whether calls on a table are not answered now.
+func (s *Store) isSilent(table string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return table == s.silent && time.Now().Before(s.silentUntil)
+}
+
 func name(row Row) string { return row.Table + "\x00" + row.Part + "\x00" + row.Key }
 
 func (s *Store) perform(put, remove []Row) {
@@ -120,6 +137,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, row := range call.Put {
+		if s.isSilent(row.Table) {
+			<-r.Context().Done()
+			return
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lose != nil {
@@ -171,6 +194,10 @@
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
+	if s.isSilent(query.Get("table")) {
+		<-r.Context().Done()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := slices.DeleteFunc(s.since(query.Get("table"), 0), func(row Row) bool {
