--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -143,17 +143,17 @@
 		defer b.mu.Unlock()
 		run.Ran, run.Dropped, run.EndedAt = ran, dropped, time.Now()
 	}
-	load := fmt.Sprintf("X-Backend-Load: %d,0,%d\r\n", b.running.Load(), b.Slots)
+	load := fmt.Sprintf("%s: %d,0,%d\r\n", wire.Load, b.running.Load(), b.Slots)
 	echo := "X-Request-Id: " + id + "\r\n" + load
-	if target := request.Header.Get("X-Target-Instance"); target != "" && target != b.ID {
+	if target := request.Header.Get(wire.Instance); target != "" && target != b.ID {
 		finish(false, false)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", echo)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s%s: 1\r\nContent-Length: 0\r\n\r\n", echo, wire.NotRun)
 		return err == nil
 	}
 	if b.running.Add(1) > int64(b.Slots) {
 		b.running.Add(-1)
 		finish(false, false)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", echo)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s%s: 1\r\nContent-Length: 0\r\n\r\n", echo, wire.NotRun)
 		return err == nil
 	}
 	defer b.running.Add(-1)
@@ -172,12 +172,12 @@
 		body = ""
 	}
 	if b.Unframed != nil && b.Unframed(request) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: %s\r\nConnection: close\r\n\r\n%s",
-			echo, Signature(id), body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: %s\r\nConnection: close\r\n\r\n%s",
+			echo, wire.Signature, Signature(id), body)
 		return false
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: %s\r\nContent-Length: %s\r\n\r\n%s",
-		echo, Signature(id), strconv.Itoa(length), body)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: %s\r\nContent-Length: %s\r\n\r\n%s",
+		echo, wire.Signature, Signature(id), strconv.Itoa(length), body)
 	return err == nil
 }
 
--- a/review/stage/host.go
+++ b/review/stage/host.go
@@ -147,7 +147,7 @@
 	}
 	command := exec.Command("target/bronzeyard", "gateway", "--metrics", fmt.Sprint(metricsPort))
 	command.Dir = h.root
-	command.Env = []string{"BRONZEYARD_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(h.settings), "LANG=C"}
+	command.Env = []string{wire.SettingsVariable + "=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(h.settings), "LANG=C"}
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/review/stage/requester.go
+++ b/review/stage/requester.go
@@ -24,8 +24,8 @@
 // RequestText returns a request as a requester sends it.
 func RequestText(method, path, id string, timeout time.Duration, body string) []byte {
 	var text bytes.Buffer
-	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Timeout-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		method, path, Hostname, id, timeout.Milliseconds(), Key)
+	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		method, path, Hostname, id, wire.Timeout, timeout.Milliseconds(), Key)
 	if method == http.MethodPost {
 		_, _ = fmt.Fprintf(&text, "Content-Length: %d\r\n", len(body))
 	}
@@ -89,7 +89,7 @@
 		header.Set("Connection", "close")
 	}
 	return Answer{
-		Status: response.StatusCode, ID: header.Get("X-Request-Id"), Signature: header.Get("X-Response-Signature"),
+		Status: response.StatusCode, ID: header.Get("X-Request-Id"), Signature: header.Get(wire.Signature),
 		Body: string(body), Header: header, Err: err,
 	}
 }
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -15,12 +15,43 @@
 
 // Row is a row of the store, as the pages describe it.
 type Row struct {
-	Table   string `json:"table"`
-	Part    string `json:"part"`
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version uint64 `json:"schema_version,omitempty"`
-	Deleted bool   `json:"deleted,omitempty"`
+	Table, Part, Key string
+	Value            []byte
+	Version          uint64
+	Deleted          bool
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r Row) MarshalJSON() ([]byte, error) {
+	fields := map[string]any{"table": r.Table, "part": r.Part, "key": r.Key, wire.RowVersion: r.Version}
+	if r.Deleted {
+		fields["deleted"] = true
+	} else {
+		fields["value"] = r.Value
+	}
+	return json.Marshal(fields)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *Row) UnmarshalJSON(data []byte) error {
+	var row struct {
+		Table string `json:"table"`
+		Part  string `json:"part"`
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	}
+	if err := json.Unmarshal(data, &row); err != nil {
+		return err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	*r = Row{Table: row.Table, Part: row.Part, Key: row.Key, Value: row.Value}
+	if version, ok := fields[wire.RowVersion]; ok {
+		return json.Unmarshal(version, &r.Version)
+	}
+	return nil
 }
 
 // Loss says what happens to a write call. The zero value is a sound call.
@@ -58,9 +89,9 @@
 	}
 	s := &Store{listener: listener, rows: make(map[string]Row), changed: make(chan struct{}), began: time.Now()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.whenSilent(s.transact))
-	mux.HandleFunc("GET /rows-get", s.whenSilent(s.get))
-	mux.HandleFunc("GET /rows-feed", s.whenSilent(s.feed))
+	mux.HandleFunc("POST "+wire.Transaction, s.whenSilent(s.transact))
+	mux.HandleFunc("GET "+wire.Read, s.whenSilent(s.get))
+	mux.HandleFunc("GET "+wire.Feed, s.whenSilent(s.feed))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -217,7 +248,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"rows": rows, "has_more": more, "schema_version": s.version, "now_ms": time.Since(s.began).Milliseconds(),
+		"rows": rows, "has_more": more, wire.RowVersion: s.version, "now_ms": time.Since(s.began).Milliseconds(),
 	})
 }
 
