gateway: bound the use of removed upstreams after an outage from both sides

Cause: entries that are missing after a gap were kept for 2.1 s from the host's own first read. That read may be late: a read without a response was given up after 0.9 s before the next one began, a host that ranks behind others slept up to 2 s and left reports of other hosts unread, and a host that alone was cut off learned only after its own read that the others had had no gap.

Ruled out: entries that return and are removed again (no "added" in the log), and a slow read at the end of the time ("removed" 2.1 s after "kept").

The change: reads of the upstreams overlap, 0.6 s from start to start, while there is no response, and reports of other hosts take effect at once. The store's return is later than the start of the newest failed read and earlier than the first read after the gap; entries are kept for 2.1 s from the latter, but not beyond stable_ms less 0.2 s from the former. A host whose newest failed read is older takes the end from one that knows better (registry_grace_left_ms). A response that began before an update that has been applied no longer replaces it.

DropKept is gone; its test now checks the same through ObserveReport.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -21,8 +21,6 @@
 	maxReadStagger = 250 * time.Millisecond
 	// retryStagger is the delay between the attempts of two hosts to detect the recovery of the store.
 	retryStagger = 100 * time.Millisecond
-	// maxRecentReadAge is the age up to which another host's read proves that the store has been available.
-	maxRecentReadAge = 1500 * time.Millisecond
 	// readJitter spreads the reads of hosts that are notified of a change at the same time.
 	readJitter = 60 * time.Millisecond
 	// readGapFraction is the fraction of Bounds.MaxLeavingDelay that must pass between a triggered read and the host's read before
@@ -48,9 +46,8 @@
 	if !ok || own.At.UnixNano() != g.scheduledReadAt.Load() {
 		return gossip.RegistryState{}
 	}
-	state := gossip.RegistryState{
-		Digest: own.Digest, Age: max(0, now.Sub(own.At)), Synced: g.router.registry.Synced(now),
-	}
+	state := gossip.RegistryState{Digest: own.Digest, Age: max(0, now.Sub(own.At))}
+	state.Synced, state.GraceLeft = g.router.registry.Synced(now)
 	if state.Age < maxDeltaAge {
 		state.Version, state.Delta = own.Version, own.Delta
 	}
@@ -58,16 +55,29 @@
 }
 
 // receiveRegistryUpdate queues an update for the syncer if it is newer than this host's view, or if it shows that missing entries
-// need not be kept any longer.
+// need not be kept as long as planned.
 func (g *Gateway) receiveRegistryUpdate(update registryUpdate) {
-	endsKept := update.Synced && !g.router.registry.Synced(time.Now()) && time.Since(update.readAt) < maxRecentReadAge
-	if !endsKept && !update.readAt.After(g.router.registry.View().ReadAt) {
+	if !g.observeReport(update) && !update.readAt.After(g.router.registry.View().ReadAt) {
 		return
 	}
 	select {
 	case g.registryUpdates <- update:
-	default: // the syncer is about to read anyway
+	default: // the syncer is about to check when to read anyway
+	}
+}
+
+// observeReport passes an update to the registry, and reports whether it may end the time for which missing entries are kept.
+func (g *Gateway) observeReport(update registryUpdate) bool {
+	now := time.Now()
+	report := registry.Report{ReadAt: update.readAt, KeptUntil: update.readAt}
+	if !update.Synced {
+		if update.GraceLeft <= 0 {
+			return false
+		}
+		report.KeptUntil = now.Add(update.GraceLeft)
 	}
+	synced, _ := g.router.registry.Synced(now)
+	return g.router.registry.ObserveReport(report) && !synced
 }
 
 // syncUpstreams keeps the entries of the upstreams up to date until ctx ends. One host at a time reads the store. It sends the
@@ -75,74 +85,98 @@
 // applying the changes, treats this as a read of its own. Any other host reads the store too. A host that receives no report in
 // time reads by itself, so a host that cannot read, or whose datagrams are lost, delays the others only by readStagger.
 func (s *syncer) syncUpstreams(ctx context.Context) {
+	reads := upstreamReads{source: s.options.Upstreams, results: make(chan upstreamRead)}
+	defer reads.abort()
 	dependency := s.dependency("upstreams")
-	scheduled := true
+	schedule := readSchedule{}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
-		if err := s.readUpstreams(ctx, scheduled); err != nil {
-			// Other hosts may be able to read. If none can, a few hosts are enough to detect the recovery of the store.
-			s.sleep(ctx, min(dependency.recordFailure(err)+s.rankDelay(retryStagger), maxRecoveryWait))
-			scheduled = s.awaitNextRead(ctx, false)
-			continue
-		}
-		if dependency.recordSuccess() {
-			notify(s.retryConfiguration)
-			notify(s.retryHosts)
+		timer.Reset(s.untilNextRead(&schedule, &reads))
+		select {
+		case <-ctx.Done():
+		case now := <-timer.C:
+			if len(reads.inFlight) < maxOverlappingReads {
+				reads.start(ctx, schedule.begin(now))
+			}
+			schedule.retryAt = now.Add(min(overlapInterval+s.rankDelay(retryStagger), maxRecoveryWait))
+		case read := <-reads.results:
+			if reads.finish(read) {
+				s.handleRead(read, dependency, &schedule, &reads)
+			}
+		case <-s.rereadAfterPause.upstreams:
+			reads.abort() // a response may have waited during the pause
+			schedule.trigger(time.Now())
+		case update := <-s.registryUpdates:
+			s.handleUpdate(update, &schedule, &reads)
 		}
-		scheduled = s.awaitNextRead(ctx, scheduled)
 	}
 }
 
-// readUpstreams reads the store. scheduled is false for a read that was triggered by a pause or another host's update.
-func (s *syncer) readUpstreams(ctx context.Context, scheduled bool) error {
-	started := time.Now()
-	reading, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entries, version, err := s.options.Upstreams.Upstreams(reading)
-	if err != nil {
-		return err
-	}
-	s.handleRegistryChanges(s.router.registry.Update(started, version, entries), version, "")
-	if scheduled {
-		s.scheduledReadAt.Store(started.UnixNano())
-		s.recordStoreRead(started, version)
-	}
-	return nil
+// untilNextRead is the time until the next read begins. If a read is still without a response or has failed, the next one does not
+// wait until this host's turn comes, unless another host has read in the meantime.
+func (s *syncer) untilNextRead(schedule *readSchedule, reads *upstreamReads) time.Duration {
+	wait := s.untilScheduledRead()
+	if len(reads.inFlight) > 0 || schedule.failing {
+		wait = max(wait, time.Until(schedule.retryAt))
+	}
+	if !schedule.triggeredAt.IsZero() && len(reads.inFlight) < maxOverlappingReads {
+		wait = min(wait, time.Until(schedule.triggeredAt))
+	}
+	return max(0, wait)
 }
 
-// awaitNextRead returns when the upstreams must be read again, and reports whether that is a scheduled read. Other reads are
-// triggered by a pause of this process, or by an update of another host that this host cannot apply or that ends the time for
-// which missing entries are kept. If announce is true, the other hosts are first notified of this host's last read.
-func (s *syncer) awaitNextRead(ctx context.Context, announce bool) (scheduled bool) {
-	for ctx.Err() == nil {
-		if announce {
-			s.node.Announce()
+// handleRead processes the response to a read, or its failure.
+func (s *syncer) handleRead(read upstreamRead, dependency *dependency, schedule *readSchedule, reads *upstreamReads) {
+	if read.err != nil {
+		s.router.registry.RecordFailure(read.startedAt, s.boundsNow().StablePeriod)
+		schedule.failing = true
+		backoff := min(dependency.recordFailure(read.err)+s.rankDelay(retryStagger), maxRecoveryWait)
+		if retryAt := time.Now().Add(backoff); retryAt.Before(schedule.retryAt) {
+			schedule.retryAt = retryAt
 		}
-		announce = false
-		timer := time.NewTimer(s.untilScheduledRead())
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-			return true
-		case <-s.rereadAfterPause.upstreams:
-			timer.Stop()
-			return false
-		case update := <-s.registryUpdates:
-			if update.Synced && time.Since(update.readAt) < maxRecentReadAge && s.router.registry.DropKept() {
-				timer.Stop()
-				return false
-			}
-			if !update.readAt.After(s.router.registry.View().ReadAt) {
-				break // this host has read more recently
-			}
-			if !s.router.registry.Confirm(update.readAt, update.Digest) && !s.applyDelta(update) {
-				timer.Stop()
-				s.sleep(ctx, s.untilTriggeredRead())
-				return false
-			}
-		}
-		timer.Stop()
+		return
+	}
+	if startedAt, ok := reads.overtakenBy(read); ok {
+		s.router.registry.RecordFailure(startedAt, s.boundsNow().StablePeriod)
+	}
+	reads.abort()
+	schedule.failing = false
+	s.applyRead(read)
+	if dependency.recordSuccess() {
+		notify(s.retryConfiguration)
+		notify(s.retryHosts)
+	}
+	if read.scheduled {
+		s.node.Announce()
+	}
+}
+
+// applyRead replaces the view with the entries of a read, unless a later read by another host has been applied in the meantime.
+func (s *syncer) applyRead(read upstreamRead) {
+	if !read.startedAt.After(s.router.registry.View().ReadAt) {
+		return
+	}
+	s.handleRegistryChanges(s.router.registry.Update(read.startedAt, read.version, read.entries), read.version, "")
+	s.logKept()
+	if read.scheduled {
+		s.scheduledReadAt.Store(read.startedAt.UnixNano())
+		s.recordStoreRead(read.startedAt, read.version)
 	}
-	return false
+}
+
+// handleUpdate processes a read of another host. It triggers a read by this host if it cannot apply what the other one has found.
+func (s *syncer) handleUpdate(update registryUpdate, schedule *readSchedule, reads *upstreamReads) {
+	if !update.readAt.After(s.router.registry.View().ReadAt) {
+		return // this host has read more recently; the update may only end the time for which missing entries are kept
+	}
+	if s.router.registry.Confirm(update.readAt, update.Digest) || s.applyDelta(update) {
+		return
+	}
+	if !schedule.failing && reads.newerThan(update.readAt) {
+		return // the response is about to arrive
+	}
+	schedule.trigger(time.Now().Add(s.untilTriggeredRead()))
 }
 
 // untilTriggeredRead is the time until this host may make a triggered read.
@@ -181,12 +215,22 @@
 	s.router.prune(s.router.registry.View())
 }
 
+// logKept logs how many entries are kept although they are missing, and until when.
+func (s *syncer) logKept() {
+	until, kept := s.router.registry.KeptUntil(time.Now())
+	if !kept {
+		return
+	}
+	s.logger.Info().Str("event", "upstreams_kept").Int("count", s.router.registry.Kept()).
+		Dur("left_ms", time.Until(until)).Send()
+}
+
 // untilScheduledRead is the time until this host reads the upstreams if no other host does. It is shorter if kept entries expire
 // earlier.
 func (s *syncer) untilScheduledRead() time.Duration {
 	fresh := time.Duration(freshFraction * float64(s.boundsNow().maxStoreDelay()))
 	wait := time.Until(s.router.registry.View().ReadAt.Add(fresh)) + s.stagger()
-	if until, kept := s.router.registry.KeptUntil(); kept {
+	if until, kept := s.router.registry.KeptUntil(time.Now()); kept {
 		wait = min(wait, time.Until(until))
 	}
 	return wait
--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -63,6 +63,9 @@
 func encodeRegistry(m *gossippb.Datagram, state RegistryState) {
 	m.RegistryDigest, m.RegistrySettled = state.Digest, state.Synced
 	m.RegistryAgeMs = uint32((state.Age + transitTime).Milliseconds())
+	if !state.Synced {
+		m.RegistryGraceLeftMs = uint32(max(0, state.GraceLeft).Milliseconds())
+	}
 	if state.Delta == nil {
 		return
 	}
@@ -85,7 +88,8 @@
 func decodeRegistry(m *gossippb.Datagram) RegistryState {
 	state := RegistryState{
 		Digest: m.GetRegistryDigest(), Age: time.Duration(m.GetRegistryAgeMs()) * time.Millisecond,
-		Synced: m.GetRegistrySettled(), Version: m.GetRegistryDelta().GetVersion(),
+		Synced: m.GetRegistrySettled(), GraceLeft: time.Duration(m.GetRegistryGraceLeftMs()) * time.Millisecond,
+		Version: m.GetRegistryDelta().GetVersion(),
 	}
 	if m.GetRegistryDelta() == nil {
 		return state
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -73,6 +73,8 @@
 	Age time.Duration
 	// Synced is true if no live upstream can be missing.
 	Synced bool
+	// GraceLeft is the time after which no live upstream is missing. It is 0 if Synced is true or if the time is not known.
+	GraceLeft time.Duration
 	// Version is the version of the store, and Delta the difference from the previous read. If nothing or much has changed,
 	// Delta is nil and Version is 0.
 	Version uint64
--- /dev/null
+++ b/gateway/registry/outage.go
@@ -0,0 +1,135 @@
+package registry
+
+import "time"
+
+const (
+	// gapThreshold is the time between two reads above which entries of live upstreams may have expired.
+	gapThreshold = 2500 * time.Millisecond
+	// gracePeriod is the time for which missing entries are kept after a gap. Upstreams write their entries again within
+	// about 2 s of the recovery of the store.
+	gracePeriod = 2100 * time.Millisecond
+	// keepMargin is the time before the end of the stable period at which kept entries are dropped. It covers the read that
+	// drops them and the requests that are being sent meanwhile.
+	keepMargin = 200 * time.Millisecond
+	// maxReportAge is the age up to which another host's read proves that the store has been available.
+	maxReportAge = 1500 * time.Millisecond
+)
+
+// Report describes a read of the store by another host.
+type Report struct {
+	ReadAt time.Time
+	// KeptUntil is the end of that host's grace period after a gap in its reads. It equals ReadAt if no live upstream is missing.
+	KeptUntil time.Time
+}
+
+func (r *Report) synced() bool { return !r.KeptUntil.After(r.ReadAt) }
+
+// replaces reports whether r is more useful than an earlier report. Of two recent reports, the one with the earlier end is.
+func (r *Report) replaces(earlier *Report) bool {
+	if earlier == nil || r.ReadAt.Sub(earlier.ReadAt) > maxReportAge {
+		return true
+	}
+	if r.synced() != earlier.synced() {
+		return r.synced()
+	}
+	if r.synced() {
+		return r.ReadAt.After(earlier.ReadAt)
+	}
+	return r.KeptUntil.Before(earlier.KeptUntil)
+}
+
+// ObserveReport records a read of the store by another host, and reports whether it is more useful than the one before. A host
+// that has read through an outage of this host's path to the store, or has detected the recovery of the store first, knows best
+// from when on missing entries are final. It may be called concurrently with all other methods.
+func (r *Registry) ObserveReport(report Report) bool {
+	for {
+		earlier := r.report.Load()
+		if !report.replaces(earlier) {
+			return false
+		}
+		if r.report.CompareAndSwap(earlier, &report) {
+			return true
+		}
+	}
+}
+
+// RecordFailure records that a read that began at startedAt has failed: the store, or this host's path to it, has not been stable
+// before that time. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
+// 0 means that there is no such time. RecordFailure must not be called concurrently with Update.
+func (r *Registry) RecordFailure(startedAt time.Time, stablePeriod time.Duration) {
+	if stablePeriod <= 0 || startedAt.Before(r.failedAt) {
+		return
+	}
+	r.failedAt = startedAt
+	r.keepLimit = startedAt.Add(max(stablePeriod-keepMargin, gracePeriod))
+}
+
+// grace describes the time after the start, or after a gap in the reads, in which entries of live upstreams may be missing.
+type grace struct {
+	// syncedAt is the time from which on no live upstream is missing.
+	syncedAt time.Time
+	// keptUntil is the time at which kept entries are dropped. It is before syncedAt if this host's newest failed read is so old
+	// that entries which are kept until syncedAt might be used for too long.
+	keptUntil time.Time
+}
+
+// beginGrace starts the grace period of missing entries at the first read after a gap, or after the start. lastReadAt is the
+// newest read before the gap. The recovery of the store is later than the newest failed read and earlier than this one. The grace
+// period runs from the latter, so that live upstreams have the time to return, and its end is bounded from the former, so that
+// the time that a host takes to detect the recovery does not prolong the use of removed upstreams.
+func (r *Registry) beginGrace(startedAt, lastReadAt time.Time) {
+	g := grace{syncedAt: startedAt.Add(gracePeriod), keptUntil: startedAt.Add(gracePeriod)}
+	if r.failedAt.After(lastReadAt) {
+		g.keptUntil = earlier(g.keptUntil, r.keepLimit)
+	}
+	r.grace.Store(&g)
+	r.applyReport(startedAt)
+}
+
+// applyReport adopts the grace period of another host that knows better when the store has recovered, or has had no gap in its
+// reads. An adopted grace period is no longer limited by this host's own failures, which may be much older than the recovery.
+func (r *Registry) applyReport(now time.Time) {
+	report, g := r.report.Load(), r.grace.Load()
+	if report == nil || g == nil || now.Sub(report.ReadAt) > maxReportAge {
+		return
+	}
+	if end := earlier(report.KeptUntil, g.syncedAt); !end.Equal(g.keptUntil) {
+		r.grace.Store(&grace{syncedAt: end, keptUntil: end})
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// KeptUntil returns the time at which kept entries are due to be dropped, and false if there are none. The store must be read
+// at that time. It must not be called concurrently with Update.
+func (r *Registry) KeptUntil(now time.Time) (time.Time, bool) {
+	r.applyReport(now)
+	if g := r.grace.Load(); g != nil {
+		return g.keptUntil, len(r.kept) > 0
+	}
+	return time.Time{}, false
+}
+
+// Kept is the number of entries that are kept although they are missing.
+func (r *Registry) Kept() int { return len(r.kept) }
+
+// Synced reports whether no live upstream is missing: the grace period after the start or after the latest gap is over. If it is
+// not, left is its rest; 0 if that is not known precisely.
+func (r *Registry) Synced(now time.Time) (synced bool, left time.Duration) {
+	g := r.grace.Load()
+	switch {
+	case g == nil:
+		return false, 0
+	case !now.Before(g.syncedAt):
+		return true, 0
+	case g.keptUntil.Before(g.syncedAt):
+		return false, 0
+	default:
+		return false, g.syncedAt.Sub(now)
+	}
+}
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -13,14 +13,6 @@
 	"github.com/bronzeyard/bronzeyard/settings"
 )
 
-const (
-	// gapThreshold is the time between two reads above which entries of live upstreams may have expired.
-	gapThreshold = 2500 * time.Millisecond
-	// gracePeriod is the time for which missing entries are kept after a gap. Upstreams write their entries again within
-	// about 2 s.
-	gracePeriod = 2100 * time.Millisecond
-)
-
 // Entry is one upstream's entry in the store.
 type Entry struct {
 	Service  settings.ServiceName
@@ -94,13 +86,16 @@
 type Registry struct {
 	view atomic.Pointer[View]
 	// kept holds the entries that were missing in the first read after a gap and in each read since. The first read at or after
-	// keptUntil drops them.
-	kept      map[settings.UpstreamID]bool
-	keptUntil time.Time
+	// the end of the grace period drops them.
+	kept map[settings.UpstreamID]bool
+	// failedAt is the start of the newest failed read, and keepLimit the latest end of a grace period after that failure.
+	failedAt, keepLimit time.Time
 	// local is this host's newest read of the store. Reads by other hosts do not change it.
 	local atomic.Pointer[LocalRead]
-	// gapFreeSince is the time of the first read since the start or the latest gap.
-	gapFreeSince atomic.Pointer[time.Time]
+	// grace is the grace period after the start or the latest gap; nil before the first read.
+	grace atomic.Pointer[grace]
+	// report is the most useful recent report of another host.
+	report atomic.Pointer[Report]
 }
 
 // LocalRead is a read of the store that this host has made itself.
@@ -150,16 +145,18 @@
 	before := r.view.Load()
 	gap := !before.ReadAt.IsZero() && startedAt.Sub(before.ReadAt) > gapThreshold
 	if gap || before.ReadAt.IsZero() {
-		r.gapFreeSince.Store(&startedAt)
+		r.beginGrace(startedAt, before.ReadAt)
 	}
 	if gap {
-		r.kept, r.keptUntil = make(map[settings.UpstreamID]bool), startedAt.Add(gracePeriod)
+		r.kept = make(map[settings.UpstreamID]bool)
 	}
+	until, _ := r.KeptUntil(startedAt)
 	known := maps.Clone(stored)
 	for id := range stored {
 		delete(r.kept, id)
 	}
-	if !startedAt.Before(r.keptUntil) {
+	expired := !startedAt.Before(until)
+	if expired {
 		r.kept = nil
 	}
 	var changes []Change
@@ -167,7 +164,7 @@
 		if _, ok := known[id]; ok {
 			continue
 		}
-		if gap && !entry.Upstream.Leaving {
+		if gap && !expired && !entry.Upstream.Leaving {
 			r.kept[id] = true
 		}
 		kind := "removed"
@@ -191,28 +188,6 @@
 	return changes
 }
 
-// KeptUntil returns the time at which kept entries are due to be dropped, and false if there are none. The store must be read
-// at that time.
-func (r *Registry) KeptUntil() (time.Time, bool) { return r.keptUntil, len(r.kept) > 0 }
-
-// Synced reports whether gracePeriod has passed since the first read after the start or after the latest gap. From then on, no
-// live upstream is missing.
-func (r *Registry) Synced(now time.Time) bool {
-	since := r.gapFreeSince.Load()
-	return since != nil && now.Sub(*since) >= gracePeriod
-}
-
-// DropKept ends the grace period of kept entries. The caller uses it after another host has read the store without a gap: then
-// this host was isolated, and the store was available. The entries are dropped by the next read. DropKept reports whether
-// there were any. It must not be called concurrently with Update.
-func (r *Registry) DropKept() bool {
-	if len(r.kept) == 0 {
-		return false
-	}
-	r.keptUntil = time.Time{}
-	return true
-}
-
 // addressReused reports whether another upstream has the address of a missing one, which therefore no longer exists.
 func addressReused(known map[settings.UpstreamID]Entry, missing Entry) bool {
 	for _, entry := range known {
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -76,7 +76,7 @@
 	r := New()
 	r.Update(at(0), 1, []Entry{entry("a", false)})
 	r.Update(at(10), 2, nil)
-	until, kept := r.KeptUntil()
+	until, kept := r.KeptUntil(at(10))
 	if !kept || until.After(at(12.2)) {
 		t.Errorf("kept entries are dropped at %v (%v), want at most 2.2 s after the recovery", until.Sub(start), kept)
 	}
@@ -92,20 +92,27 @@
 	checkUpstreams(t, r, "")
 }
 
+func synced(r *Registry, seconds float64) bool {
+	synced, _ := r.Synced(at(seconds))
+	return synced
+}
+
 // Guards against keeping removed upstreams after only this host was isolated. In scale-2 on the daan deployment, seed
 // 865137023364, a request was sent after the bound because the first read after the gap was late.
 func TestKeptEntriesAreDroppedAfterGapFreeReadsOfAnotherHost(t *testing.T) {
 	r := New()
 	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", false)})
-	if r.Synced(at(1)) || !r.Synced(at(2.2)) {
+	if synced(r, 1) || !synced(r, 2.2) {
 		t.Error("Synced must return true from 2.1 s after the first read, and not before")
 	}
 	r.Update(at(10), 2, []Entry{entry("a", false)})
-	if r.Synced(at(11)) {
+	if synced(r, 11) {
 		t.Error("the registry is synced right after a gap")
 	}
-	if !r.DropKept() {
-		t.Fatal("no entries were kept")
+	checkUpstreams(t, r, "ab")
+	r.ObserveReport(Report{ReadAt: at(10), KeptUntil: at(10)})
+	if until, kept := r.KeptUntil(at(10.1)); !kept || until.After(at(10.1)) {
+		t.Fatalf("entries are kept until %v (%v) after the report of a host without a gap", until.Sub(start), kept)
 	}
 	r.Update(at(10.1), 2, []Entry{entry("a", false)})
 	checkUpstreams(t, r, "a")
@@ -132,3 +139,47 @@
 		t.Error("a read with another digest was confirmed")
 	}
 }
+
+// Guards against a grace period that lasts longer than the stable period because the first read after an outage is late, and
+// against a late reader that drops live upstreams although another host knows when the store has recovered.
+func TestGracePeriodIsLimitedByNewestFailedRead(t *testing.T) {
+	const stable = 3 * time.Second
+	lateReader := func() *Registry {
+		r := New()
+		r.Update(at(0), 1, []Entry{entry("a", false)})
+		r.RecordFailure(at(9), stable)
+		r.RecordFailure(at(8), stable) // an older read that has failed later
+		return r
+	}
+	r := lateReader()
+	r.Update(at(10.5), 2, nil)
+	if until, kept := r.KeptUntil(at(10.5)); !kept || !until.Equal(at(11.8)) {
+		t.Errorf("entries are kept until %v (%v), want 11.8 s", until.Sub(start), kept)
+	}
+	if synced, left := r.Synced(at(11)); synced || left != 0 {
+		t.Error("a grace period that may be too short was reported to other hosts")
+	}
+	r.ObserveReport(Report{ReadAt: at(10.3), KeptUntil: at(12.4)})
+	if until, _ := r.KeptUntil(at(10.6)); !until.Equal(at(12.4)) {
+		t.Errorf("entries are kept until %v after another host's report, want 12.4 s", until.Sub(start))
+	}
+
+	r = lateReader()
+	r.ObserveReport(Report{ReadAt: at(10.3), KeptUntil: at(12.4)})
+	r.ObserveReport(Report{ReadAt: at(10.4), KeptUntil: at(12.5)})
+	r.Update(at(10.5), 2, nil)
+	if until, _ := r.KeptUntil(at(10.6)); !until.Equal(at(12.4)) {
+		t.Errorf("entries are kept until %v after earlier reports, want 12.4 s", until.Sub(start))
+	}
+
+	r = lateReader()
+	r.ObserveReport(Report{ReadAt: at(8.5), KeptUntil: at(8.5)})
+	r.Update(at(10.5), 2, nil)
+	if until, _ := r.KeptUntil(at(10.5)); !until.Equal(at(11.8)) {
+		t.Errorf("entries are kept until %v after an old report, want 11.8 s", until.Sub(start))
+	}
+
+	r = lateReader()
+	r.Update(at(13), 2, nil)
+	checkUpstreams(t, r, "")
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -58,7 +58,7 @@
 // UpstreamSource reads the entries of all upstreams.
 type UpstreamSource interface {
 	// Upstreams returns the entries that could be decoded, and the store's version, which grows with every change of the
-	// configuration and can be compared with the Position of a read of it.
+	// configuration and can be compared with the Position of a read of it. Calls may overlap.
 	Upstreams(ctx context.Context) ([]registry.Entry, uint64, error)
 }
 
@@ -76,6 +76,8 @@
 	MaxConfigurationDelay time.Duration
 	// MaxLeavingDelay is the time after which a leaving upstream must receive no more requests.
 	MaxLeavingDelay time.Duration
+	// StablePeriod is the time after the end of a disturbance of the store from which on the bounds hold again; 0 if not known.
+	StablePeriod time.Duration
 	// ShutdownGrace is the time between the signal to stop and the forced end of the process.
 	ShutdownGrace time.Duration
 	// MaxAddressTTL is the longest time for which callers may cache addresses.
