gateway: admit nothing of a limit before the size of the fleet is known

Cause: a new limiter counted one host until it was told of others, and without the table it never was. A host that is alone by its own count is not isolated and uses the whole limit, and the whole retry budget.

The change: a limiter that does not know the size of the fleet admits nothing (503 limit_unavailable, not run, Retry-After 0.5 to 1.5 s) and allows no retry. Datagrams state the size of the fleet; a host without the records uses the largest recent statement for an equal share without a burst, which is what the others count it with. A host that cannot write its record still reads the others' and introduces itself after that read.

Tests that call New() now call SetHosts first where they assume a lone host.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,6 +24,8 @@
 	hintGraceFraction = 0.15
 	// hostsInterval is the time between reads of the host records if nothing triggers one earlier.
 	hostsInterval = time.Minute
+	// expectHostsInterval is the time between updates of the size of the fleet that other hosts report.
+	expectHostsInterval = 50 * time.Millisecond
 	// minHostsInterval is the minimum time between two reads of the host records.
 	minHostsInterval = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the base of the backoff between calls to a failing store. A random part of up to the same
@@ -285,21 +287,16 @@
 func (s *syncer) exchangeRecords(ctx context.Context, written *bool) error {
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	var writeErr error
 	if !*written {
-		record, err := s.node.EncodedRecord()
-		if err != nil {
-			return err
-		}
-		if err := s.options.Hosts.PutHost(calling, s.options.HostID, record); err != nil {
-			return err
-		}
-		*written = true
-		defer s.introduce(ctx)
+		writeErr = s.writeRecord(calling)
+		*written = writeErr == nil
 	}
+	// A host that cannot write its record still needs those of the others: to know its share of the limits, and to introduce itself.
 	readAt := time.Now()
 	stored, err := s.options.Hosts.Hosts(calling)
 	if err != nil {
-		return err
+		return errors.Join(writeErr, err)
 	}
 	records := make([]gossip.Record, 0, len(stored))
 	for id, data := range stored {
@@ -314,8 +311,41 @@
 		s.hostFound(id)
 	}
 	s.updateHosts()
-	s.hostsLoaded.Store(true)
-	return nil
+	if !s.hostsLoaded.Swap(true) {
+		s.introduce(ctx)
+	}
+	return writeErr
+}
+
+// writeRecord writes this host's record to the store.
+func (s *syncer) writeRecord(ctx context.Context) error {
+	record, err := s.node.EncodedRecord()
+	if err != nil {
+		return err
+	}
+	return s.options.Hosts.PutHost(ctx, s.options.HostID, record)
+}
+
+// expectHosts keeps the size of the fleet that other hosts report up to date until their records have been read. A host that
+// assumed in the meantime that it is alone would admit each customer's whole rate and spend the whole retry budget.
+func (s *syncer) expectHosts(ctx context.Context) {
+	ticker := time.NewTicker(expectHostsInterval)
+	defer ticker.Stop()
+	logged := 0
+	for !s.hostsLoaded.Load() {
+		expected := s.node.ExpectedHosts(time.Now())
+		s.limiter.ExpectHosts(expected)
+		s.router.retries.ExpectHosts(expected)
+		if expected != logged {
+			s.logger.Info().Str("event", "hosts_expected").Int("count", expected).Send()
+			logged = expected
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // introductionDelays are the times after its start at which a host introduces itself to the others. It repeats the introduction
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -159,7 +159,7 @@
 		rereadHosts: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&Bounds{MaxConfigurationDelay: maxConfigurationDelay})
-	g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a", Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"}})
+	g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a", Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"}, Conn: discardingSocket{}})
 	s := newSyncer(g)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,6 +202,7 @@
 	go syncer.syncConfiguration(running)
 	go syncer.syncUpstreams(running)
 	go syncer.syncHosts(running)
+	go syncer.expectHosts(running)
 	go g.node.Run(running)
 	go g.log.run(running)
 	go g.serveSettings()
@@ -297,7 +298,8 @@
 const maxHostsWait = time.Second
 
 // snapshot returns the active settings. It returns nil until there are settings and the other hosts are known, or maxHostsWait has
-// elapsed since the first settings. A host that assumes that it is alone would admit each customer's whole rate and burst.
+// elapsed since the first settings. Without the records of the other hosts, it admits an equal share of each customer's limit if
+// others report the size of the fleet, and rejects the requests of customers with a limit otherwise.
 func (g *Gateway) snapshot() *settings.Snapshot {
 	current := g.current.Load()
 	if current == nil || (!g.hostsLoaded.Load() && time.Since(current.firstActiveAt) < maxHostsWait) {
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -393,6 +393,7 @@
 	version, age := n.options.Configuration()
 	m.Configuration, m.ConfigurationAgeMs = version, uint32(min((age+transitTime).Milliseconds(), math.MaxUint32))
 	now := time.Now()
+	m.Hosts = uint32(n.table.size(now))
 	encodeRegistry(m, n.options.Registry(now))
 	encodeContent(m, c)
 	body, err := proto.Marshal(m)
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -74,6 +74,9 @@
 		n.acceptEcho(&m, signed)
 		return "", false
 	}
+	if now := time.Now(); !n.mayBeStale(now) {
+		n.table.noteClaim(now, m.GetHost(), m.GetHosts())
+	}
 	key, newest, known := n.table.find(m.GetHost(), m.GetIncarnation())
 	if !known {
 		n.rejected.Add(1)
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -87,8 +86,11 @@
 // Decision is the result of Admit for one request.
 type Decision struct {
 	Allowed bool
-	// RetryAfter is the time until this host expects a token for the customer. It is 0 for an admitted request.
+	// RetryAfter is the time until this host expects a token for the customer. It is 0 for an admitted request and if it is not
+	// known.
 	RetryAfter time.Duration
+	// Unavailable is true if the request is not admitted because this host does not know the size of the fleet.
+	Unavailable bool
 	// Tokens is the estimate of the bucket before the decision, and Hosts the number of live hosts with this one.
 	Tokens float64
 	Hosts  int
@@ -141,15 +143,16 @@
 	startedAt time.Time // first request or report
 	// resumedAt is the end of the last pause of the process.
 	lastCallAt, resumedAt time.Time
-	hosts                 int // with this one
-	sweptAt               time.Time
+	// hosts is the number of hosts with this one, 0 if it is not known. listed is true after the first call of SetHosts.
+	hosts   int
+	listed  bool
+	sweptAt time.Time
 }
 
-// New returns a Limiter without other hosts.
+// New returns a Limiter that does not know the size of the fleet. It admits no request until SetHosts or ExpectHosts is called.
 func New() *Limiter {
 	return &Limiter{
-		buckets: make(map[settings.CustomerID]*bucket), lastReports: make(map[string]time.Time),
-		timedOut: make(map[string]bool), hosts: 1,
+		buckets: make(map[settings.CustomerID]*bucket), lastReports: make(map[string]time.Time), timedOut: make(map[string]bool),
 	}
 }
 
@@ -161,6 +164,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordCall(now)
+	if l.hosts == 0 {
+		return Decision{Unavailable: true}
+	}
 	b := l.bucket(now, id, limit)
 	l.refill(now, b)
 	b.usedAt = now
@@ -195,23 +201,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordCall(now)
+	if l.hosts == 0 {
+		return false
+	}
 	b := l.bucket(now, id, limit)
 	l.refill(now, b)
 	return l.allows(now, b)
 }
 
-// isolated reports whether this host may be isolated: it has received no report for too long, or less than half of the other
-// hosts are live, as is the case right after a start.
-func (l *Limiter) isolated(now time.Time) bool {
-	if l.hosts <= 1 {
-		return false
-	}
-	if 2*l.liveHosts() < l.hosts-1 {
-		return true
-	}
-	return now.Sub(l.lastReportAt) > max(isolationTimeout, maxMissedReports*heartbeatInterval/time.Duration(l.hosts-1))
-}
-
 func (l *Limiter) bucket(now time.Time, id settings.CustomerID, limit Limit) *bucket {
 	b := l.buckets[id]
 	if b == nil {
@@ -224,11 +221,11 @@
 			tokens *= startupFill
 		}
 		b = &bucket{
-			limit: limit, tokens: tokens, shareTokens: max(1, tokens/float64(l.hosts)), refilledAt: now,
+			limit: limit, tokens: tokens, shareTokens: l.startShare(limit, tokens), refilledAt: now,
 			local: Usage{Customer: id}, predictions: make(map[string]*prediction),
 		}
 		for host := range l.timedOut {
-			b.setPredictedRate(now, b.prediction(host), limit.Rate/float64(l.hosts))
+			b.setPredictedRate(now, b.prediction(host), limit.Rate*l.equalShare())
 		}
 		l.buckets[id] = b
 	}
@@ -281,7 +278,7 @@
 		return
 	}
 	b.refilledAt = now
-	equalShare := 1 / float64(l.hosts)
+	equalShare := l.equalShare()
 	notLive := float64(max(0, l.hosts-1-l.liveHosts()))
 	capacity := max(1, b.limit.capacity()*(1-notLive*equalShare))
 	// Hosts that have never reported have no prediction in remoteRate, and no counts that could correct it later.
@@ -295,26 +292,6 @@
 	b.shareTokens = min(b.shareTokens+b.limit.Rate*share*elapsed, max(1, capacity*share))
 }
 
-// checkTimeouts finds hosts that have timed out. It runs at most once per checkInterval, because it iterates over all hosts.
-func (l *Limiter) checkTimeouts(now time.Time) {
-	if now.Sub(l.checkedAt) < checkInterval {
-		return
-	}
-	l.checkedAt = now
-	for host, at := range l.lastReports {
-		if l.timedOut[host] || now.Sub(at) <= ReportTimeout {
-			continue
-		}
-		l.timedOut[host] = true
-		for _, b := range l.buckets {
-			b.setPredictedRate(now, b.prediction(host), b.limit.Rate/float64(l.hosts))
-		}
-	}
-}
-
-// liveHosts counts the other hosts that have not timed out.
-func (l *Limiter) liveHosts() int { return min(len(l.lastReports)-len(l.timedOut), l.hosts-1) }
-
 // ApplyReport applies a usage report of another host. limitOf returns a customer's limit, and false for a customer that does
 // not exist.
 func (l *Limiter) ApplyReport(
@@ -367,19 +344,6 @@
 	return !l.startedAt.IsZero() && now.Sub(l.startedAt) >= startupPeriod && now.Sub(l.resumedAt) >= resyncTime
 }
 
-// clearTimeout marks a host that reports again as live. The requests that it was assumed to have admitted in the meantime stay
-// subtracted until its counts correct them.
-func (l *Limiter) clearTimeout(now time.Time, host string) {
-	if !l.timedOut[host] {
-		return
-	}
-	delete(l.timedOut, host)
-	for _, b := range l.buckets {
-		l.refill(now, b)
-		b.setPredictedRate(now, b.prediction(host), 0)
-	}
-}
-
 // applyUsage subtracts what a host has admitted since its last report beyond its prediction. A report with lower counts than
 // the last one has arrived out of order and is ignored.
 func (b *bucket) applyUsage(now time.Time, host string, usage Usage) {
@@ -412,30 +376,6 @@
 	}
 }
 
-// SetHosts sets the names of the other hosts, whether they have reported or not.
-func (l *Limiter) SetHosts(others []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.hosts = len(others) + 1
-	for host := range l.lastReports {
-		if !slices.Contains(others, host) {
-			l.removeHost(host)
-		}
-	}
-}
-
-// removeHost drops the state of a host that has left the fleet.
-func (l *Limiter) removeHost(host string) {
-	delete(l.lastReports, host)
-	delete(l.timedOut, host)
-	for _, b := range l.buckets {
-		if p := b.predictions[host]; p != nil {
-			b.remoteRate = max(0, b.remoteRate-p.rate)
-			delete(b.predictions, host)
-		}
-	}
-}
-
 // NextReport returns the usage to report to the other hosts. With urgentOnly, it returns only customers for which the others'
 // prediction is significantly wrong or the bucket is low, otherwise all that have changed. The limiter treats the result as
 // reported, so the caller must send it.
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -335,6 +335,7 @@
 // Guards against WouldAdmit taking tokens.
 func TestWouldAdmitTakesNoTokens(t *testing.T) {
 	l := New()
+	l.SetHosts(nil)
 	limit := Limit{Rate: 0.001, Burst: 10}
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for range 50 {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -280,9 +280,16 @@
 	if decision.Allowed {
 		return nil
 	}
+	if decision.Unavailable {
+		spread := 0.5 + x.options.Random() // callers that are rejected together must not return together
+		return &errkind.Error{Kind: errkind.LimitUnavailable, RetryAfter: time.Duration(spread * float64(unknownFleetRetryAfter))}
+	}
 	return &errkind.Error{Kind: errkind.RateLimited, RetryAfter: decision.RetryAfter}
 }
 
+// unknownFleetRetryAfter is the mean time within which a host that has just started is likely to learn the size of the fleet.
+const unknownFleetRetryAfter = time.Second
+
 // newOutgoing returns the request that is sent to upstreams. It is unchanged except for the hop-by-hop headers, the key, and
 // the headers that hosts set themselves.
 func (x *exchange) newOutgoing() *forward.Request {
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -236,6 +236,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	r := &fixture{t: t, limiter: quota.New()}
+	r.limiter.SetHosts(nil)
 	t.Cleanup(r.expectAtMostOnce) // runs after the upstreams have stopped, because their cleanups are added later
 	r.first, r.second = newUpstream(t, "first"), newUpstream(t, "second")
 	r.choice = &inOrder{upstreams: []*testUpstream{r.first, r.second}, budget: largeBudget}
