relay: pass on no promise that an upstream has not made

Cause: an upstream's own response reached the caller unchanged. Only its header states that the request was not run, its status alone does not.

Ruled out: the host's own rejections, each of which needs that no attempt can have run.

The change: such a status without the statement becomes 502 outcome_unknown for requests that must not repeat. Others keep the upstream's response.

Evidence: TestUnmarkedRejectionsArePassedOnAsUnknown failed for all three statuses before, and passes now.

--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -418,6 +418,21 @@
 	}
 }
 
+// Guards against a status that promises that a non-idempotent request has not run, although its upstream has not stated that.
+func TestUnmarkedRejectionsArePassedOnAsUnknown(t *testing.T) {
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		r := newFixture(t)
+		r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, status: status})
+		response, id := r.send(http.MethodPost)
+		r.expect(fmt.Sprint("status ", status), false, response, id)
+		if response.Status != http.StatusBadGateway {
+			t.Errorf("status %d of an upstream that has run the request became %d, want 502", status, response.Status)
+		}
+	}
+}
+
 // Guards against non-idempotent requests that are sent to a further upstream without need, or beyond the limits, when upstreams
 // reject them.
 func TestRejectionsByUpstreams(t *testing.T) {
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
@@ -35,9 +36,25 @@
 	}
 }
 
+// errUnmarkedRejection is the cause when an upstream responds with a status that promises callers that the request has not run, but
+// does not state that itself.
+var errUnmarkedRejection = errors.New("the upstream rejected the request without stating that it was not run")
+
+// promisesNotRun reports whether a status promises callers that the request has not run and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // finish returns the response for an attempt after which the request may have run.
 func (x *exchange) finish(a *attempt) *pipeline.Response {
 	switch {
+	case a.response != nil && !x.policy.Idempotent && promisesNotRun(a.response.Status):
+		return x.reject(errkind.New(errkind.OutcomeUnknown, errUnmarkedRejection))
 	case a.response != nil:
 		return x.respond(a.response)
 	case a.outcome == TimedOut:
