--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -50,6 +50,10 @@
 	notRun, notRunFirst bool
 	// withoutID omits the request id from the duplicates of responses.
 	withoutID bool
+	// unframed omits the length of responses, so that the end of the connection ends the body.
+	unframed bool
+	// chunked sends the body in one chunk.
+	chunked bool
 	// status, if it is not 0, is the status of responses to requests that have run.
 	status int
 }
@@ -164,12 +168,27 @@
 	u.mu.Lock()
 	u.runs[id]++
 	u.mu.Unlock()
+	body := responseText + " to " + id
+	if f.chunked {
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	return u.header(id, f) + body
+}
+
+// header returns the header of the response to a request that has run.
+func (u *testUpstream) header(id string, f *fault) string {
 	body, status := responseText+" to "+id, http.StatusOK
 	if f.status != 0 {
 		status = f.status
 	}
-	return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		status, id, signature, u.id, len(body), body)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	switch {
+	case f.unframed:
+		length = ""
+	case f.chunked:
+		length = "Transfer-Encoding: chunked\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\n%s: %s\r\n%s\r\n", status, id, signature, u.id, length)
 }
 
 func (u *testUpstream) runsOf(id string) int {
@@ -374,6 +393,30 @@
 	}
 }
 
+// Guards against a success with an empty or short body, framed as whole, when the upstream stops within the header or the body of a
+// response without a length or in chunks. An orderly close ends the body of a response without a length, so that a cut after the
+// header cannot be detected there.
+func TestResponseWithoutLengthEndsAtEachByte(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, chunked := range []bool{false, true} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s chunked=%v reset=%v", method, chunked, reset), func(t *testing.T) {
+					t.Parallel()
+					r := newFixture(t)
+					for n := range maxResponseBytes {
+						f := fault{readLimit: -1, writeLimit: n, chunked: chunked, unframed: !chunked, reset: reset}
+						r.first.fault.Store(&f)
+						response, id := r.send(method)
+						if chunked || reset || n < len(r.first.header(id, &f)) {
+							r.expect(fmt.Sprint("response cut at byte ", n), method == http.MethodGet, response, id)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against responses that reach another request. The upstream sends each response twice, at once or again when the next
 // request arrives.
 func TestDuplicateResponsesAreDiscarded(t *testing.T) {
