gateway: heed what upstreams ask for in their responses

The change: package placement keeps what each process of an upstream (id, address, born) has asked for, also while its entry is missing, and offers it no requests. Where all upstreams refuse, callers get 503 at once with the time until the first one accepts requests. The start of an upstream's process now belongs to its entry, its digest and the datagrams, so that a restart under the same id is seen by all hosts. Hosts of the former build have other digests: while both run, each reads the store more often.

--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -77,6 +77,7 @@
 		delta.Put = append(delta.Put, &gossippb.Upstream{
 			Id: string(u.ID), Service: string(entry.Service), Address: u.Address, DataCentre: u.DataCentre,
 			Slots: uint32(max(0, u.Slots)), Leaving: u.Leaving, WarmMs: uint32(max(0, u.WarmUntil.Sub(readAt)).Milliseconds()),
+			Incarnation: u.Incarnation,
 		})
 	}
 	for _, id := range state.Delta.Removed {
@@ -99,7 +100,7 @@
 	for _, put := range m.GetRegistryDelta().GetPut() {
 		u := settings.Upstream{
 			ID: settings.UpstreamID(put.GetId()), Address: put.GetAddress(), DataCentre: put.GetDataCentre(),
-			Slots: int(put.GetSlots()), Leaving: put.GetLeaving(),
+			Slots: int(put.GetSlots()), Leaving: put.GetLeaving(), Incarnation: put.GetIncarnation(),
 		}
 		if warm := put.GetWarmMs(); warm > 0 {
 			u.WarmUntil = readAt.Add(time.Duration(warm) * time.Millisecond)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
@@ -131,6 +132,16 @@
 	line.Send()
 }
 
+// wish logs what an upstream has asked of this host in a response.
+func (d *decisionLog) wish(id settings.UpstreamID, wishes placement.Wishes) {
+	if wishes.Leaving {
+		d.logger.Info().Str("event", "upstream_states_leaving").Str("upstream", string(id)).Send()
+	}
+	if wishes.QuietFor > 0 {
+		d.logger.Info().Str("event", "upstream_quiet").Str("upstream", string(id)).Dur("for_ms", wishes.QuietFor).Send()
+	}
+}
+
 // connectionLost logs a connection to an upstream that broke together with connections to other upstreams, which indicates a
 // fault of this host.
 func (d *decisionLog) connectionLost(upstream settings.UpstreamID) {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -58,6 +58,8 @@
 	Shed bool
 	// Took is the duration of a successful response; 0 for other outcomes.
 	Took time.Duration
+	// Wishes is what the upstream has asked of this host in its response.
+	Wishes Wishes
 }
 
 // Choice is a chosen upstream.
@@ -78,6 +80,7 @@
 	shedAt       time.Time
 	meanDuration float64 // in seconds
 	durationAt   time.Time
+	wishes       wishes
 }
 
 // Pool holds the state that one host keeps about the upstreams of one service. It is safe for concurrent use.
@@ -229,7 +232,7 @@
 
 // classification groups the upstreams of a service by the state of their breakers.
 type classification struct {
-	// usable counts the upstreams that are not leaving, and closed those of them with a closed breaker. Both include
+	// usable counts the upstreams that are not leaving and accept requests, and closed those of them with a closed breaker. Both include
 	// excluded upstreams.
 	usable, closed int
 	// due is an upstream whose trial is due, candidates have closed breakers and open has those with open breakers. None
@@ -248,7 +251,7 @@
 	var view classification
 	for i := range upstreams {
 		u := &upstreams[i]
-		if u.Leaving {
+		if u.Leaving || !p.accepts(now, u) {
 			continue
 		}
 		view.usable++
@@ -371,14 +374,11 @@
 
 func decay(age, halfLife time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
 
-// Done ends an attempt that Pick started.
-func (p *Pool) Done(now time.Time, id settings.UpstreamID, outcome Outcome) {
+// Done ends an attempt that Pick started. It returns the wishes of the upstream that are new.
+func (p *Pool) Done(now time.Time, id settings.UpstreamID, outcome Outcome) Wishes {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.states[id]
-	if s == nil {
-		return
-	}
+	s := p.state(id)
 	s.inFlight = max(0, s.inFlight-1)
 	if outcome.Load != nil {
 		s.load = outcome.Load.share()
@@ -390,6 +390,7 @@
 	if outcome.Took > 0 {
 		p.observe(now, s, outcome.Took.Seconds())
 	}
+	return s.wishes.add(now, outcome.Wishes)
 }
 
 func (p *Pool) observe(now time.Time, s *state, took float64) {
@@ -460,12 +461,13 @@
 	return time.Duration(p.meanDuration * float64(time.Second))
 }
 
-// Keep drops the state of upstreams for which keep is false and that have no request in flight.
-func (p *Pool) Keep(keep func(settings.UpstreamID) bool) {
+// Keep drops the state of upstreams for which keep is false and that have no request in flight. The wishes of an upstream outlast its
+// absence, because its entry may come back.
+func (p *Pool) Keep(now time.Time, keep func(settings.UpstreamID) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.states {
-		if s.inFlight == 0 && !keep(id) {
+		if s.inFlight == 0 && !keep(id) && !s.wishes.pending(now) {
 			delete(p.states, id)
 		}
 	}
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -26,12 +26,14 @@
 	address, dataCentre string
 	slots               int
 	leaving             bool
+	incarnation         int64
 }
 
 func (e Entry) routing() routingFields {
 	u := &e.Upstream
 	return routingFields{
 		service: e.Service, id: u.ID, address: u.Address, dataCentre: u.DataCentre, slots: u.Slots, leaving: u.Leaving,
+		incarnation: u.Incarnation,
 	}
 }
 
@@ -231,7 +233,7 @@
 	for _, id := range slices.Sorted(maps.Keys(entries)) {
 		f := entries[id].routing()
 		// Writing to a hash never fails.
-		_, _ = fmt.Fprintf(hash, "%q %q %q %q %d %t\n", f.service, f.id, f.address, f.dataCentre, f.slots, f.leaving)
+		_, _ = fmt.Fprintf(hash, "%q %q %q %q %d %t %d\n", f.service, f.id, f.address, f.dataCentre, f.slots, f.leaving, f.incarnation)
 	}
 	return hash.Sum64()
 }
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -102,4 +102,8 @@
 	TimeLimit time.Duration
 	// Reused is true if the connection had carried earlier requests.
 	Reused bool
+	// Leaving is true if the response states that the upstream leaves.
+	Leaving bool
+	// QuietFor is the time for which an upstream that rejected the request asks to receive no requests; 0 if it does not.
+	QuietFor time.Duration
 }
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -32,6 +32,8 @@
 	NotRun string
 	// Load carries the load of an upstream as "running,waiting,slots".
 	Load string
+	// Leaving marks the responses of an upstream that leaves, with the value "1".
+	Leaving string
 	// KeyScheme precedes the key in the Authorization header.
 	KeyScheme string
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -89,6 +89,8 @@
 	queueLoad func(placement.LoadReport)
 	// onBreakerChange is called when a breaker has opened or closed. from is the host that observed the cause, empty for this one.
 	onBreakerChange func(id settings.UpstreamID, open bool, cause, from string)
+	// onWish is called when an upstream has asked for something that it had not asked for before.
+	onWish func(settings.UpstreamID, placement.Wishes)
 	// onConnectionLost is called for a connection to an upstream that broke together with connections to other upstreams.
 	onConnectionLost func(settings.UpstreamID)
 
@@ -101,6 +103,7 @@
 	return &router{
 		self: self, dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
 		retries:  quota.New(),
+		onWish:   func(settings.UpstreamID, placement.Wishes) {},
 		services: make(map[settings.ServiceName]*serviceState),
 	}
 }
@@ -140,8 +143,9 @@
 	r.breakers.Keep(view.Has)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, s := range r.services {
-		s.pool.Keep(view.Has)
+		s.pool.Keep(now, view.Has)
 	}
 }
 
@@ -151,7 +155,14 @@
 	view := r.registry.View()
 	s := r.service(service)
 	request.Floor = r.bounds().Floor
-	choice, ok := s.pool.Pick(now, s.subset.Of(view.Upstreams(service), r.hostCount()), request, r.breakers)
+	all := view.Upstreams(service)
+	subset := s.subset.Of(all, r.hostCount())
+	choice, ok := s.pool.Pick(now, subset, request, r.breakers)
+	if !ok && len(subset) < len(all) && !request.Hedge {
+		if refuse, _ := s.pool.AllRefuse(now, subset); refuse { // upstreams that only other hosts use may accept requests
+			choice, ok = s.pool.Pick(now, all, request, r.breakers)
+		}
+	}
 	if !ok {
 		return relay.Selection{}, false
 	}
@@ -162,7 +173,7 @@
 	monitor := r.monitor(s, route, id, now)
 	done := func(result relay.Result) {
 		monitor.end(result.Outcome, result.Took)
-		r.recordResult(s, id, result)
+		r.recordResult(s, &choice.Upstream, result)
 	}
 	selection := relay.Selection{
 		Upstream: choice.Upstream, Trial: choice.Trial, Load: choice.Load, RegistryAge: now.Sub(view.ReadAt), Done: done,
@@ -182,12 +193,20 @@
 }
 
 // recordResult processes the result of an attempt.
-func (r *router) recordResult(s *serviceState, id settings.UpstreamID, result relay.Result) {
-	outcome := placement.Outcome{Shed: result.Outcome == relay.NotRun, Load: result.Load}
+func (r *router) recordResult(s *serviceState, upstream *settings.Upstream, result relay.Result) {
+	id := upstream.ID
+	outcome := placement.Outcome{
+		Shed: result.Outcome == relay.NotRun, Load: result.Load,
+		Wishes: placement.Wishes{
+			Address: upstream.Address, Incarnation: upstream.Incarnation, Leaving: result.Leaving, QuietFor: result.QuietFor,
+		},
+	}
 	if result.Outcome == relay.Answered {
 		outcome.Took = result.Took
 	}
-	s.pool.Done(time.Now(), id, outcome)
+	if added := s.pool.Done(time.Now(), id, outcome); added.Leaving || added.QuietFor > 0 {
+		r.onWish(id, added)
+	}
 	if report, ok := placement.LoadReportFor(id, result.Load); ok {
 		r.queueLoad(report)
 	}
@@ -309,6 +328,20 @@
 
 // RetryAfter implements relay.Upstreams.
 func (r *router) RetryAfter(service settings.ServiceName) time.Duration {
-	typical := max(minRetryAfter, r.service(service).pool.MeanDuration())
-	return time.Duration(float64(typical) * (1 + retryAfterJitter*rand.Float64()))
+	pool := r.service(service).pool
+	typical := max(minRetryAfter, pool.MeanDuration())
+	jitter := time.Duration(retryAfterJitter * rand.Float64() * float64(typical))
+	_, next := pool.AllRefuse(time.Now(), r.registry.View().Upstreams(service))
+	return max(typical, next) + jitter
+}
+
+// refusingUpstreams counts the upstreams that have stated that they leave, and those that have asked for no requests now.
+func (r *router) refusingUpstreams(now time.Time) (leaving, quiet int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		l, q := s.pool.Refusing(now)
+		leaving, quiet = leaving+l, quiet+q
+	}
+	return leaving, quiet
 }
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -140,6 +140,8 @@
 	WarmUntil time.Time
 	// Leaving is true for an upstream that receives no new requests because it is being removed.
 	Leaving bool
+	// Incarnation identifies the process of the upstream, which may start again under the same ID; 0 if not known.
+	Incarnation int64
 }
 
 // Service is an effective service.
