forward: the HTTP client does not resend a TRACE request

Cause: http.Transport resends TRACE without a body as it does GET, HEAD and OPTIONS; isReplayedMethod left it out.

Ruled out: other methods; with a body or without GetBody they are not resent.

The change: TRACE gets a body as well, which is found empty before anything is sent. Its stated identity encoding keeps the client from sending an empty chunked body.

Evidence: TestVerbatimRequestArrivesOnce/TRACE failed before (arrived twice).

--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -229,6 +229,9 @@
 			// A body without GetBody prevents http.Transport from resending the request. http.Transport detects that the body is
 			// empty before it sends anything.
 			request.Body = io.NopCloser(bytes.NewReader(nil))
+			if q.Method == http.MethodTrace {
+				request.TransferEncoding = []string{"identity"} // otherwise http.Transport sends an empty chunked body
+			}
 		}
 		return
 	}
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -42,7 +42,7 @@
 // connection breaks.
 func isReplayedMethod(method string) bool {
 	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
 	default:
 		return false
--- a/traffic/forward/verbatim_test.go
+++ b/traffic/forward/verbatim_test.go
@@ -69,7 +69,7 @@
 // breaks, http.Transport resends a request without a body by itself if its method is idempotent by definition. A verbatim
 // request must arrive once.
 func TestVerbatimRequestArrivesOnce(t *testing.T) {
-	for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "PUT", "POST"} {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "PUT", "POST", "TRACE"} {
 		t.Run(method, func(t *testing.T) {
 			upstream := newSingleUseUpstream(t)
 			f := New(Options{HeaderNames: HeaderNames{RequestID: "X-Id", Timeout: "X-Left"}, AllowCloseDelimited: true})
