pipeline: a response to HEAD announces a close only if there is one

Cause: net/http adds the header to a response whose length is not known. An upstream's answer to HEAD may have none, and the host's own answers to HEAD were written with a body but without a length.

Ruled out: other methods; their bodies are always written with a length.

The change: own answers to HEAD state the length that they have for other methods; an unknown length stays unknown without the header.

Evidence: TestResponseToHeadClosesOnlyAClosingConnection failed before in both cases, and passes now.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -374,7 +374,13 @@
 		Request: &http.Request{Method: method},
 	}
 	if method == http.MethodHead {
-		message.ContentLength = response.Length
+		if len(response.Body) == 0 {
+			message.ContentLength = response.Length
+		}
+		message.Body = http.NoBody
+		// Without this, net/http announces the close of the connection if the length is not known. No body follows, so the
+		// response ends with its header.
+		message.Uncompressed = true
 	}
 	if err := netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -66,6 +66,9 @@
 			h.cancelled.Add(1)
 		}
 	}
+	if strings.HasPrefix(r.HTTP.URL.Path, "/length/") {
+		return &Response{Status: 200, Header: http.Header{}, Length: -1}
+	}
 	body := fmt.Sprintf("%s %s %d", r.HTTP.Method, r.HTTP.URL.Path, len(r.Body))
 	return &Response{Status: 200, Header: http.Header{}, Body: []byte(body), Close: r.HTTP.URL.Path == "/close"}
 }
@@ -342,3 +345,37 @@
 		t.Errorf("the response for %s waited for %v, want /quick and at least %v", second.path, second.after, delay/2)
 	}
 }
+
+// Guards against "Connection: close" on a response to HEAD whose connection stays open: a caller that heeds it sends the requests
+// behind it once more. net/http adds it to a response without a length, and the server's own responses to HEAD had none.
+func TestResponseToHeadClosesOnlyAClosingConnection(t *testing.T) {
+	for name, c := range map[string]struct{ path, length string }{
+		"without a length": {"/length/unknown", ""}, "with a body for other methods": {"/own", "11"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			conn, reader := h.dial(t)
+			for n := range 3 {
+				sendText(t, conn, "HEAD "+c.path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+				response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodHead})
+				if err != nil {
+					t.Fatalf("response %d: %v", n, err)
+				}
+				_ = response.Body.Close()
+				if response.Close || response.Header.Get("Content-Length") != c.length {
+					t.Errorf("response %d: close %v, Content-Length %q; want false and %q",
+						n, response.Close, response.Header.Get("Content-Length"), c.length)
+				}
+			}
+			sendText(t, conn, "HEAD /close HTTP/1.1\r\nHost: a\r\n\r\n")
+			response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodHead})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if !response.Close {
+				t.Error("the last response of a connection does not close it")
+			}
+		})
+	}
+}
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -38,7 +38,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Length is the Content-Length of responses to HEAD, in bytes.
+	// Length is the Content-Length in bytes of a response to HEAD that has no Body, -1 if not known.
 	Length int64
 	// Close requests that the connection is closed after the response.
 	Close bool
