--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,7 @@
 	})
 	g.router.queueNotices, g.router.queueLocalNotices, g.router.queueLoad = g.node.QueueNotices, g.node.QueueLocalNotices, g.node.QueueLoad
 	g.router.onBreakerChange, g.router.onConnectionLost = g.log.breakerChanged, g.log.connectionLost
-	g.router.onWish = g.log.wish
+	g.router.onSignal = g.log.upstreamSignals
 	return nil
 }
 
@@ -272,8 +272,8 @@
 	DatagramsRejected    int64
 	DatagramsRepeated    int64
 	LogLinesSkipped      int64
-	// UpstreamsLeaving have stated that they leave, and UpstreamsQuiet ask for no requests from this host now.
-	UpstreamsLeaving, UpstreamsQuiet int
+	// UpstreamsLeaving have stated that they leave, and UpstreamsInBackoff ask for no requests from this host now.
+	UpstreamsLeaving, UpstreamsInBackoff int
 }
 
 // Status returns the current state of the host.
@@ -293,7 +293,7 @@
 			status.LiveHosts++
 		}
 	}
-	status.UpstreamsLeaving, status.UpstreamsQuiet = g.router.refusingUpstreams(now)
+	status.UpstreamsLeaving, status.UpstreamsInBackoff = g.router.refusingUpstreams(now)
 	status.DatagramsSent, status.DatagramsRejected, status.DatagramsRepeated = g.node.Counters()
 	return status
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -132,13 +132,13 @@
 	line.Send()
 }
 
-// wish logs what an upstream has asked of this host in a response.
-func (d *decisionLog) wish(id settings.UpstreamID, wishes placement.Wishes) {
-	if wishes.Leaving {
+// upstreamSignals logs what an upstream has asked of this host in a response.
+func (d *decisionLog) upstreamSignals(id settings.UpstreamID, signals placement.Signals) {
+	if signals.Leaving {
 		d.logger.Info().Str("event", "upstream_states_leaving").Str("upstream", string(id)).Send()
 	}
-	if wishes.QuietFor > 0 {
-		d.logger.Info().Str("event", "upstream_quiet").Str("upstream", string(id)).Dur("for_ms", wishes.QuietFor).Send()
+	if signals.Backoff > 0 {
+		d.logger.Info().Str("event", "upstream_backoff").Str("upstream", string(id)).Dur("for_ms", signals.Backoff).Send()
 	}
 }
 
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -58,8 +58,8 @@
 	Shed bool
 	// Took is the duration of a successful response; 0 for other outcomes.
 	Took time.Duration
-	// Wishes is what the upstream has asked of this host in its response.
-	Wishes Wishes
+	// Signals is what the upstream has asked of this host in its response.
+	Signals Signals
 }
 
 // Choice is a chosen upstream.
@@ -80,7 +80,7 @@
 	shedAt       time.Time
 	meanDuration float64 // in seconds
 	durationAt   time.Time
-	wishes       wishes
+	signals      signalState
 }
 
 // Pool holds the state that one host keeps about the upstreams of one service. It is safe for concurrent use.
@@ -374,8 +374,8 @@
 
 func decay(age, halfLife time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
 
-// Done ends an attempt that Pick started. It returns the wishes of the upstream that are new.
-func (p *Pool) Done(now time.Time, id settings.UpstreamID, outcome Outcome) Wishes {
+// Done ends an attempt that Pick started. It returns the signals of the upstream that are new.
+func (p *Pool) Done(now time.Time, id settings.UpstreamID, outcome Outcome) Signals {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(id)
@@ -390,7 +390,7 @@
 	if outcome.Took > 0 {
 		p.observe(now, s, outcome.Took.Seconds())
 	}
-	return s.wishes.add(now, outcome.Wishes)
+	return s.signals.add(now, outcome.Signals)
 }
 
 func (p *Pool) observe(now time.Time, s *state, took float64) {
@@ -461,13 +461,13 @@
 	return time.Duration(p.meanDuration * float64(time.Second))
 }
 
-// Keep drops the state of upstreams for which keep is false and that have no request in flight. The wishes of an upstream outlast its
+// Keep drops the state of upstreams for which keep is false and that have no request in flight. The signals of an upstream outlast its
 // absence, because its entry may come back.
 func (p *Pool) Keep(now time.Time, keep func(settings.UpstreamID) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.states {
-		if s.inFlight == 0 && !keep(id) && !s.wishes.pending(now) {
+		if s.inFlight == 0 && !keep(id) && !s.signals.pending(now) {
 			delete(p.states, id)
 		}
 	}
--- a/gateway/placement/wishes_test.go
+++ b/gateway/placement/signals_test.go
@@ -13,9 +13,9 @@
 	return u
 }
 
-// wish ends an attempt at an upstream whose response carries wishes.
-func wish(p *Pool, at time.Time, u settings.Upstream, leaving bool, quietFor time.Duration) Wishes {
-	return p.Done(at, u.ID, Outcome{Wishes: Wishes{Address: u.Address, Incarnation: u.Incarnation, Leaving: leaving, QuietFor: quietFor}})
+// signal ends an attempt at an upstream whose response carries signals.
+func signal(p *Pool, at time.Time, u settings.Upstream, leaving bool, backoff time.Duration) Signals {
+	return p.Done(at, u.ID, Outcome{Signals: Signals{Address: u.Address, Incarnation: u.Incarnation, Leaving: leaving, Backoff: backoff}})
 }
 
 func picks(p *Pool, at time.Time, u settings.Upstream) bool {
@@ -27,7 +27,7 @@
 // and while the store cannot be read, and against avoiding the next process under its id or at its address.
 func TestUpstreamThatStatesItsLeavingGetsNoRequests(t *testing.T) {
 	p, u := pool(), process("a", 1)
-	wish(p, now, u, true, 0)
+	signal(p, now, u, true, 0)
 	p.Keep(now, func(settings.UpstreamID) bool { return false }) // its entry is gone
 	for _, after := range []time.Duration{0, time.Second, time.Minute} {
 		if picks(p, now.Add(after), u) {
@@ -42,17 +42,17 @@
 	if !picks(p, now.Add(time.Second), moved) {
 		t.Error("a process with the same id at another address gets no requests")
 	}
-	p.Keep(now.Add(2*wishRetention), func(settings.UpstreamID) bool { return false })
+	p.Keep(now.Add(2*signalRetention), func(settings.UpstreamID) bool { return false })
 	if _, ok := p.states["b"]; ok || len(p.states) > 1 {
-		t.Errorf("%d states are kept after their wishes have expired", len(p.states))
+		t.Errorf("%d states are kept after their signals have expired", len(p.states))
 	}
 }
 
 // Guards against requests to an upstream that has asked for none, and against avoiding it for longer than it has asked.
-func TestQuietUpstreamGetsNoRequestsUntilItsTimeIsOver(t *testing.T) {
+func TestUpstreamInBackoffGetsNoRequests(t *testing.T) {
 	p, u := pool(), process("a", 1)
-	wish(p, now, u, false, 3*time.Second)
-	wish(p, now.Add(time.Second), u, false, time.Second) // a response that arrives late must not shorten the time
+	signal(p, now, u, false, 3*time.Second)
+	signal(p, now.Add(time.Second), u, false, time.Second) // a response that arrives late must not shorten the time
 	for _, after := range []time.Duration{0, 2500 * time.Millisecond, 2999 * time.Millisecond} {
 		if picks(p, now.Add(after), u) {
 			t.Errorf("a request is sent after %v, the upstream has asked for none for 3 s", after)
@@ -64,9 +64,9 @@
 	if refuse, _ := p.AllRefuse(now.Add(3*time.Second), []settings.Upstream{u}); refuse {
 		t.Error("the upstream counts as refusing after its time is over")
 	}
-	wish(p, now, u, false, 1<<62)
-	if picks(p, now.Add(maxQuietPeriod-time.Second), u) || !picks(p, now.Add(maxQuietPeriod), u) {
-		t.Errorf("an absurd time is not bounded by %v", maxQuietPeriod)
+	signal(p, now, u, false, 1<<62)
+	if picks(p, now.Add(maxBackoffPeriod-time.Second), u) || !picks(p, now.Add(maxBackoffPeriod), u) {
+		t.Errorf("an absurd time is not bounded by %v", maxBackoffPeriod)
 	}
 }
 
@@ -77,15 +77,15 @@
 	a, b, leaving := process("a", 1), process("b", 1), process("c", 1)
 	leaving.Leaving = true
 	all := []settings.Upstream{a, b, leaving}
-	wish(p, now, a, false, 3*time.Second)
+	signal(p, now, a, false, 3*time.Second)
 	if refuse, _ := p.AllRefuse(now, all); refuse {
 		t.Error("all upstreams refuse although one has asked for nothing")
 	}
-	wish(p, now, b, false, 2*time.Second)
+	signal(p, now, b, false, 2*time.Second)
 	if refuse, next := p.AllRefuse(now.Add(500*time.Millisecond), all); !refuse || next != 1500*time.Millisecond {
 		t.Errorf("refuse %v, next %v; want true and 1.5 s", refuse, next)
 	}
-	wish(p, now, b, true, 0)
+	signal(p, now, b, true, 0)
 	if refuse, next := p.AllRefuse(now.Add(500*time.Millisecond), all); !refuse || next != 2500*time.Millisecond {
 		t.Errorf("refuse %v, next %v; want true and 2.5 s: the other one leaves", refuse, next)
 	}
@@ -94,13 +94,25 @@
 	}
 }
 
-// Guards against a log line for each response that repeats a wish.
-func TestOnlyNewWishesAreReported(t *testing.T) {
+// Guards against a log line for each response that repeats a s.
+func TestOnlyNewSignalsAreReported(t *testing.T) {
 	p, u := pool(), process("a", 1)
-	if added := wish(p, now, u, true, time.Second); !added.Leaving || added.QuietFor != time.Second {
-		t.Errorf("new wishes are %+v", added)
+	if added := signal(p, now, u, true, time.Second); !added.Leaving || added.Backoff != time.Second {
+		t.Errorf("new signals are %+v", added)
 	}
-	if added := wish(p, now.Add(100*time.Millisecond), u, true, time.Second); added.Leaving || added.QuietFor != 0 {
-		t.Errorf("repeated wishes are reported as %+v", added)
+	for _, backoff := range []time.Duration{time.Second, 100 * time.Millisecond} {
+		if added := signal(p, now.Add(100*time.Millisecond), u, true, backoff); added.Leaving || added.Backoff != 0 {
+			t.Errorf("repeated signals are reported as %+v", added)
+		}
+	}
+}
+
+// Guards against a late response of an earlier process of an upstream that hides what its present process has asked for.
+func TestLateResponseOfEarlierProcessHidesNoSignal(t *testing.T) {
+	p, before, present := pool(), process("a", 1), process("a", 2)
+	signal(p, now, present, true, 0)
+	signal(p, now, before, true, time.Second)
+	if picks(p, now, present) {
+		t.Error("a request is sent to a process that has stated that it leaves")
 	}
 }
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -136,7 +136,7 @@
 		result.Load = parseLoad(a.response.Header.Get(x.options.Headers.Load))
 		result.Leaving = strings.TrimSpace(a.response.Header.Get(x.options.Headers.Leaving)) == "1"
 		if a.response.Status == http.StatusServiceUnavailable {
-			result.QuietFor = parseRetryAfter(a.response.Header.Get("Retry-After"))
+			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
 		}
 		event.Status, event.Reused = a.response.Status, a.response.Reused
 		a.response.Close() // returns the share of the buffer budget; the body stays in memory
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -104,6 +104,6 @@
 	Reused bool
 	// Leaving is true if the response states that the upstream leaves.
 	Leaving bool
-	// QuietFor is the time for which an upstream that rejected the request asks to receive no requests; 0 if it does not.
-	QuietFor time.Duration
+	// Backoff is the time for which an upstream that rejected the request asks to receive no requests; 0 if it does not.
+	Backoff time.Duration
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -89,8 +89,8 @@
 	queueLoad func(placement.LoadReport)
 	// onBreakerChange is called when a breaker has opened or closed. from is the host that observed the cause, empty for this one.
 	onBreakerChange func(id settings.UpstreamID, open bool, cause, from string)
-	// onWish is called when an upstream has asked for something that it had not asked for before.
-	onWish func(settings.UpstreamID, placement.Wishes)
+	// onSignal is called when an upstream has asked for something that it had not asked for before.
+	onSignal func(settings.UpstreamID, placement.Signals)
 	// onConnectionLost is called for a connection to an upstream that broke together with connections to other upstreams.
 	onConnectionLost func(settings.UpstreamID)
 
@@ -103,7 +103,7 @@
 	return &router{
 		self: self, dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
 		retries:  quota.New(),
-		onWish:   func(settings.UpstreamID, placement.Wishes) {},
+		onSignal: func(settings.UpstreamID, placement.Signals) {},
 		services: make(map[settings.ServiceName]*serviceState),
 	}
 }
@@ -197,15 +197,15 @@
 	id := upstream.ID
 	outcome := placement.Outcome{
 		Shed: result.Outcome == relay.NotRun, Load: result.Load,
-		Wishes: placement.Wishes{
-			Address: upstream.Address, Incarnation: upstream.Incarnation, Leaving: result.Leaving, QuietFor: result.QuietFor,
+		Signals: placement.Signals{
+			Address: upstream.Address, Incarnation: upstream.Incarnation, Leaving: result.Leaving, Backoff: result.Backoff,
 		},
 	}
 	if result.Outcome == relay.Answered {
 		outcome.Took = result.Took
 	}
-	if added := s.pool.Done(time.Now(), id, outcome); added.Leaving || added.QuietFor > 0 {
-		r.onWish(id, added)
+	if added := s.pool.Done(time.Now(), id, outcome); added.Leaving || added.Backoff > 0 {
+		r.onSignal(id, added)
 	}
 	if report, ok := placement.LoadReportFor(id, result.Load); ok {
 		r.queueLoad(report)
@@ -336,12 +336,12 @@
 }
 
 // refusingUpstreams counts the upstreams that have stated that they leave, and those that have asked for no requests now.
-func (r *router) refusingUpstreams(now time.Time) (leaving, quiet int) {
+func (r *router) refusingUpstreams(now time.Time) (leaving, backoff int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.services {
 		l, q := s.pool.Refusing(now)
-		leaving, quiet = leaving+l, quiet+q
+		leaving, backoff = leaving+l, backoff+q
 	}
-	return leaving, quiet
+	return leaving, backoff
 }
