proxy test: count no connection while it is waited for

The data race of TestKilledConnections (once in 8 runs on arm64) was in the test's own upstream: a connection accepted at the end was added to the WaitGroup beside its Wait. The test now waits until the listener has ended.

--- a/traffic/proxy/kill_test.go
+++ b/traffic/proxy/kill_test.go
@@ -53,6 +53,7 @@
 	}
 	got := h.send("POST", target, "a body", header)
 	_ = faulty.listener.Close()
+	<-faulty.accepting // conns may be waited for only when no further connection is counted
 	h.handler.CloseIdle()
 	faulty.conns.Wait()
 
--- a/traffic/proxy/raw_test.go
+++ b/traffic/proxy/raw_test.go
@@ -43,6 +43,7 @@
 	script           script
 	listener         net.Listener
 	done             chan struct{}
+	accepting        chan struct{} // closed when no further connection is accepted
 	conns            sync.WaitGroup
 	warmedUp         atomic.Bool
 	requestsReceived atomic.Int64 // requests of which a byte was read, without the warm-up request
@@ -57,10 +58,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &rawUpstream{address: listener.Addr().String(), script: s, listener: listener, done: make(chan struct{})}
-	accepting := make(chan struct{})
+	u := &rawUpstream{address: listener.Addr().String(), script: s, listener: listener, done: make(chan struct{}), accepting: make(chan struct{})}
 	go func() {
-		defer close(accepting)
+		defer close(u.accepting)
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
@@ -73,7 +73,7 @@
 	t.Cleanup(func() {
 		close(u.done)
 		_ = listener.Close()
-		<-accepting
+		<-u.accepting
 	})
 	return u
 }
