--- a/gateway/placement/doc.go
+++ b/gateway/placement/doc.go
@@ -7,9 +7,9 @@
 // more than the cost of distance. For non-retryable requests, the failure score of an upstream counts as load. A hedged
 // attempt is made only at an upstream with spare capacity.
 //
-// Upstreams that are leaving or whose breaker is open are no candidates. An upstream that is due for a half-open trial is
-// chosen first, except for retries and hedged attempts. Upstreams that have just started count as more loaded until they are
-// warm. While open breakers leave fewer upstreams in use than the floor, idempotent requests make trials even if they cannot be
+// Upstreams that are leaving or whose breaker is open are no candidates, and neither are those that have stated in a response that
+// they leave or that they want no requests for some time. An upstream that is due for a half-open trial is chosen first, except for
+// retries and hedged attempts. Upstreams that have just started count as more loaded until they are warm. While open breakers leave fewer upstreams in use than the floor, idempotent requests make trials even if they cannot be
 // retried. If those in use are also full, upstreams that have not failed for some time get a trial before their turn.
 //
 // One host receives few responses from each upstream, so reported loads are seconds old and a host's own requests in flight
--- a/gateway/quota/doc.go
+++ b/gateway/quota/doc.go
@@ -18,5 +18,8 @@
 // A process that has just started or has just been paused does not know what the other hosts have admitted, and marks its
 // estimates as not synced. After a start, it begins with a part of the tokens and adopts lower estimates of synced hosts.
 //
+// A host that has started and does not know the other hosts admits nothing of a limit. If they report the size of the fleet, it
+// admits an equal share without a part of the burst: that is what they assume of a host that does not report.
+//
 // The package does no I/O and takes the time as an argument.
 package quota
--- a/gateway/registry/doc.go
+++ b/gateway/registry/doc.go
@@ -5,5 +5,9 @@
 // its recovery. After a gap in the reads, missing entries are therefore kept for gracePeriod. After that, a missing entry
 // means that its upstream has been removed. While the store cannot be read, the upstreams of the last read stay in use.
 //
+// The store recovers between the start of the newest failed read and the first read after the gap. The grace period runs from the
+// latter and is limited by the former, unless a report of another host states its end more precisely. It ends at once if another
+// host has read the store without a gap.
+//
 // The package does no I/O and takes the time as an argument.
 package registry
--- a/gateway/registry/outage.go
+++ b/gateway/registry/outage.go
@@ -25,29 +25,29 @@
 func (r *Report) synced() bool { return !r.KeptUntil.After(r.ReadAt) }
 
 // replaces reports whether r is more useful than an earlier report. Of two recent reports, the one with the earlier end is.
-func (r *Report) replaces(earlier *Report) bool {
-	if earlier == nil || r.ReadAt.Sub(earlier.ReadAt) > maxReportAge {
+func (r *Report) replaces(previous *Report) bool {
+	if previous == nil || r.ReadAt.Sub(previous.ReadAt) > maxReportAge {
 		return true
 	}
-	if r.synced() != earlier.synced() {
+	if r.synced() != previous.synced() {
 		return r.synced()
 	}
 	if r.synced() {
-		return r.ReadAt.After(earlier.ReadAt)
+		return r.ReadAt.After(previous.ReadAt)
 	}
-	return r.KeptUntil.Before(earlier.KeptUntil)
+	return r.KeptUntil.Before(previous.KeptUntil)
 }
 
-// ObserveReport records a read of the store by another host, and reports whether it is more useful than the one before. A host
-// that has read through an outage of this host's path to the store, or has detected the recovery of the store first, knows best
-// from when on missing entries are final. It may be called concurrently with all other methods.
+// ObserveReport records a read of the store by another host, and reports whether it is more useful than the one before. The host that
+// detects the recovery of the store first, or that had no gap in its reads, knows best from when on missing entries are final.
+// ObserveReport may be called concurrently with all other methods.
 func (r *Registry) ObserveReport(report Report) bool {
 	for {
-		earlier := r.report.Load()
-		if !report.replaces(earlier) {
+		previous := r.report.Load()
+		if !report.replaces(previous) {
 			return false
 		}
-		if r.report.CompareAndSwap(earlier, &report) {
+		if r.report.CompareAndSwap(previous, &report) {
 			return true
 		}
 	}
