gossip test: wait for the datagram that states the leaving

Cause, from the message that it printed (sequence 1): the node's first datagram may be sent with the queued content after QueueNotices and before Leave. The test took the newest message by then as the one that states the leaving. It now waits for that one; nothing else that it checks has changed. It also covers the start of an upstream's process, and a new test the rest of a grace period.

--- a/gateway/gossip/gossip_test.go
+++ b/gateway/gossip/gossip_test.go
@@ -53,7 +53,7 @@
 				Delta: &registry.Delta{
 					Base: 98, Removed: []settings.UpstreamID{"gone"},
 					Put: []registry.Entry{{Service: "desk", Upstream: settings.Upstream{
-						ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true,
+						ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true, Incarnation: 7,
 					}}},
 				},
 			}
@@ -138,14 +138,20 @@
 		}
 		return len(notices) > 0 && len(usage) > 0 && len(loads) > 0
 	})
-	last := b.messagesFrom("a")[len(b.messagesFrom("a"))-1]
-	if last.Configuration != 12 || last.Registry.Digest != 99 || last.Registry.Age < 40*time.Millisecond || !last.Registry.Synced || !last.Leaving {
+	// The first datagram may have been sent with all content before the call of Leave.
+	var last *Message
+	eventually(t, "the newest message states the leaving", func() bool {
+		messages := b.messagesFrom("a")
+		last = messages[len(messages)-1]
+		return last.Leaving
+	})
+	if last.Configuration != 12 || last.Registry.Digest != 99 || last.Registry.Age < 40*time.Millisecond || !last.Registry.Synced {
 		t.Errorf("the state of the host was received as %+v", last)
 	}
 	if delta := last.Registry.Delta; delta == nil || delta.Base != 98 || last.Registry.Version != 5 ||
 		!reflect.DeepEqual(delta.Removed, []settings.UpstreamID{"gone"}) || len(delta.Put) != 1 ||
 		delta.Put[0] != (registry.Entry{Service: "desk", Upstream: settings.Upstream{
-			ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true,
+			ID: "new", Address: "10.0.0.1:80", DataCentre: "north", Slots: 3, Leaving: true, Incarnation: 7,
 		}}) {
 		t.Errorf("the registry delta was received as %+v", delta)
 	}
@@ -163,6 +169,19 @@
 	}
 }
 
+// Guards against a grace period that does not reach the other hosts.
+func TestGracePeriodArrives(t *testing.T) {
+	for _, state := range []RegistryState{
+		{Digest: 1, GraceLeft: 1500 * time.Millisecond}, {Digest: 1, Synced: true}, {Digest: 1},
+	} {
+		m := &gossippb.Datagram{}
+		encodeRegistry(m, state)
+		if got := decodeRegistry(m); got.GraceLeft != state.GraceLeft || got.Synced != state.Synced {
+			t.Errorf("%+v was received as %+v", state, got)
+		}
+	}
+}
+
 // Guards against unnecessary traffic between data centres: a datagram must be sent to one host of each remote data centre and
 // relayed there, once to each host.
 func TestDatagramsAreRelayedWithinADataCentre(t *testing.T) {
