gateway: a read that takes its whole time does not stay pending

What callers would have seen: a host that no longer follows the upstreams, and goes on with a list that grows old. Found while reading; seen in a test only.

Cause: a read of the upstreams that ended with its time limit of 10 s had its result dropped at random, because the same context guarded the call and the delivery. It then counted as pending for ever; with three of them, the maximum, no further read began. Cancel functions of failed reads were kept until the next success.

Ruled out: reads that fail sooner; their context is not done yet.

The change: each read is delivered or aborted, exactly once, and is told apart by a number instead of its start.

Evidence: TestReadsGoOnAfterCallsThatTakeTheirWholeTime failed before.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -96,7 +96,7 @@
 		select {
 		case <-ctx.Done():
 		case now := <-timer.C:
-			if len(reads.inFlight) < maxOverlappingReads {
+			if len(reads.pending) < maxOverlappingReads {
 				reads.start(ctx, schedule.begin(now))
 			}
 			schedule.retryAt = now.Add(min(overlapInterval+s.rankDelay(retryStagger), maxRecoveryWait))
@@ -117,10 +117,10 @@
 // wait until this host's turn comes, unless another host has read in the meantime.
 func (s *syncer) untilNextRead(schedule *readSchedule, reads *upstreamReads) time.Duration {
 	wait := s.untilScheduledRead()
-	if len(reads.inFlight) > 0 || schedule.failing {
+	if len(reads.pending) > 0 || schedule.failing {
 		wait = max(wait, time.Until(schedule.retryAt))
 	}
-	if !schedule.triggeredAt.IsZero() && len(reads.inFlight) < maxOverlappingReads {
+	if !schedule.triggeredAt.IsZero() && len(reads.pending) < maxOverlappingReads {
 		wait = min(wait, time.Until(schedule.triggeredAt))
 	}
 	return max(0, wait)
--- a/gateway/follow_upstreams_test.go
+++ b/gateway/follow_upstreams_test.go
@@ -46,6 +46,7 @@
 func startUpstreamSync(t *testing.T, source UpstreamSource) *Gateway {
 	t.Helper()
 	g := &Gateway{options: Options{HostID: "a", Upstreams: source}, logger: zerolog.Nop(), registryUpdates: make(chan registryUpdate, 1)}
+	g.rereadAfterPause.upstreams = make(chan struct{}, 1)
 	g.bounds.Store(&Bounds{MaxLeavingDelay: maxLeavingDelay})
 	g.router = newRouter("north", g.boundsNow, "a")
 	g.node = gossip.New(gossip.Options{Self: gossip.Record{ID: "a"}})
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -308,3 +308,22 @@
 		})
 	}
 }
+
+// Guards against a host that never reads again: the results of reads that had taken their whole time were dropped at random, and the
+// reads without a result used up the maximum number.
+func TestReadsGoOnAfterCallsThatTakeTheirWholeTime(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			o := newOutage(t, 0)
+			time.Sleep(5 * time.Second)
+			o.source.set(func() { o.source.readTime = time.Hour })
+			time.Sleep(5 * callTimeout)
+			o.source.set(func() { o.source.readTime = 4 * time.Millisecond })
+			before := o.source.readCount()
+			time.Sleep(callTimeout + maxRecoveryWait)
+			if o.source.readCount() == before {
+				t.Error("the host no longer reads the upstreams")
+			}
+		})
+	}
+}
--- a/gateway/upstreamreads.go
+++ b/gateway/upstreamreads.go
@@ -18,74 +18,85 @@
 
 // upstreamRead is a read of the upstreams that has ended.
 type upstreamRead struct {
+	// id is the number of the read.
+	id        uint64
 	startedAt time.Time
 	// scheduled is false for a read that was triggered by a pause or by another host's update.
-	scheduled  bool
-	generation int
-	entries    []registry.Entry
-	version    uint64
-	err        error
+	scheduled bool
+	entries   []registry.Entry
+	version   uint64
+	err       error
+}
+
+// pendingRead is a read that has not ended.
+type pendingRead struct {
+	id        uint64
+	startedAt time.Time
+	cancel    context.CancelFunc
+	// aborted is closed when the result of the read is no longer wanted.
+	aborted chan struct{}
 }
 
 // upstreamReads makes reads of the upstreams that may overlap. It is used by one goroutine.
 type upstreamReads struct {
 	source UpstreamSource
-	// results delivers the reads that have ended. Those of past generations are to be dropped.
+	// results delivers each read that has ended, and was not aborted, exactly once.
 	results chan upstreamRead
-	// inFlight holds the starts of the reads of this generation that have not ended, in this order.
-	inFlight   []time.Time
-	generation int
-	// cancels end the reads of this generation.
-	cancels []context.CancelFunc
+	lastID  uint64
+	// pending holds the reads that have not ended, in the order of their starts.
+	pending []pendingRead
 }
 
 // start begins a read.
 func (r *upstreamReads) start(ctx context.Context, scheduled bool) {
-	read := upstreamRead{startedAt: time.Now(), scheduled: scheduled, generation: r.generation}
+	r.lastID++
+	read := upstreamRead{id: r.lastID, startedAt: time.Now(), scheduled: scheduled}
 	reading, cancel := context.WithTimeout(ctx, callTimeout)
-	r.inFlight = append(r.inFlight, read.startedAt)
-	r.cancels = append(r.cancels, cancel)
+	aborted := make(chan struct{})
+	r.pending = append(r.pending, pendingRead{id: read.id, startedAt: read.startedAt, cancel: cancel, aborted: aborted})
 	go func() {
 		read.entries, read.version, read.err = r.source.Upstreams(reading)
 		select {
 		case r.results <- read:
-		case <-reading.Done():
+		case <-aborted: // the end of callTimeout must not drop the result, which would leave the read pending
 		}
 	}()
 }
 
-// finish removes a read that has ended from those in flight. It reports false if the read was aborted.
+// finish removes a read that has ended from the pending ones. It reports false if the read was aborted.
 func (r *upstreamReads) finish(read upstreamRead) bool {
-	if read.generation != r.generation {
+	i := slices.IndexFunc(r.pending, func(p pendingRead) bool { return p.id == read.id })
+	if i < 0 {
 		return false
 	}
-	r.inFlight = slices.DeleteFunc(r.inFlight, read.startedAt.Equal)
+	r.pending[i].cancel()
+	r.pending = slices.Delete(r.pending, i, i+1)
 	return true
 }
 
-// abort ends all reads in flight.
+// abort ends all pending reads.
 func (r *upstreamReads) abort() {
-	for _, cancel := range r.cancels {
-		cancel()
+	for _, p := range r.pending {
+		p.cancel()
+		close(p.aborted)
 	}
-	r.cancels, r.inFlight = nil, nil
-	r.generation++
+	r.pending = nil
 }
 
-// overtakenBy returns the start of the newest read in flight that began before a read that has succeeded, and false if there is
-// none. It counts as failed: the store or the path to it was not stable when it began.
+// overtakenBy returns the start of the newest pending read that began before a read that has succeeded, and false if there is none.
+// It counts as failed: the store or the path to it was not stable when it began.
 func (r *upstreamReads) overtakenBy(read upstreamRead) (time.Time, bool) {
-	for _, startedAt := range slices.Backward(r.inFlight) {
-		if startedAt.Before(read.startedAt) {
-			return startedAt, true
+	for _, p := range slices.Backward(r.pending) {
+		if p.startedAt.Before(read.startedAt) {
+			return p.startedAt, true
 		}
 	}
 	return time.Time{}, false
 }
 
-// newerThan reports whether a read that began after a time is in flight.
+// newerThan reports whether a read that began after a time is pending.
 func (r *upstreamReads) newerThan(at time.Time) bool {
-	return len(r.inFlight) > 0 && r.inFlight[len(r.inFlight)-1].After(at)
+	return len(r.pending) > 0 && r.pending[len(r.pending)-1].startedAt.After(at)
 }
 
 // readSchedule determines when the next read of the upstreams begins and why.
