gateway: a read after a pause does not wait for the next update

What callers would have seen: for up to 2 s after a pause of a host whose reads had failed before, requests under withdrawn keys or to upstreams that have left. Found while reading; seen in a test only.

Cause: the limit of reads that updates of other hosts trigger also held back the read that a pause triggers.

Ruled out: hosts whose reads did not fail before the pause.

The change: only reads triggered by an update are limited.

Evidence: TestReadAfterAPauseIsNotDelayedByFailures failed before.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -176,7 +176,7 @@
 	if !schedule.failing && reads.newerThan(update.readAt) {
 		return // the response is about to arrive
 	}
-	schedule.trigger(time.Now().Add(s.untilTriggeredRead()))
+	schedule.triggerByUpdate(time.Now().Add(s.untilTriggeredRead()))
 }
 
 // untilTriggeredRead is the time until this host may make a triggered read.
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -327,3 +327,29 @@
 		})
 	}
 }
+
+// Guards against a host that is paused while its reads fail and then waits before it reads again, although the store has recovered.
+func TestReadAfterAPauseIsNotDelayedByFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOutage(t, 0)
+		addLowerRanks(o.g, 1)
+		time.Sleep(5 * time.Second)
+		addLowerRanks(o.g, 2)
+		o.source.set(func() { o.source.rejects = true })
+		o.g.receiveRegistryUpdate(registryUpdate{
+			RegistryState: gossip.RegistryState{Digest: 1, Synced: true}, readAt: time.Now(), from: "h0",
+		})
+		time.Sleep(1500 * time.Millisecond) // the triggered read has failed
+		o.g.receiveRegistryUpdate(registryUpdate{
+			RegistryState: gossip.RegistryState{Digest: 2, Synced: true}, readAt: time.Now(), from: "h0",
+		})
+		time.Sleep(100 * time.Millisecond) // so has the next one, and further ones wait
+		o.source.set(func() { o.source.rejects = false })
+		pauseEnd := time.Now()
+		o.g.rereadAfterPause.upstreams <- struct{}{}
+		time.Sleep(50 * time.Millisecond)
+		if !o.g.router.registry.View().ReadAt.After(pauseEnd.Add(-time.Millisecond)) {
+			t.Error("the upstreams were not read within 50 ms after the pause")
+		}
+	})
+}
--- a/gateway/upstreamreads.go
+++ b/gateway/upstreamreads.go
@@ -106,16 +106,22 @@
 	retryAt time.Time
 	// triggeredAt is when a triggered read is due; zero if none is.
 	triggeredAt time.Time
-	// nextTrigger is the earliest time of a triggered read while reads fail. Without it, a host that the store rejects reads again for
+	// nextTrigger is the earliest time of a read that an update triggers while reads fail. Without it, a host that the store rejects reads again for
 	// each update of the others.
 	nextTrigger time.Time
 }
 
-// trigger makes a read due at a time.
-func (r *readSchedule) trigger(at time.Time) {
+// triggerByUpdate makes a read due at a time because another host has reported an update, but not too soon after the one before while
+// reads fail.
+func (r *readSchedule) triggerByUpdate(at time.Time) {
 	if r.failing && at.Before(r.nextTrigger) {
 		at = r.nextTrigger
 	}
+	r.trigger(at)
+}
+
+// trigger makes a read due at a time.
+func (r *readSchedule) trigger(at time.Time) {
 	if r.triggeredAt.IsZero() || at.Before(r.triggeredAt) {
 		r.triggeredAt = at
 	}
