gateway: a host knows the fleet only once its own record is in the store

Found while reading; seen in tests only.

Hosts that cannot write their records read that there are none, or only those of earlier processes, whose keys have changed; after 20 s of silence each host was alone by its own count.

Ruled out: a write whose response is lost; a read shows the record, and the host is registered.

The change: a host is registered once its record is in the store, by the response to the write or by a read that shows it. Before that it admits an equal share among the largest number that records or datagrams have shown, and nothing without any. It introduces itself after the first read and again when it is registered.

TestHostThatCannotWriteItsRecordReadsTheOthers asked that such a host counts as loaded. That was wrong; it now asks for the equal share, also after 30 s.

Evidence: TestHostThatCannotWriteItsRecordIsNotAlone failed before (admitted with 1 host).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -24,7 +25,7 @@
 	hintGraceFraction = 0.15
 	// hostsInterval is the time between reads of the host records if nothing triggers one earlier.
 	hostsInterval = time.Minute
-	// expectHostsInterval is the time between updates of the size of the fleet that other hosts report.
+	// expectHostsInterval is the time between updates of the expected size of the fleet.
 	expectHostsInterval = 50 * time.Millisecond
 	// minHostsInterval is the minimum time between two reads of the host records.
 	minHostsInterval = 700 * time.Millisecond
@@ -47,6 +48,8 @@
 	// storeReadAt is the start of the newest of these reads, in Unix nanoseconds. It is written after storeVersion.
 	storeReadAt atomic.Int64
 	peers       *confsync.Client
+	// unregisteredPeers is the number of other hosts with a record at the newest read before this host's own record was in the store.
+	unregisteredPeers atomic.Int64
 
 	// The fields below are used only by syncConfiguration and the functions that it calls.
 
@@ -233,9 +236,9 @@
 // syncHosts writes this host's record to the store and keeps the records of the other hosts up to date until ctx ends.
 func (s *syncer) syncHosts(ctx context.Context) {
 	dependency := s.dependency("hosts")
-	written := false
+	var own registration
 	for ctx.Err() == nil {
-		err := s.exchangeRecords(ctx, &written)
+		err := s.exchangeRecords(ctx, &own)
 		if err != nil {
 			s.awaitRecovery(ctx, dependency, err, s.retryHosts, nil)
 			continue
@@ -283,21 +286,45 @@
 	s.limiter.SetHosts(others)
 }
 
-// exchangeRecords writes this host's record once and reads those of the others.
-func (s *syncer) exchangeRecords(ctx context.Context, written *bool) error {
+// registration is the progress of making this host known to the others.
+type registration struct {
+	// introduced is true after the first read of the records of the others, and written once this host's own record is in the store.
+	introduced, written bool
+}
+
+// exchangeRecords writes this host's record once and reads those of the others. Until its own record is in the store, this host does
+// not know which hosts there are: others that cannot write theirs either are not in the store, and the others do not count it.
+func (s *syncer) exchangeRecords(ctx context.Context, own *registration) error {
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var writeErr error
-	if !*written {
+	if !own.written {
 		writeErr = s.writeRecord(calling)
-		*written = writeErr == nil
 	}
-	// A host that cannot write its record still needs those of the others: to know its share of the limits, and to introduce itself.
+	// The records of the others are needed even so: for a part of the limits, and to introduce this host.
 	readAt := time.Now()
 	stored, err := s.options.Hosts.Hosts(calling)
 	if err != nil {
 		return errors.Join(writeErr, err)
 	}
+	others := s.applyRecords(readAt, stored)
+	own.written = own.written || writeErr == nil || s.isStored(stored)
+	if registered := own.written && !s.hostsLoaded.Load(); registered || !own.introduced {
+		own.introduced = true
+		s.introduce(ctx)
+	}
+	if !own.written {
+		s.unregisteredPeers.Store(int64(others))
+		return writeErr
+	}
+	s.node.SetRegistered()
+	s.updateHosts()
+	s.hostsLoaded.Store(true)
+	return nil
+}
+
+// applyRecords adds the records that were read, and returns how many of them are of other hosts.
+func (s *syncer) applyRecords(readAt time.Time, stored map[string][]byte) (others int) {
 	records := make([]gossip.Record, 0, len(stored))
 	for id, data := range stored {
 		record, err := gossip.DecodeRecord(data)
@@ -306,15 +333,20 @@
 			continue
 		}
 		records = append(records, record)
+		if record.ID != s.options.HostID {
+			others++
+		}
 	}
 	for _, id := range s.node.Update(readAt, records) {
 		s.hostFound(id)
 	}
-	s.updateHosts()
-	if !s.hostsLoaded.Swap(true) {
-		s.introduce(ctx)
-	}
-	return writeErr
+	return others
+}
+
+// isStored reports whether this host's record is among those that were read: its write was performed although the response was lost.
+func (s *syncer) isStored(stored map[string][]byte) bool {
+	record, err := s.node.EncodedRecord()
+	return err == nil && bytes.Equal(stored[s.options.HostID], record)
 }
 
 // writeRecord writes this host's record to the store.
@@ -326,14 +358,18 @@
 	return s.options.Hosts.PutHost(ctx, s.options.HostID, record)
 }
 
-// expectHosts keeps the size of the fleet that other hosts report up to date until their records have been read. A host that
-// assumed in the meantime that it is alone would admit each customer's whole rate and spend the whole retry budget.
+// expectHosts keeps the expected size of the fleet up to date until this host is registered: the largest one that other hosts report,
+// or that their records show. A host that assumed in the meantime that it is alone would admit each customer's whole rate and spend
+// the whole retry budget.
 func (s *syncer) expectHosts(ctx context.Context) {
 	ticker := time.NewTicker(expectHostsInterval)
 	defer ticker.Stop()
 	logged := 0
 	for !s.hostsLoaded.Load() {
 		expected := s.node.ExpectedHosts(time.Now())
+		if peers := int(s.unregisteredPeers.Load()); peers > 0 {
+			expected = max(expected, peers+1)
+		}
 		s.limiter.ExpectHosts(expected)
 		s.router.retries.ExpectHosts(expected)
 		if expected != logged {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 	// storeUnavailable is set while reads of the configuration fail. longPolling is set while this host is one of those that
 	// long-poll the store for a new configuration.
 	storeUnavailable, longPolling atomic.Bool
-	// hostsLoaded is set after the first successful read of the records of the other hosts.
+	// hostsLoaded is set once this host's record is in the store and those of the other hosts have been read.
 	hostsLoaded atomic.Bool
 
 	router         *router
--- a/gateway/gossip/size.go
+++ b/gateway/gossip/size.go
@@ -11,9 +11,17 @@
 	at    time.Time
 }
 
-// ExpectedHosts returns the number of hosts of the fleet, with this one, that other hosts have reported recently. It is used
-// before the records of the hosts have been read, and is 0 afterwards or if there was no report. The reports cannot be
-// authenticated without the records, so they must not be used for anything that a larger number would make unsafe.
+// SetRegistered states that this host's record is in the store and that those of the others have been read and added by Update. From
+// then on, it reports the size of the fleet to hosts that are not registered.
+func (n *Node) SetRegistered() {
+	n.table.mu.Lock()
+	defer n.table.mu.Unlock()
+	n.table.registered, n.table.claims = true, nil
+}
+
+// ExpectedHosts returns the number of hosts of the fleet, with this one, that other hosts have reported recently. It is used until
+// SetRegistered is called, and is 0 afterwards or if there was no report. The reports may not be authenticated, because that takes
+// the records, so they must not be used for anything that a larger number would make unsafe.
 func (n *Node) ExpectedHosts(now time.Time) int { return n.table.expectedHosts(now) }
 
 func (t *table) expectedHosts(now time.Time) int {
@@ -31,14 +39,14 @@
 	return max(hosts, recent+1)
 }
 
-// noteClaim records the size of the fleet that another host reports. It has no effect after the records have been read.
+// noteClaim records the size of the fleet that another host reports. It has no effect after SetRegistered.
 func (t *table) noteClaim(now time.Time, id string, hosts uint32) {
 	if hosts == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.loaded {
+	if t.registered {
 		return
 	}
 	if t.claims == nil {
@@ -49,11 +57,11 @@
 	}
 }
 
-// size returns the number of hosts of the fleet with this one, and 0 before the records have been read.
+// size returns the number of hosts of the fleet with this one, and 0 before SetRegistered.
 func (t *table) size(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.loaded {
+	if !t.registered {
 		return 0
 	}
 	hosts := 1
--- a/gateway/gossip/size_test.go
+++ b/gateway/gossip/size_test.go
@@ -15,13 +15,19 @@
 	records := []Record{a.node.options.Self, b.node.options.Self, before}
 	a.node.Update(time.Now(), records)
 	b.node.Update(time.Now(), records)
+	a.node.SetRegistered()
+	b.node.SetRegistered()
 	eventually(t, "c expects 3 hosts", func() bool { return c.node.ExpectedHosts(time.Now()) == 3 })
 	if n := c.node.ExpectedHosts(time.Now().Add(LivenessTimeout + time.Second)); n != 0 {
 		t.Errorf("%d hosts are expected although no other one was heard lately, want 0", n)
 	}
 	c.node.Update(time.Now(), records)
+	if n := c.node.ExpectedHosts(time.Now()); n != 3 {
+		t.Errorf("%d hosts are expected by a host that is not in the store itself, want 3", n)
+	}
+	c.node.SetRegistered()
 	if n := c.node.ExpectedHosts(time.Now()); n != 0 {
-		t.Errorf("%d hosts are expected after the records were read, want 0", n)
+		t.Errorf("%d hosts are expected after this host was registered, want 0", n)
 	}
 }
 
@@ -51,13 +57,14 @@
 	}
 }
 
-// Guards against a host that reports a fleet of one because it has not read the records itself.
-func TestHostWithoutRecordsClaimsNoSize(t *testing.T) {
+// Guards against a host that reports a fleet of one because it is not registered.
+func TestUnregisteredHostClaimsNoSize(t *testing.T) {
 	a := newPeer(t, "a", "north")
+	a.node.Update(time.Now(), []Record{a.node.options.Self})
 	if n := a.node.table.size(time.Now()); n != 0 {
-		t.Errorf("the size of the fleet is %d before the records were read, want 0", n)
+		t.Errorf("the size of the fleet is %d before this host was registered, want 0", n)
 	}
-	a.node.Update(time.Now(), []Record{a.node.options.Self})
+	a.node.SetRegistered()
 	if n := a.node.table.size(time.Now()); n != 1 {
 		t.Errorf("the size of the fleet is %d for a host that is alone, want 1", n)
 	}
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -69,9 +69,10 @@
 	// waited for: that of their first datagram, or of the last request to read their record.
 	replaced     map[pastIncarnation]bool
 	unknownSince map[string]time.Time
-	// loaded is true after a read of the records. Until then, claims holds the sizes of the fleet that other hosts report.
-	loaded bool
-	claims map[string]sizeClaim
+	// registered is true once this host's record is in the store and the others were read. Until then, claims holds the sizes of the
+	// fleet that other hosts report.
+	registered bool
+	claims     map[string]sizeClaim
 }
 
 // update adds the records from a read of the store. Hosts whose record is missing stay in the table and expire only when no
@@ -79,7 +80,6 @@
 func (t *table) update(readAt time.Time, records []Record) (changed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loaded, t.claims = true, nil
 	now := time.Now()
 	for _, record := range records {
 		known := t.hosts[record.ID]
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,15 +17,27 @@
 
 // partialHostStore is a HostStore of which reads or writes fail.
 type partialHostStore struct {
-	failReads  atomic.Bool
-	failWrites bool
-	records    map[string][]byte
+	failReads, failWrites atomic.Bool
+	// loseResponses performs writes and reports that they have failed.
+	loseResponses bool
+
+	mu      sync.Mutex
+	records map[string][]byte
 }
 
 var errTableAway = errors.New("the table does not respond")
 
-func (p *partialHostStore) PutHost(context.Context, string, []byte) error {
-	if p.failWrites {
+func (p *partialHostStore) PutHost(_ context.Context, id string, record []byte) error {
+	if p.failWrites.Load() {
+		return errTableAway
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.records == nil {
+		p.records = make(map[string][]byte)
+	}
+	p.records[id] = record
+	if p.loseResponses {
 		return errTableAway
 	}
 	return nil
@@ -33,7 +47,9 @@
 	if p.failReads.Load() {
 		return nil, errTableAway
 	}
-	return p.records, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.records), nil
 }
 
 // startHostSync runs the parts of the syncer that concern other hosts and returns its gateway.
@@ -88,22 +104,70 @@
 	})
 }
 
-// Guards against a host that does not read the records of the others because it cannot write its own: it would not know its share of
-// the limits, and could not introduce itself.
+// Guards against hosts that cannot write their records, read that there are none, and each admit a whole limit: none of them can know
+// of the others.
+func TestHostThatCannotWriteItsRecordIsNotAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := quota.Limit{Rate: 100, Burst: 100}
+		store := &partialHostStore{}
+		store.failWrites.Store(true)
+		g := startHostSync(t, store)
+		time.Sleep(30 * time.Second) // longer than a silent host counts as a member
+		if d := g.limiter.Admit(time.Now(), "c", limit); !d.Unavailable {
+			t.Errorf("the decision is %+v, want unavailable", d)
+		}
+		store.failWrites.Store(false)
+		time.Sleep(2 * maxRecoveryWait)
+		if !g.limiter.Admit(time.Now(), "c", limit).Allowed {
+			t.Error("a host that is registered and alone rejects a request within the limit")
+		}
+	})
+}
+
+// Guards against a host that takes a write whose response was lost for one that was not performed, and rejects requests for as long as
+// responses are lost.
+func TestLostResponseToTheWriteOfTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := startHostSync(t, &partialHostStore{loseResponses: true})
+		time.Sleep(time.Second)
+		if !g.limiter.Admit(time.Now(), "c", quota.Limit{Rate: 100, Burst: 100}).Allowed {
+			t.Error("a host whose record is in the store rejects a request within the limit")
+		}
+	})
+}
+
+// Guards against a host that cannot write its record and therefore neither introduces itself nor admits a part of the limits, and
+// against one that admits more than an equal share after the silent others no longer count as members.
 func TestHostThatCannotWriteItsRecordReadsTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		other := gossip.Record{ID: "b", Incarnation: 1, Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Key: gossip.NewKey()}
-		data, err := other.Encode()
-		if err != nil {
-			t.Fatal(err)
+		store := &partialHostStore{records: make(map[string][]byte)}
+		store.failWrites.Store(true)
+		for _, id := range []string{"b", "c", "d"} {
+			other := gossip.Record{ID: id, Incarnation: 1, Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Key: gossip.NewKey()}
+			data, err := other.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.records[id] = data
 		}
-		g := startHostSync(t, &partialHostStore{failWrites: true, records: map[string][]byte{"b": data}})
+		g := startHostSync(t, store)
 		time.Sleep(time.Second)
-		if hosts := g.node.Hosts(time.Now()); len(hosts) != 1 || !g.hostsLoaded.Load() {
-			t.Errorf("%d other hosts are known, want 1", len(hosts))
+		if hosts := g.node.Hosts(time.Now()); len(hosts) != 3 {
+			t.Errorf("%d other hosts are known, want 3", len(hosts))
 		}
 		if sent, _, _ := g.node.Counters(); sent == 0 {
 			t.Error("the host has not introduced itself")
 		}
+		time.Sleep(30 * time.Second)
+		admitted := 0
+		for range 4000 {
+			if g.limiter.Admit(time.Now(), "c", quota.Limit{Rate: 100, Burst: 100}).Allowed {
+				admitted++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if admitted < 90 || admitted > 105 {
+			t.Errorf("%d requests were admitted in 4 s by one of 4 hosts with 100/s, want its equal share", admitted)
+		}
 	})
 }
