gateway: the interval of overlapping reads follows from the stable period

What callers would have seen: on a site with stable_ms below 3,000, upstreams that live but whose entries expired in an outage drop out for up to a second. Found while reading; seen in a test only.

Cause: 0.6 s between overlapping reads was what 3,000 ms leave beside the grace period and its margins. The bound comes from the settings.

The change: the interval is the stable period less grace period, margin and one read, 0.15 to 0.6 s. Nothing changes at 3,000 ms and above.

Evidence: TestRemovedUpstreamIsDroppedInTimeAfterOutage with 2,600 ms failed with the constant (outage of 2.91 s) and passes for 2,600, 3,000 and 4,000.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -99,7 +99,8 @@
 			if len(reads.pending) < maxOverlappingReads {
 				reads.start(ctx, schedule.begin(now))
 			}
-			schedule.retryAt = now.Add(min(overlapInterval+s.rankDelay(retryStagger), maxRecoveryWait))
+			interval := overlapInterval(s.boundsNow().StablePeriod) + s.rankDelay(retryStagger)
+			schedule.retryAt = now.Add(min(interval, maxRecoveryWait))
 		case read := <-reads.results:
 			if reads.finish(read) {
 				s.handleRead(read, dependency, &schedule, &reads)
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -77,6 +77,8 @@
 	// rejects is true if the store rejects calls instead of leaving them without a response.
 	rejects bool
 	length  time.Duration
+	// stable is the time after the recovery in which removed upstreams may be used.
+	stable time.Duration
 	// hear is called in each step with the time since the recovery. Optional.
 	hear func(sinceRecovery time.Duration)
 }
@@ -117,20 +119,26 @@
 }
 
 func newOutage(t *testing.T, length time.Duration) *outage {
+	t.Helper()
+	return newOutageWithin(t, length, testStablePeriod)
+}
+
+// newOutageWithin returns an outage of a store whose users require a stable period.
+func newOutageWithin(t *testing.T, length, stable time.Duration) *outage {
 	t.Helper()
 	source := &failingUpstreamSource{
 		entries: map[settings.UpstreamID]bool{"gone": true, "alive": true, "other": true}, readTime: 4 * time.Millisecond,
 	}
 	g := startUpstreamSync(t, source)
-	g.SetBounds(Bounds{MaxLeavingDelay: 2 * time.Second, MaxConfigurationDelay: 2 * time.Second, StablePeriod: testStablePeriod})
-	return &outage{source: source, g: g, length: length}
+	g.SetBounds(Bounds{MaxLeavingDelay: 2 * time.Second, MaxConfigurationDelay: 2 * time.Second, StablePeriod: stable})
+	return &outage{source: source, g: g, length: length, stable: stable}
 }
 
 func (o *outage) check(t *testing.T, goneUsed time.Duration, aliveUsed bool) {
 	t.Helper()
-	if goneUsed >= testStablePeriod {
+	if goneUsed >= o.stable {
 		t.Errorf("outage of %v (rejects: %v): a removed upstream was in use until %v after the recovery, want less than %v",
-			o.length, o.rejects, goneUsed, testStablePeriod)
+			o.length, o.rejects, goneUsed, o.stable)
 	}
 	if !aliveUsed {
 		t.Errorf("outage of %v (rejects: %v): a live upstream whose entry had expired was dropped", o.length, o.rejects)
@@ -140,14 +148,16 @@
 // Guards against use of removed upstreams later than the stable period after the recovery of the store, at whatever time the store
 // recovers relative to the reads of this host, and against dropping live upstreams before they have written their entries again.
 func TestRemovedUpstreamIsDroppedInTimeAfterOutage(t *testing.T) {
-	for _, rejects := range []bool{false, true} {
-		for length := 2700 * time.Millisecond; length < 5*time.Second; length += 35 * time.Millisecond {
-			synctest.Test(t, func(t *testing.T) {
-				o := newOutage(t, length)
-				o.rejects = rejects
-				goneUsed, aliveUsed := o.run()
-				o.check(t, goneUsed, aliveUsed)
-			})
+	for _, stable := range []time.Duration{2600 * time.Millisecond, testStablePeriod, 4 * time.Second} {
+		for _, rejects := range []bool{false, true} {
+			for length := 2700 * time.Millisecond; length < 5*time.Second; length += 35 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					o := newOutageWithin(t, length, stable)
+					o.rejects = rejects
+					goneUsed, aliveUsed := o.run()
+					o.check(t, goneUsed, aliveUsed)
+				})
+			}
 		}
 	}
 }
@@ -271,7 +281,7 @@
 		o.source.set(func() { o.source.silent = true })
 		before := o.source.readCount()
 		time.Sleep(o.length)
-		if reads, most := o.source.readCount()-before, int(o.length/overlapInterval)+2; reads > most {
+		if reads, most := o.source.readCount()-before, int(o.length/maxOverlapInterval)+2; reads > most {
 			t.Errorf("%d reads in %v without a response, want %d at most", reads, o.length, most)
 		}
 	})
--- a/gateway/registry/outage.go
+++ b/gateway/registry/outage.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// MaxDetectionTime returns the time in which a host must detect the recovery of the store to be able to keep missing entries for the
+// whole grace period. It is not positive if the stable period is too short for that.
+func MaxDetectionTime(stablePeriod time.Duration) time.Duration {
+	return stablePeriod - keepMargin - gracePeriod
+}
+
 // RecordFailure records that a read that began at startedAt has failed: the store, or this host's path to it, has not been stable
 // before that time. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
 // 0 means that there is no such time. RecordFailure must not be called concurrently with Update.
--- a/gateway/upstreamreads.go
+++ b/gateway/upstreamreads.go
@@ -9,13 +9,24 @@
 )
 
 const (
-	// overlapInterval is the time after which a read of the upstreams without a response is followed by another one. It bounds
-	// the time in which the recovery of a silent store is detected, which a read that waits for its time-out cannot do.
-	overlapInterval = 600 * time.Millisecond
+	// minOverlapInterval and maxOverlapInterval bound overlapInterval.
+	minOverlapInterval = 150 * time.Millisecond
+	maxOverlapInterval = 600 * time.Millisecond
+	// readDuration is reserved for the read that detects the recovery of the store.
+	readDuration = 100 * time.Millisecond
 	// maxOverlappingReads is the maximum number of reads without a response.
-	maxOverlappingReads = 3
+	maxOverlappingReads = 6
 )
 
+// overlapInterval is the time after which a read of the upstreams without a response is followed by another one. A read that waits for
+// its time-out would detect the recovery of a silent store too late for the time in which missing entries may be kept.
+func overlapInterval(stablePeriod time.Duration) time.Duration {
+	if stablePeriod <= 0 {
+		return maxOverlapInterval
+	}
+	return min(maxOverlapInterval, max(minOverlapInterval, registry.MaxDetectionTime(stablePeriod)-readDuration))
+}
+
 // upstreamRead is a read of the upstreams that has ended.
 type upstreamRead struct {
 	// id is the number of the read.
