gateway: log the connection of each attempt

Attempts now have the address of the upstream, the number of the connection in the process and the number of requests that it had carried. bronzeyardctl trace prints them. No change of behaviour.

--- a/cmd/internal/logs/trace.go
+++ b/cmd/internal/logs/trace.go
@@ -117,7 +117,10 @@
 	if a.Trial {
 		b.WriteString(", trial of an open breaker")
 	}
-	if a.Reused {
+	switch {
+	case a.Connection != 0:
+		fmt.Fprintf(b, ", connection %d to %s after %d requests", a.Connection, a.Address, a.ConnectionRequests)
+	case a.Reused:
 		b.WriteString(", reused connection")
 	}
 	if a.Cause != "" {
--- a/gateway/decisionlog/line.go
+++ b/gateway/decisionlog/line.go
@@ -89,7 +89,12 @@
 	RegistryAgeMS float64 `json:"registry_age_ms"`
 	Trial         bool    `json:"trial"`
 	Reused        bool    `json:"reused"`
-	Cause         string  `json:"cause"`
+	Address       string  `json:"address"`
+	// Connection is the number of the connection in its process, 0 if there was none, and ConnectionRequests the number of requests
+	// that it had carried before.
+	Connection         uint64 `json:"connection"`
+	ConnectionRequests int64  `json:"connection_requests"`
+	Cause              string `json:"cause"`
 }
 
 // StartedAt returns the time at which the host had read the request.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -101,7 +101,8 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("upstream", string(a.Upstream)).Str("data_centre", a.DataCentre).Str("outcome", a.Outcome.String()).Dur("took_ms", a.Took).
+	e.Str("upstream", string(a.Upstream)).Str("address", a.Address).Str("data_centre", a.DataCentre).
+		Str("outcome", a.Outcome.String()).Dur("took_ms", a.Took).
 		Float64("load", a.Load).Dur("registry_age_ms", a.RegistryAge)
 	if a.Status != 0 {
 		e.Int("status", a.Status)
@@ -112,6 +113,9 @@
 	if a.Reused {
 		e.Bool("reused", true)
 	}
+	if a.Connection.Number != 0 {
+		e.Uint64("connection", a.Connection.Number).Int64("connection_requests", a.Connection.Requests)
+	}
 	if a.Cause != nil {
 		e.Str("cause", a.Cause.Error())
 	}
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -128,8 +128,8 @@
 	}
 	result := Result{Outcome: a.outcome, Took: time.Since(a.start), TimeLimit: a.timeLimit}
 	event := AttemptEvent{
-		Upstream: a.selection.Upstream.ID, DataCentre: a.selection.Upstream.DataCentre, Outcome: a.outcome, Took: result.Took,
-		Trial: a.selection.Trial, Load: a.selection.Load, RegistryAge: a.selection.RegistryAge, Cause: a.cause,
+		Upstream: a.selection.Upstream.ID, Address: a.selection.Upstream.Address, DataCentre: a.selection.Upstream.DataCentre,
+		Outcome: a.outcome, Took: result.Took, Trial: a.selection.Trial, Load: a.selection.Load, RegistryAge: a.selection.RegistryAge, Cause: a.cause,
 	}
 	if a.response != nil {
 		result.Status, result.Reused = a.response.Status, a.response.Reused
@@ -138,12 +138,12 @@
 		if a.response.Status == http.StatusServiceUnavailable {
 			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
 		}
-		event.Status, event.Reused = a.response.Status, a.response.Reused
+		event.Status, event.Reused, event.Connection = a.response.Status, a.response.Reused, a.response.Connection
 		a.response.Close() // returns the share of the buffer budget; the body stays in memory
 	}
 	var failure *forward.AttemptError
 	if errors.As(a.cause, &failure) {
-		result.Reused, event.Reused = failure.Reused, failure.Reused
+		result.Reused, event.Reused, event.Connection = failure.Reused, failure.Reused, failure.Connection
 	}
 	x.event.Attempts = append(x.event.Attempts, event)
 	a.selection.Done(result)
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/settings"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
 // Event describes a finished request.
@@ -41,6 +42,7 @@
 // AttemptEvent describes one attempt.
 type AttemptEvent struct {
 	Upstream   settings.UpstreamID
+	Address    string
 	DataCentre string
 	Outcome    Outcome
 	Status     int
@@ -50,6 +52,7 @@
 	// RegistryAge is the age of the list of upstreams from which this one was chosen.
 	RegistryAge time.Duration
 	Reused      bool
+	Connection  forward.Connection
 	Cause       error
 }
 
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -27,6 +27,8 @@
 	TimeToFirstByte time.Duration
 	// Reused is true if the connection had carried earlier requests.
 	Reused bool
+	// Connection is the connection that carried the attempt.
+	Connection Connection
 
 	attempt      *attempt
 	httpResponse *http.Response // its trailers are complete once the body has been read to its end
@@ -39,7 +41,8 @@
 func (a *attempt) newResponse(httpResponse *http.Response, q *Request) (*Response, error) {
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
-		TimeToFirstByte: time.Since(a.start), Reused: a.reused.Load(), attempt: a, httpResponse: httpResponse,
+		TimeToFirstByte: time.Since(a.start), Reused: a.reused.Load(), Connection: a.usedConnection(),
+		attempt: a, httpResponse: httpResponse,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
--- /dev/null
+++ b/traffic/forward/conn.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Connection describes the connection that carried an attempt. It is zero if there was none.
+type Connection struct {
+	// Number identifies the connection among all that the Forwarder has opened. The first one has the number 1.
+	Number uint64
+	// Requests is the number of requests that the connection had carried before.
+	Requests int64
+}
+
+// sentCounter counts the bytes that were written to a connection. Once it is sealed, nothing more may be written.
+type sentCounter struct {
+	mu     sync.Mutex
+	n      int64
+	sealed bool
+}
+
+var errSealed = errors.New("connection closed for writing: its request was abandoned before the first byte was sent")
+
+// begin counts bytes that are about to be written. It returns false, and counts nothing, once the counter is sealed.
+func (s *sentCounter) begin(bytes int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sealed {
+		return false
+	}
+	s.n += int64(bytes)
+	return true
+}
+
+func (s *sentCounter) count() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
+// seal reports whether more than the given number of bytes was written. If not, it blocks all further writes, because
+// http.Transport may report a failure while another goroutine is about to write the request.
+func (s *sentCounter) seal(before int64) (sent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.n > before {
+		return true
+	}
+	s.sealed = true
+	return false
+}
+
+// countedConn counts the bytes written, to distinguish a request that never left this host from one that may have run.
+type countedConn struct {
+	net.Conn
+	number   uint64       // identifies the connection in this process, from 1
+	requests atomic.Int64 // requests that were assigned to the connection
+	sent     sentCounter
+}
+
+// assign counts a request that is about to be sent, and returns what the connection was before it.
+func (c *countedConn) assign() Connection {
+	return Connection{Number: c.number, Requests: c.requests.Add(1) - 1}
+}
+
+// Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if !c.sent.begin(len(p)) {
+		return 0, errSealed
+	}
+	return c.Conn.Write(p)
+}
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -50,6 +50,8 @@
 	Sent bool
 	// Reused is true if the connection had carried earlier requests.
 	Reused bool
+	// Connection is the connection that carried the attempt.
+	Connection Connection
 	// Cause is the underlying error.
 	Cause error
 }
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -98,13 +98,15 @@
 	pooled   pools
 	unpooled *http.Transport
 	serial   atomic.Uint64
+	dialed   atomic.Uint64 // connections opened
 }
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
 	options = options.withDefaults()
-	f := &Forwarder{options: options, unpooled: newTransport(options, true)}
-	f.pooled.options = options
+	f := &Forwarder{options: options}
+	f.unpooled = newTransport(options, true, &f.dialed)
+	f.pooled.options, f.pooled.dialed = options, &f.dialed
 	f.serial.Store(randomSerial())
 	return f
 }
@@ -164,6 +166,7 @@
 	attemptID  string
 	connected  atomic.Bool
 	reused     atomic.Bool
+	connection atomic.Pointer[Connection]  // nil if it is not a countedConn
 	sent       atomic.Pointer[sentCounter] // of the connection; nil if it is not a countedConn
 	sentBefore atomic.Int64                // bytes written to the connection before this request
 	bodyError  atomic.Pointer[error]       // error of reading the caller's body
@@ -177,6 +180,8 @@
 		if counted, ok := info.Conn.(*countedConn); ok {
 			a.sentBefore.Store(counted.sent.count())
 			a.sent.Store(&counted.sent)
+			connection := counted.assign()
+			a.connection.Store(&connection)
 		}
 	}}
 	names := &a.forwarder.options.HeaderNames
@@ -260,10 +265,19 @@
 	return n, err
 }
 
+// usedConnection returns the connection of the attempt. It is zero if there was none.
+func (a *attempt) usedConnection() Connection {
+	if used := a.connection.Load(); used != nil {
+		return *used
+	}
+	return Connection{}
+}
+
 // attemptError classifies an error of the attempt. If no byte of the request was written, it also blocks later writes, so that
 // Sent stays correct.
 func (a *attempt) attemptError(err error) *AttemptError {
 	failure := &AttemptError{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
+	failure.Connection = a.usedConnection()
 	failure.Sent = failure.Connected
 	if counter := a.sent.Load(); counter != nil {
 		failure.Sent = counter.seal(a.sentBefore.Load())
--- a/traffic/forward/pool.go
+++ b/traffic/forward/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	options   Options
 	byAddress sync.Map // string -> *pool
 	sweepMu   sync.Mutex
+	dialed    *atomic.Uint64
 }
 
 type pool struct {
@@ -36,7 +36,7 @@
 		}
 		return entry.transport
 	}
-	entry := &pool{transport: newTransport(p.options, false)}
+	entry := &pool{transport: newTransport(p.options, false, p.dialed)}
 	entry.lastUsed.Store(now)
 	found, loaded := p.byAddress.LoadOrStore(address, entry)
 	if !loaded {
@@ -73,7 +73,8 @@
 // set explicitly because these buffers dominate the memory use when many connections are open.
 const bufferBytes = 4 << 10
 
-func newTransport(options Options, disableKeepAlives bool) *http.Transport {
+// newTransport returns a transport. dialed counts its connections, which gives each of them its number.
+func newTransport(options Options, disableKeepAlives bool, dialed *atomic.Uint64) *http.Transport {
 	dialer := &net.Dialer{Timeout: options.ConnectTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -81,7 +82,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: conn, number: dialed.Add(1)}, nil
 		},
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
@@ -95,55 +96,3 @@
 
 // randomSerial returns a random first attempt number, so that two hosts do not use the same attempt ids.
 func randomSerial() uint64 { return rand.Uint64() >> 16 }
-
-// sentCounter counts the bytes that were written to a connection. Once it is sealed, nothing more may be written.
-type sentCounter struct {
-	mu     sync.Mutex
-	n      int64
-	sealed bool
-}
-
-var errSealed = errors.New("connection closed for writing: its request was abandoned before the first byte was sent")
-
-// begin counts bytes that are about to be written. It returns false, and counts nothing, once the counter is sealed.
-func (s *sentCounter) begin(bytes int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sealed {
-		return false
-	}
-	s.n += int64(bytes)
-	return true
-}
-
-func (s *sentCounter) count() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.n
-}
-
-// seal reports whether more than the given number of bytes was written. If not, it blocks all further writes, because
-// http.Transport may report a failure while another goroutine is about to write the request.
-func (s *sentCounter) seal(before int64) (sent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.n > before {
-		return true
-	}
-	s.sealed = true
-	return false
-}
-
-// countedConn counts the bytes written, to distinguish a request that never left this host from one that may have run.
-type countedConn struct {
-	net.Conn
-	sent sentCounter
-}
-
-// Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
-func (c *countedConn) Write(p []byte) (int, error) {
-	if !c.sent.begin(len(p)) {
-		return 0, errSealed
-	}
-	return c.Conn.Write(p)
-}
