--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	upstreams []*testUpstream
 	budget    int
 	retries   int
+	// replaced, if not empty, is the id of an earlier upstream at the address of the first one. It is chosen before all others.
+	replaced string
 	// rejectRetries is the number of calls of TakeRetryToken that fail first. trial makes attempts at the first upstream
 	// half-open trials. full leaves no spare capacity for hedged attempts.
 	rejectRetries int
@@ -43,12 +46,13 @@
 	if o.full && request.Hedge {
 		return Selection{}, false
 	}
+	if replaced := settings.UpstreamID(o.replaced); replaced != "" && !slices.Contains(request.Exclude, replaced) {
+		return Selection{
+			Upstream: settings.Upstream{ID: replaced, Address: o.upstreams[0].listener.Addr().String()}, Done: func(Result) {},
+		}, true
+	}
 	for i, u := range o.upstreams {
-		tried := false
-		for _, id := range request.Exclude {
-			tried = tried || string(id) == u.id
-		}
-		if !tried {
+		if !slices.Contains(request.Exclude, settings.UpstreamID(u.id)) {
 			return Selection{
 				Upstream: settings.Upstream{ID: settings.UpstreamID(u.id), Address: u.listener.Addr().String()}, Done: func(Result) {},
 				HedgeAfter: 100 * time.Millisecond, Trial: o.trial && i == 0,
@@ -114,6 +118,12 @@
 	r.t.Helper()
 	r.sent++
 	id := fmt.Sprint("id-", r.sent)
+	return r.sendWithID(method, id), id
+}
+
+// sendWithID relays one request with the given id and returns the response.
+func (r *fixture) sendWithID(method, id string) *pipeline.Response {
+	r.t.Helper()
 	body := ""
 	if method == http.MethodPost {
 		body = "a booking"
@@ -125,7 +135,7 @@
 	request.RequestURI = "/cards/1?x=y"
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set(testHeaders.RequestID, id)
-	return r.relay.Serve(r.t.Context(), &pipeline.Request{HTTP: request, Body: []byte(body), ReadAt: time.Now()}), id
+	return r.relay.Serve(r.t.Context(), &pipeline.Request{HTTP: request, Body: []byte(body), ReadAt: time.Now()})
 }
 
 // indicatesNotRun reports whether the status states that the request has not run and will not run.
@@ -285,6 +295,40 @@
 	}
 }
 
+// Guards against the copy of a rejection that is taken as the response to the same request, sent once more on the same connection:
+// the id in it is that of the request. The retry reaches the connection because two entries name one address, an upstream that has
+// ended and its successor. That request ran twice, or its caller was told that it has not run.
+func TestCopyOfRejectionIsNotTakenForRetry(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		for _, budget := range []int{1, largeBudget} {
+			t.Run(fmt.Sprintf("late %v, retry budget %d", late, budget), func(t *testing.T) {
+				r := newFixture(t)
+				r.choice.replaced, r.choice.budget = "earlier", 0
+				r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, misdirected: true, duplicate: !late, duplicateLate: late})
+				for n := range 100 {
+					r.choice.budget, r.choice.retries = budget, 0
+					response, id := r.send(http.MethodPost)
+					r.expect(fmt.Sprint("request ", n), false, response, id)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the same copy when a caller that was rejected sends the request again with the id that it had.
+func TestCopyOfRejectionIsNotTakenForRepeatedID(t *testing.T) {
+	r := newFixture(t)
+	r.choice.budget = 0
+	r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, notRunFirst: true, duplicateLate: true})
+	for range 100 {
+		response, id := r.send(http.MethodPost)
+		for try := 0; try < 3 && indicatesNotRun(response.Status); try++ {
+			response = r.sendWithID(http.MethodPost, id)
+		}
+		r.expect("request "+id, false, response, id)
+	}
+}
+
 // Guards against a status that promises that a non-idempotent request has not run, although its upstream has not stated that.
 func TestUnmarkedRejectionsArePassedOnAsUnknown(t *testing.T) {
 	for _, status := range []int{
--- a/gateway/relay/upstream_test.go
+++ b/gateway/relay/upstream_test.go
@@ -27,6 +27,9 @@
 	hang bool
 	// notRun rejects each request without running it. notRunFirst does so for the first request of each connection.
 	notRun, notRunFirst bool
+	// misdirected rejects requests that name another upstream with status 421, as an upstream does that has replaced another one at its
+	// address.
+	misdirected bool
 	// withoutID omits the request id from the duplicates of responses.
 	withoutID bool
 	// unframed omits the length of responses, so that the end of the connection ends the body.
@@ -142,7 +145,10 @@
 func (u *testUpstream) respond(request *http.Request, f *fault, first bool) string {
 	id := request.Header.Get(testHeaders.RequestID)
 	if f.notRun || (f.notRunFirst && first) {
-		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return rejection(http.StatusServiceUnavailable, id)
+	}
+	if f.misdirected && request.Header.Get(testHeaders.Instance) != u.id {
+		return rejection(http.StatusMisdirectedRequest, id)
 	}
 	u.mu.Lock()
 	u.runs[id]++
@@ -154,6 +160,11 @@
 	return u.header(id, f) + body
 }
 
+// rejection returns a response which states that the request was not run.
+func rejection(status int, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Rejected\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+}
+
 // header returns the header of the response to a request that has run.
 func (u *testUpstream) header(id string, f *fault) string {
 	body, status := responseText+" to "+id, http.StatusOK
