--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -22,7 +24,7 @@
 	sealed bool
 }
 
-var errSealed = errors.New("connection closed for writing: its request was abandoned before the first byte was sent")
+var errSealed = errors.New("connection closed for writing before the first byte of the request was sent")
 
 // begin counts bytes that are about to be written. It returns false, and counts nothing, once the counter is sealed.
 func (s *sentCounter) begin(bytes int) bool {
@@ -41,6 +43,13 @@
 	return s.n
 }
 
+// block blocks all further writes.
+func (s *sentCounter) block() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sealed = true
+}
+
 // seal reports whether more than the given number of bytes was written. If not, it blocks all further writes, because
 // http.Transport may report a failure while another goroutine is about to write the request.
 func (s *sentCounter) seal(before int64) (sent bool) {
@@ -58,7 +67,10 @@
 	net.Conn
 	number   uint64       // identifies the connection in this process, from 1
 	requests atomic.Int64 // requests that were assigned to the connection
-	sent     sentCounter
+	// ids holds the hashes of the ids that the connection was assigned, at most maxIDsPerConnection. http.Transport assigns a
+	// connection to one request at a time, so it needs no lock.
+	ids  []uint64
+	sent sentCounter
 }
 
 // assign counts a request that is about to be sent, and returns what the connection was before it.
@@ -66,6 +78,26 @@
 	return Connection{Number: c.number, Requests: c.requests.Add(1) - 1}
 }
 
+// maxIDsPerConnection is the number of requests with an id of the caller that a connection carries before it is replaced. It bounds
+// the memory of the ids.
+const maxIDsPerConnection = 256
+
+// hashSeed makes the hashes of ids unpredictable to callers.
+var hashSeed = maphash.MakeSeed()
+
+// claim reserves an id for one request on the connection. It returns false, and blocks all further writes, if the connection has carried the
+// id before or has carried maxIDsPerConnection ids: a copy of the earlier response, which the upstream may still send, could not be told
+// from the response to this request. Equal hashes of different ids only replace the connection too early.
+func (c *countedConn) claim(id string) bool {
+	hash := maphash.String(hashSeed, id)
+	if len(c.ids) >= maxIDsPerConnection || slices.Contains(c.ids, hash) {
+		c.sent.block()
+		return false
+	}
+	c.ids = append(c.ids, hash)
+	return true
+}
+
 // Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
 func (c *countedConn) Write(p []byte) (int, error) {
 	if !c.sent.begin(len(p)) {
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -64,11 +64,12 @@
 
 // Causes that this package itself sets.
 var (
-	errFirstByteTimeout   = errors.New("no response header within the first byte timeout")
-	errIdleTimeout        = errors.New("no data of the response body within the idle timeout")
-	errAttemptEnded       = errors.New("attempt ended")
-	errRequestIDMismatch  = errors.New("response carries the request id of another request")
-	errRequestIDMissing   = errors.New("response does not carry the request id")
-	errCloseDelimited     = errors.New("close-delimited response: its end is marked only by the close of the connection")
-	errSwitchingProtocols = errors.New("upstream switched protocols although no upgrade was requested")
+	errFirstByteTimeout    = errors.New("no response header within the first byte timeout")
+	errIdleTimeout         = errors.New("no data of the response body within the idle timeout")
+	errAttemptEnded        = errors.New("attempt ended")
+	errRequestIDMismatch   = errors.New("response carries the request id of another request")
+	errRequestIDMissing    = errors.New("response does not carry the request id")
+	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
+	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
+	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
 )
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -136,7 +136,7 @@
 	if target.NewConnection {
 		transport.CloseIdleConnections()
 	}
-	response, err := transport.RoundTrip(a.newRequest(q, target))
+	response, err := a.roundTrip(transport, q, target)
 	if firstByteTimer != nil && !firstByteTimer.Stop() && err == nil {
 		_ = response.Body.Close()
 		err = errFirstByteTimeout
@@ -159,17 +159,36 @@
 
 // attempt is the state of one attempt.
 type attempt struct {
-	forwarder  *Forwarder
-	ctx        context.Context
-	cancel     context.CancelCauseFunc
-	start      time.Time
-	attemptID  string
-	connected  atomic.Bool
-	reused     atomic.Bool
-	connection atomic.Pointer[Connection]  // nil if it is not a countedConn
-	sent       atomic.Pointer[sentCounter] // of the connection; nil if it is not a countedConn
-	sentBefore atomic.Int64                // bytes written to the connection before this request
-	bodyError  atomic.Pointer[error]       // error of reading the caller's body
+	forwarder   *Forwarder
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	start       time.Time
+	attemptID   string
+	connected   atomic.Bool
+	reused      atomic.Bool
+	connection  atomic.Pointer[Connection]  // nil if it is not a countedConn
+	sent        atomic.Pointer[sentCounter] // of the connection; nil if it is not a countedConn
+	sentBefore  atomic.Int64                // bytes written to the connection before this request
+	claimFailed atomic.Bool                 // the connection must not carry this request
+	bodyError   atomic.Pointer[error]       // error of reading the caller's body
+}
+
+// roundTrip sends the request. If http.Transport chooses an idle connection that must not carry it, nothing is sent on that connection, any
+// response on it belongs to an earlier request, and another connection is used.
+func (a *attempt) roundTrip(transport *http.Transport, q *Request, target Target) (*http.Response, error) {
+	for {
+		response, err := transport.RoundTrip(a.newRequest(q, target))
+		if !a.claimFailed.Load() {
+			return response, err
+		}
+		if err == nil {
+			_ = response.Body.Close() // also closes the connection, which is blocked for writing
+			err = errNotSentOnConnection
+		}
+		if q.Stream != nil || a.ctx.Err() != nil {
+			return nil, err
+		}
+	}
 }
 
 // newRequest builds the outgoing request.
@@ -182,6 +201,7 @@
 			a.sent.Store(&counted.sent)
 			connection := counted.assign()
 			a.connection.Store(&connection)
+			a.claimFailed.Store(q.Verbatim && !counted.claim(a.attemptID))
 		}
 	}}
 	names := &a.forwarder.options.HeaderNames
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -32,7 +32,8 @@
 	Idempotent bool
 	// Pooled requests use pooled connections even if they are not idempotent.
 	Pooled bool
-	// Verbatim requests are sent exactly once by each attempt, with the id unchanged.
+	// Verbatim requests are sent exactly once by each attempt, with the id unchanged. A connection carries each id at most once, so
+	// that the copy of an earlier response cannot be taken as the response.
 	Verbatim bool
 	// RequestTarget replaces Path and RawQuery if it is not empty. It begins with a slash.
 	RequestTarget string
--- a/traffic/forward/verbatim_test.go
+++ b/traffic/forward/verbatim_test.go
@@ -87,6 +87,7 @@
 			}
 			response.Close()
 			before := upstream.requests.Load()
+			request.ID = "two" // with the same id, it would get another connection
 			_, err = f.Do(ctx, request, target)
 			var failure *AttemptError
 			if !errors.As(err, &failure) || !failure.Sent || !failure.Reused {
