--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -39,9 +39,10 @@
 
 // newResponse validates the header of a response and reads a short body to its end.
 func (a *attempt) newResponse(httpResponse *http.Response, q *Request) (*Response, error) {
+	used := a.connection()
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
-		TimeToFirstByte: time.Since(a.start), Reused: a.reused.Load(), Connection: a.usedConnection(),
+		TimeToFirstByte: time.Since(a.start), Reused: used.reused, Connection: used.Connection,
 		attempt: a, httpResponse: httpResponse,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -17,6 +17,16 @@
 	Requests int64
 }
 
+// assignment is the connection that http.Transport has assigned to an attempt.
+type assignment struct {
+	Connection
+	connected   bool         // there is a connection
+	reused      bool         // the connection had carried earlier requests
+	sent        *sentCounter // of the connection; nil if it is not a countedConn
+	sentBefore  int64        // bytes written to the connection before this request
+	claimFailed bool         // the connection must not carry this request
+}
+
 // sentCounter counts the bytes that were written to a connection. Once it is sealed, nothing more may be written.
 type sentCounter struct {
 	mu     sync.Mutex
--- a/traffic/forward/conn_test.go
+++ b/traffic/forward/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -31,31 +32,40 @@
 type echoClient struct {
 	t         *testing.T
 	forwarder *Forwarder
-	target    Target
+	listener  net.Listener
 }
 
-func newEchoClient(t *testing.T) *echoClient {
+func newEchoClient(t *testing.T, serve func(net.Conn)) *echoClient {
 	t.Helper()
 	f := New(Options{HeaderNames: HeaderNames{RequestID: "X-Id", Timeout: "X-Left"}, RequireRequestID: true})
 	t.Cleanup(f.CloseIdle)
-	return &echoClient{t: t, forwarder: f, target: Target{Address: serveConns(t, serveEcho).Addr().String()}}
+	return &echoClient{t: t, forwarder: f, listener: serveConns(t, serve)}
 }
 
 // send sends a request and returns the connection that carried it.
 func (c *echoClient) send(method, id string) Connection {
 	c.t.Helper()
+	connection, err := c.try(method, id)
+	if err != nil {
+		c.t.Fatalf("request %s: %v", id, err)
+	}
+	return connection
+}
+
+// try is like send and returns the error of the attempt.
+func (c *echoClient) try(method, id string) (Connection, error) {
 	request := &Request{Method: method, Host: "a", RequestTarget: "/", ID: id, Verbatim: true, Pooled: true}
 	if method == http.MethodPost {
 		request.Buffered = []byte("body")
 	}
 	ctx, cancel := context.WithTimeout(c.t.Context(), 5*time.Second)
 	defer cancel()
-	response, err := c.forwarder.Do(ctx, request, c.target)
+	response, err := c.forwarder.Do(ctx, request, Target{Address: c.listener.Addr().String()})
 	if err != nil {
-		c.t.Fatalf("request %s: %v", id, err)
+		return Connection{}, err
 	}
 	response.Close()
-	return response.Connection
+	return response.Connection, nil
 }
 
 // Guards against an id that is sent twice on one connection: a late copy of the first response could not be told from the second
@@ -63,7 +73,7 @@
 func TestConnectionCarriesEachIDOnce(t *testing.T) {
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
 		t.Run(method, func(t *testing.T) {
-			c := newEchoClient(t)
+			c := newEchoClient(t, serveEcho)
 			used := make(map[uint64]bool)
 			for range 5 {
 				connection := c.send(method, "same")
@@ -82,7 +92,7 @@
 
 // Guards against a memory of ids that grows with the age of a connection, and against a request that fails when it is replaced.
 func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
-	c := newEchoClient(t)
+	c := newEchoClient(t, serveEcho)
 	numbers := make(map[uint64]int)
 	for i := range 3 * maxIDsPerConnection {
 		numbers[c.send(http.MethodPost, fmt.Sprint(i)).Number]++
@@ -96,3 +106,26 @@
 		}
 	}
 }
+
+// Guards against an attempt that dials again and again until its deadline: the kept connection must not carry the id once more, and
+// the upstream refuses new connections. The request could not be tried at another upstream in time.
+func TestRefusedConnectionEndsAttempt(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			c := newEchoClient(t, serveEcho)
+			c.send(method, "same")
+			if err := c.listener.Close(); err != nil {
+				t.Fatal(err)
+			}
+			begin := time.Now()
+			_, err := c.try(method, "same")
+			var failure *AttemptError
+			if !errors.As(err, &failure) || failure.Kind != NotConnected || failure.Connected || failure.Sent || failure.Reused {
+				t.Errorf("the attempt ended with %+v, want NotConnected with Connected, Sent and Reused false", err)
+			}
+			if took := time.Since(begin); took > defaultConnectTimeout {
+				t.Errorf("the attempt took %v, want at most the connect timeout of %v", took, defaultConnectTimeout)
+			}
+		})
+	}
+}
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -159,26 +159,22 @@
 
 // attempt is the state of one attempt.
 type attempt struct {
-	forwarder   *Forwarder
-	ctx         context.Context
-	cancel      context.CancelCauseFunc
-	start       time.Time
-	attemptID   string
-	connected   atomic.Bool
-	reused      atomic.Bool
-	connection  atomic.Pointer[Connection]  // nil if it is not a countedConn
-	sent        atomic.Pointer[sentCounter] // of the connection; nil if it is not a countedConn
-	sentBefore  atomic.Int64                // bytes written to the connection before this request
-	claimFailed atomic.Bool                 // the connection must not carry this request
-	bodyError   atomic.Pointer[error]       // error of reading the caller's body
+	forwarder *Forwarder
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	start     time.Time
+	attemptID string
+	assigned  atomic.Pointer[assignment] // nil until there is a connection
+	bodyError atomic.Pointer[error]      // error of reading the caller's body
 }
 
 // roundTrip sends the request. If http.Transport chooses an idle connection that must not carry it, nothing is sent on that connection, any
 // response on it belongs to an earlier request, and another connection is used.
 func (a *attempt) roundTrip(transport *http.Transport, q *Request, target Target) (*http.Response, error) {
 	for {
+		a.assigned.Store(nil) // otherwise a failed dial would count as a failure on the connection before it
 		response, err := transport.RoundTrip(a.newRequest(q, target))
-		if !a.claimFailed.Load() {
+		if !a.connection().claimFailed {
 			return response, err
 		}
 		if err == nil {
@@ -194,15 +190,12 @@
 // newRequest builds the outgoing request.
 func (a *attempt) newRequest(q *Request, target Target) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		a.connected.Store(true)
-		a.reused.Store(info.Reused)
+		used := assignment{connected: true, reused: info.Reused}
 		if counted, ok := info.Conn.(*countedConn); ok {
-			a.sentBefore.Store(counted.sent.count())
-			a.sent.Store(&counted.sent)
-			connection := counted.assign()
-			a.connection.Store(&connection)
-			a.claimFailed.Store(q.Verbatim && !counted.claim(a.attemptID))
+			used.sent, used.sentBefore, used.Connection = &counted.sent, counted.sent.count(), counted.assign()
+			used.claimFailed = q.Verbatim && !counted.claim(a.attemptID)
 		}
+		a.assigned.Store(&used)
 	}}
 	names := &a.forwarder.options.HeaderNames
 	header := make(http.Header, len(q.Header)+2)
@@ -285,22 +278,23 @@
 	return n, err
 }
 
-// usedConnection returns the connection of the attempt. It is zero if there was none.
-func (a *attempt) usedConnection() Connection {
-	if used := a.connection.Load(); used != nil {
+// connection returns the connection that was assigned to the attempt. It is zero if there was none.
+func (a *attempt) connection() assignment {
+	if used := a.assigned.Load(); used != nil {
 		return *used
 	}
-	return Connection{}
+	return assignment{}
 }
 
 // attemptError classifies an error of the attempt. If no byte of the request was written, it also blocks later writes, so that
 // Sent stays correct.
 func (a *attempt) attemptError(err error) *AttemptError {
-	failure := &AttemptError{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
-	failure.Connection = a.usedConnection()
-	failure.Sent = failure.Connected
-	if counter := a.sent.Load(); counter != nil {
-		failure.Sent = counter.seal(a.sentBefore.Load())
+	used := a.connection()
+	failure := &AttemptError{
+		Kind: Broken, Connected: used.connected, Sent: used.connected, Reused: used.reused, Connection: used.Connection, Cause: err,
+	}
+	if used.sent != nil {
+		failure.Sent = used.sent.seal(used.sentBefore)
 	}
 	cause := context.Cause(a.ctx)
 	switch {
