--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -47,6 +47,9 @@
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
+		if used.conn != nil {
+			used.conn.discard()
+		}
 		response.Close()
 		return nil, failure
 	}
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -20,9 +20,9 @@
 // assignment is the connection that http.Transport has assigned to an attempt.
 type assignment struct {
 	Connection
+	conn        *countedConn // nil if there is none, or one of another type
 	connected   bool         // there is a connection
 	reused      bool         // the connection had carried earlier requests
-	sent        *sentCounter // of the connection; nil if it is not a countedConn
 	sentBefore  int64        // bytes written to the connection before this request
 	claimFailed bool         // the connection must not carry this request
 }
@@ -60,6 +60,12 @@
 	s.sealed = true
 }
 
+func (s *sentCounter) blocked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sealed
+}
+
 // seal reports whether more than the given number of bytes was written. If not, it blocks all further writes, because
 // http.Transport may report a failure while another goroutine is about to write the request.
 func (s *sentCounter) seal(before int64) (sent bool) {
@@ -97,10 +103,11 @@
 
 // claim reserves an id for one request on the connection. It returns false, and blocks all further writes, if the connection has carried the
 // id before or has carried maxIDsPerConnection ids: a copy of the earlier response, which the upstream may still send, could not be told
-// from the response to this request. Equal hashes of different ids only replace the connection too early.
+// from the response to this request. Equal hashes of different ids only replace the connection too early. It also returns false if
+// writes are blocked.
 func (c *countedConn) claim(id string) bool {
 	hash := maphash.String(hashSeed, id)
-	if len(c.ids) >= maxIDsPerConnection || slices.Contains(c.ids, hash) {
+	if c.sent.blocked() || len(c.ids) >= maxIDsPerConnection || slices.Contains(c.ids, hash) {
 		c.sent.block()
 		return false
 	}
@@ -108,6 +115,13 @@
 	return true
 }
 
+// discard closes a connection on which a response was not that to its request. http.Transport would use it again, and each further
+// request would get the response to the one before it. Writes are blocked because http.Transport may just be assigning it.
+func (c *countedConn) discard() {
+	c.sent.block()
+	_ = c.Conn.Close() // http.Transport reports that the connection has ended
+}
+
 // Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
 func (c *countedConn) Write(p []byte) (int, error) {
 	if !c.sent.begin(len(p)) {
--- a/traffic/forward/conn_test.go
+++ b/traffic/forward/conn_test.go
@@ -129,3 +129,41 @@
 		})
 	}
 }
+
+// serveOneBehind answers the first request of a connection, then the second with a copy of that response. From then on it writes each
+// response when the next request arrives.
+func serveOneBehind(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	owed := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		id := request.Header.Get("X-Id")
+		if owed == "" {
+			owed = id
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Rejected\r\nContent-Length: 0\r\nX-Id: %s\r\n\r\n", owed)
+		owed = id
+	}
+}
+
+// Guards against one additional response that breaks all later requests of its connection: each of them would get the response of
+// the request before it, and callers would not learn whether their requests ran.
+func TestConnectionIsNotUsedAfterAnotherResponse(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			c := newEchoClient(t, serveOneBehind)
+			c.send(method, "first")
+			if _, err := c.try(method, "second"); !errors.Is(err, errRequestIDMismatch) {
+				t.Fatalf("the request that got the additional response ended with %v, want %v", err, errRequestIDMismatch)
+			}
+			c.send(method, "third")
+		})
+	}
+}
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -192,7 +192,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used := assignment{connected: true, reused: info.Reused}
 		if counted, ok := info.Conn.(*countedConn); ok {
-			used.sent, used.sentBefore, used.Connection = &counted.sent, counted.sent.count(), counted.assign()
+			used.conn, used.sentBefore, used.Connection = counted, counted.sent.count(), counted.assign()
 			used.claimFailed = q.Verbatim && !counted.claim(a.attemptID)
 		}
 		a.assigned.Store(&used)
@@ -293,8 +293,8 @@
 	failure := &AttemptError{
 		Kind: Broken, Connected: used.connected, Sent: used.connected, Reused: used.reused, Connection: used.Connection, Cause: err,
 	}
-	if used.sent != nil {
-		failure.Sent = used.sent.seal(used.sentBefore)
+	if used.conn != nil {
+		failure.Sent = used.conn.sent.seal(used.sentBefore)
 	}
 	cause := context.Cause(a.ctx)
 	switch {
