--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -65,11 +65,19 @@
 		a.outcome, a.cause = Broken, errResponseTooLarge
 		return
 	}
+	if x.isContradictory(response) {
+		response.Close()
+		a.outcome, a.cause = Broken, errContradictory
+		return
+	}
 	a.response = response
 	a.outcome = x.classify(response)
 }
 
-var errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+var (
+	errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+	errContradictory    = errors.New("the response states that the request was not run, but it is a success or is signed")
+)
 
 func (a *attempt) fail(err error) {
 	a.cause = err
@@ -92,12 +100,23 @@
 	}
 }
 
+// isContradictory reports whether a response states that the request was not run although it is a success or is signed, as only
+// responses to requests that have run are. The beginning of an additional response, sent before the response, can lead to that.
+func (x *exchange) isContradictory(response *forward.Response) bool {
+	signed := response.Header.Get(x.options.Headers.Signature) != ""
+	return x.statesNotRun(response) && (signed || response.Status < http.StatusBadRequest)
+}
+
+func (x *exchange) statesNotRun(response *forward.Response) bool {
+	return response.Header.Get(x.options.Headers.NotRun) != ""
+}
+
 // classify returns the outcome of an attempt with a complete response.
 func (x *exchange) classify(response *forward.Response) Outcome {
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		return WrongInstance
-	case response.Header.Get(x.options.Headers.NotRun) != "":
+	case x.statesNotRun(response):
 		return NotRun
 	case response.Status >= http.StatusInternalServerError:
 		return FailedStatus
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -73,8 +73,8 @@
 	NotConnected
 	// NotSent means that the connection broke before a byte of the request was written.
 	NotSent
-	// Broken is a connection that broke, or a response that is incomplete, larger than the host buffers, or the response to
-	// another request.
+	// Broken is a connection that broke, or a response that is incomplete, larger than the host buffers, contradictory, or the
+	// response to another request.
 	Broken
 	// TimedOut is an attempt that was still running at its deadline.
 	TimedOut
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -30,6 +30,8 @@
 	Instance string
 	// NotRun marks responses to requests that the upstream did not run.
 	NotRun string
+	// Signature marks responses to requests that the upstream has run.
+	Signature string
 	// Load carries the load of an upstream as "running,waiting,slots".
 	Load string
 	// Leaving marks the responses of an upstream that leaves, with the value "1".
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Request-Id", Timeout: "X-Time-Left", Customer: "X-Customer", Instance: "X-Instance",
-	NotRun: "X-Not-Run", Load: "X-Load", KeyScheme: "Bearer",
+	NotRun: "X-Not-Run", Signature: signature, Load: "X-Load", KeyScheme: "Bearer",
 }
 
 // inOrder implements Upstreams. It chooses the first upstream that is not excluded.
@@ -344,6 +344,31 @@
 	}
 }
 
+// Guards against a request that has run and is sent to a further upstream, or answered with a promise that it has not run, because
+// its response also states "not run": the response is signed, or the beginning of another one came before it.
+func TestStatementInResponseOfRunIsNotBelieved(t *testing.T) {
+	for name, f := range map[string]fault{
+		"success":                     {statesNotRun: true},
+		"failure":                     {statesNotRun: true, status: http.StatusInternalServerError},
+		"rejection":                   {statesNotRun: true, status: http.StatusServiceUnavailable},
+		"beginning of a rejection":    {stray: "HTTP/1.1 503 Rejected\r\nX-Not-Run: 1\r\nX-Cut: "},
+		"beginning without statement": {stray: "HTTP/1.1 503 Rejected\r\nX-Cut: "},
+	} {
+		for _, budget := range []int{0, largeBudget} {
+			t.Run(fmt.Sprintf("%s, retry budget %d", name, budget), func(t *testing.T) {
+				r := newFixture(t)
+				r.choice.budget = budget
+				f.readLimit, f.writeLimit = -1, -1
+				r.first.fault.Store(&f)
+				for n := range 20 {
+					response, id := r.send(http.MethodPost)
+					r.expect(fmt.Sprint("request ", n), false, response, id)
+				}
+			})
+		}
+	}
+}
+
 // Guards against non-idempotent requests that are sent to a further upstream without need, or beyond the limits, when upstreams
 // reject them.
 func TestRejectionsByUpstreams(t *testing.T) {
--- a/gateway/relay/upstream_test.go
+++ b/gateway/relay/upstream_test.go
@@ -36,8 +36,11 @@
 	unframed bool
 	// chunked sends the body in one chunk.
 	chunked bool
-	// status, if it is not 0, is the status of responses to requests that have run.
-	status int
+	// status, if it is not 0, is the status of responses to requests that have run. statesNotRun adds the statement that they have not.
+	status       int
+	statesNotRun bool
+	// stray is written before each response but the first of a connection.
+	stray string
 }
 
 var noFault = fault{readLimit: -1, writeLimit: -1}
@@ -113,6 +116,9 @@
 		if previous != "" && f.duplicateLate {
 			_, _ = io.WriteString(conn, previous)
 		}
+		if previous != "" {
+			_, _ = io.WriteString(conn, f.stray)
+		}
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -178,6 +184,9 @@
 	case f.chunked:
 		length = "Transfer-Encoding: chunked\r\n"
 	}
+	if f.statesNotRun {
+		length += testHeaders.NotRun + ": 1\r\n"
+	}
 	return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\n%s: %s\r\n%s\r\n", status, id, signature, u.id, length)
 }
 
