--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -113,12 +113,13 @@
 
 // classify returns the outcome of an attempt with a complete response.
 func (x *exchange) classify(response *forward.Response) Outcome {
+	misdirected := response.Status == http.StatusMisdirectedRequest
 	switch {
-	case response.Status == http.StatusMisdirectedRequest:
+	case misdirected && x.statesNotRun(response):
 		return WrongInstance
 	case x.statesNotRun(response):
 		return NotRun
-	case response.Status >= http.StatusInternalServerError:
+	case misdirected, response.Status >= http.StatusInternalServerError:
 		return FailedStatus
 	default:
 		return Answered
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -63,11 +63,11 @@
 const (
 	// Answered is a complete response that has a status below 500 and is neither NotRun nor WrongInstance.
 	Answered Outcome = iota + 1
-	// FailedStatus is a response with a status of 500 or higher. The request may have run.
+	// FailedStatus is a response with a status of 500 or higher, or 421, that does not state "not run". The request may have run.
 	FailedStatus
 	// NotRun is a response which states that the upstream did not run the request.
 	NotRun
-	// WrongInstance is a response from another upstream at the same address, which did not run the request.
+	// WrongInstance is a response from another upstream at the same address, which states that it did not run the request.
 	WrongInstance
 	// NotConnected means that no connection could be obtained.
 	NotConnected
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -332,7 +332,7 @@
 // Guards against a status that promises that a non-idempotent request has not run, although its upstream has not stated that.
 func TestUnmarkedRejectionsArePassedOnAsUnknown(t *testing.T) {
 	for _, status := range []int{
-		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusMisdirectedRequest,
 	} {
 		r := newFixture(t)
 		r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, status: status})
@@ -352,6 +352,7 @@
 		"failure":                     {statesNotRun: true, status: http.StatusInternalServerError},
 		"rejection":                   {statesNotRun: true, status: http.StatusServiceUnavailable},
 		"beginning of a rejection":    {stray: "HTTP/1.1 503 Rejected\r\nX-Not-Run: 1\r\nX-Cut: "},
+		"beginning of a 421":          {stray: "HTTP/1.1 421 Misdirected\r\nX-Cut: "},
 		"beginning without statement": {stray: "HTTP/1.1 503 Rejected\r\nX-Cut: "},
 	} {
 		for _, budget := range []int{0, largeBudget} {
