relay: bodies of responses count against the buffer budget until they are written

Cause here: an attempt returned its share of the buffer budget when it ended, while the body of its response stayed in memory until the caller had read it, for up to 10 s a response and 16 responses a connection. Upstreams with large bodies and callers that do not read could therefore fill the memory, whatever the budget was.

Ruled out by tests that exist (traffic/forward/endless_test.go): heads, status lines, interim responses, chunk extensions and trailers without end; they end at 64 KiB, or at limits of net/http.

Change: pipeline.Response has a function Release, called once when the response was written or dropped. The relay passes the release of the budget there, and keeps the shares of responses that nobody receives until the request has ended, as they stay in memory so long.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -138,11 +138,17 @@
 }
 
 func (c *conn) handle(e *exchange, request *Request) {
-	defer c.server.options.Budget.Release(int64(cap(request.Body)))
+	bodyBytes := int64(cap(request.Body))
 	response := c.server.options.Handler(c.ctx, request)
-	request.Body = nil // the deferred call returns its memory to the budget
+	request.Body = nil
+	c.server.options.Budget.Release(bodyBytes)
 	e.request, e.readyAt = request, time.Now()
+	release := response.Release
 	e.response <- response
+	if release != nil {
+		<-e.written
+		release()
+	}
 }
 
 // readRequest reads the request that follows the last one. It returns no exchange if the connection has ended, and no request
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -42,6 +42,8 @@
 	Length int64
 	// Close requests that the connection is closed after the response.
 	Close bool
+	// Release, if not nil, is called once, when the response was written or dropped and Body is no longer in use.
+	Release func()
 }
 
 // Handler responds to requests. It is called concurrently. ctx is cancelled when the caller closes the connection.
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -139,7 +139,7 @@
 			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
 		}
 		event.Status, event.Reused, event.Connection = a.response.Status, a.response.Reused, a.response.Connection
-		a.response.Close() // returns the share of the buffer budget; the body stays in memory
+		x.responses = append(x.responses, a.response)
 	}
 	var failure *forward.AttemptError
 	if errors.As(a.cause, &failure) {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -113,7 +113,10 @@
 	tried         []settings.UpstreamID
 	sent          int  // attempts that reached an upstream
 	mayHaveRun    bool // an upstream may have run the request
-	event         Event
+	// responses are the complete responses of ended attempts. Their bodies count against the buffer budget until they are closed.
+	responses []*forward.Response
+	returned  *forward.Response // the one that the caller receives; nil if none
+	event     Event
 }
 
 // Serve serves one request. It implements pipeline.Handler.
@@ -122,6 +125,7 @@
 	x.id = requestID(request.HTTP.Header.Get(r.options.Headers.RequestID))
 	x.event.RequestID, x.event.Method = x.id, request.HTTP.Method
 	response := x.serve(ctx)
+	x.closeUnused()
 	x.event.Status = response.Status
 	x.event.Total = time.Since(request.ReadAt)
 	x.event.CallerGone = ctx.Err() != nil
@@ -129,6 +133,15 @@
 	return response
 }
 
+// closeUnused closes the responses that the caller does not receive.
+func (x *exchange) closeUnused() {
+	for _, response := range x.responses {
+		if response != x.returned {
+			response.Close()
+		}
+	}
+}
+
 func (x *exchange) serve(ctx context.Context) *pipeline.Response {
 	if rejection := x.admit(); rejection != nil {
 		return x.reject(rejection)
@@ -332,10 +345,14 @@
 	return &pipeline.Response{Status: status, Header: header, Body: body}
 }
 
-// respond returns the response of an upstream as the response to the caller.
+// respond returns the response of an upstream as the response to the caller. Its body counts against the buffer budget until it is
+// released.
 func (x *exchange) respond(response *forward.Response) *pipeline.Response {
 	header := response.Header
 	header.Set(x.options.Headers.RequestID, x.id)
 	header.Del("Content-Length")
-	return &pipeline.Response{Status: response.Status, Header: header, Body: response.Body, Length: response.ContentLength}
+	x.returned = response
+	return &pipeline.Response{
+		Status: response.Status, Header: header, Body: response.Body, Length: response.ContentLength, Release: response.Close,
+	}
 }
