--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -370,6 +370,29 @@
 	}
 }
 
+// Guards against a response that has the status of one response and the body of another: an upstream sends a part of a response that
+// ends within a header, and then its response. A failure became a success, and a success became a failure.
+func TestMergedResponsesAreBroken(t *testing.T) {
+	for name, f := range map[string]fault{
+		"a success before a failure": {stray: "HTTP/1.1 200 OK\r\nX-Cut: ", status: http.StatusInternalServerError},
+		"a failure before a success": {stray: "HTTP/1.0 500 Failed\r\nDate: Sun, 06 Dec"},
+		"a success before a success": {stray: "HTTP/1.1 200 OK\r\nETag: a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t)
+			r.choice.upstreams = r.choice.upstreams[:1]
+			f.readLimit, f.writeLimit = -1, -1
+			r.first.fault.Store(&f)
+			r.send(http.MethodPost) // only later requests of a connection get the stray part
+			response, id := r.send(http.MethodPost)
+			r.expect(name, false, response, id)
+			if response.Status != http.StatusBadGateway {
+				t.Errorf("status %d, want 502", response.Status)
+			}
+		})
+	}
+}
+
 // Guards against non-idempotent requests that are sent to a further upstream without need, or beyond the limits, when upstreams
 // reject them.
 func TestRejectionsByUpstreams(t *testing.T) {
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,6 +85,9 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitchingProtocols
 	}
+	if containsStatusLine(response.Header) {
+		return errMergedResponses
+	}
 	if !a.forwarder.options.AllowCloseDelimited && q.Method != http.MethodHead && response.ContentLength < 0 &&
 		len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return errCloseDelimited
@@ -90,6 +95,23 @@
 	return nil
 }
 
+// statusLine matches the beginning of a status line of HTTP/1.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// containsStatusLine reports whether the value of a header contains the status line of another response. That happens if an upstream
+// sends a part of a response that ends within a header, and then the response: the two are parsed as one, with the status of the
+// first and the body of the second.
+func containsStatusLine(header http.Header) bool {
+	for _, values := range header {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed.
 func (r *Response) buffer() error {
 	if r.httpResponse.Body == http.NoBody {
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -69,6 +69,7 @@
 	errAttemptEnded        = errors.New("attempt ended")
 	errRequestIDMismatch   = errors.New("response carries the request id of another request")
 	errRequestIDMissing    = errors.New("response does not carry the request id")
+	errMergedResponses     = errors.New("response header contains the status line of another response")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
 	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
