pipeline: see the end of a connection while requests on it wait

Cause: the reader of a connection waited for the turn of the request that it had read (awaitTurn), for room in the bounded channel of responses, or for the turn of a "100 Continue", and read nothing meanwhile. After a rejected request it did not read at all.

Now the reader never waits. Requests that may not start yet are held in a list, and the end of a handler or of a response starts the next ones. A connection holds at most 64 requests without a response, and 256 KB of those behind others; their headers count towards the memory budget, as bodies did before. What comes beyond is read and discarded, the response to the last accepted request closes the connection, and the caller sends the rest again. At most 16 requests of a connection are handled at a time, as many as the channel held before. A wait for "100 Continue" watches the connection.

TestClosedIdleConnectionStartsNoRequest calls accept in place of markInFlight, which is gone; it checks the same and the result of accept.

--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -208,7 +208,7 @@
 		t.Fatal("an idle connection was not closed")
 	}
 	e := newExchange()
-	if c.markInFlight(e); e.inFlight {
+	if c.accept(e) || e.inFlight {
 		t.Error("a request counts as in flight on a closed connection")
 	}
 }
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -75,13 +75,17 @@
 	ResponseWritten func(r *Request, after time.Duration, err error)
 	// MaxConnections bounds the open connections; further ones are closed immediately. Default 4096.
 	MaxConnections int64
-	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Default 16.
+	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Further ones are discarded:
+	// the response to the last one that was accepted closes the connection, and the caller sends them again. Default 64.
 	MaxPipelined int
+	// MaxConcurrent bounds the requests of one connection that are handled at the same time. Default 16.
+	MaxConcurrent int
 }
 
 const (
 	defaultMaxConnections = 4096
-	defaultMaxPipelined   = 16
+	defaultMaxPipelined   = 64
+	defaultMaxConcurrent  = 16
 	// bodyTimeout bounds the time in which a body must arrive.
 	bodyTimeout = 20 * time.Second
 	// writeTimeout bounds the time in which a caller must accept a response.
@@ -112,6 +116,9 @@
 	if options.MaxPipelined == 0 {
 		options.MaxPipelined = defaultMaxPipelined
 	}
+	if options.MaxConcurrent == 0 {
+		options.MaxConcurrent = defaultMaxConcurrent
+	}
 	if options.ResponseWritten == nil {
 		options.ResponseWritten = func(*Request, time.Duration, error) {}
 	}
@@ -184,6 +191,14 @@
 	delete(s.conns, c)
 }
 
+// notify sends a signal on a channel of capacity 1. It does not block: a signal that is already pending is enough.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
