--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// compressed is the active configuration as served to other hosts. It holds nil if the configuration is too large.
 	compressed atomic.Pointer[[]byte]
 	leaving    atomic.Bool
+	// stopSignal is nil until this process is asked to shut down, and stopGrace is the grace period in nanoseconds from then on.
+	stopSignal atomic.Pointer[stopSignal]
+	stopGrace  atomic.Int64
 	// storeUnavailable is set while reads of the configuration fail. longPolling is set while this host is one of those that
 	// long-poll the store for a new configuration.
 	storeUnavailable, longPolling atomic.Bool
@@ -86,6 +89,8 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
+	// lastDelay is the last time for which the control loop did not run although it was due.
+	lastDelay atomic.Pointer[loopDelay]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
 	// registryUpdates carries reads of the upstreams that other hosts have reported.
@@ -136,7 +141,7 @@
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
 		Forwarder: g.forwarder, Headers: options.Headers, Observe: g.observe, Random: rand.Float64,
-		LimitOf: g.limitOfCustomer,
+		LimitOf: g.limitOfCustomer, Shutdown: g.shutdown,
 	})
 	serve := func(ctx context.Context, request *pipeline.Request) *pipeline.Response {
 		g.awaitFreshState(ctx)
@@ -246,6 +251,7 @@
 // SetBounds replaces the bounds.
 func (g *Gateway) SetBounds(bounds Bounds) {
 	g.bounds.Store(&bounds)
+	g.limitStopGrace()
 	g.logger.Info().Str("event", "reload").Send()
 }
 
@@ -351,9 +357,15 @@
 		kind = errkind.RequestTimeout
 	case pipeline.BudgetExhausted:
 		kind = errkind.Overloaded
+	case pipeline.ShuttingDown:
+		kind = errkind.ShuttingDown
 	case pipeline.Malformed:
 	}
-	status, header, body := errkind.Render("", errkind.New(kind, nil), time.Second)
+	rejected := &errkind.Error{Kind: kind}
+	if kind == errkind.ShuttingDown {
+		rejected.RetryAfter = relay.ShutdownRetryAfter
+	}
+	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
 	return &pipeline.Response{Status: status, Header: header, Body: body}
 }
 
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -23,8 +23,13 @@
 	return time.Duration(pauseFraction * float64(min(bounds.MaxConfigurationDelay, bounds.MaxLeavingDelay)))
 }
 
+// loopDelay is a time for which the control loop did not run.
+type loopDelay struct{ from, until time.Time }
+
 // loopDelayed handles a delay of the control loop.
 func (g *Gateway) loopDelayed(by time.Duration) {
+	now := time.Now()
+	g.lastDelay.Store(&loopDelay{from: now.Add(-by), until: now})
 	g.log.loopDelayed(by)
 	if limit := g.minPause(); limit > 0 && by > limit {
 		g.recordPause(time.Now())
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -27,6 +27,9 @@
 	reader  *bufio.Reader
 	ctx     context.Context // done when the caller disconnects or the connection is closed
 	cancel  context.CancelFunc
+	// requestCtx is the context of the handlers. It is done when ctx is, and when the server cancels all requests.
+	requestCtx     context.Context
+	cancelRequests context.CancelCauseFunc
 	// changed tells the writer that started or readerDone has changed. Its capacity is 1.
 	changed chan struct{}
 
@@ -72,10 +75,11 @@
 
 func newConn(ctx context.Context, s *Server, accepted net.Conn) *conn {
 	ctx, cancel := context.WithCancel(ctx)
+	requestCtx, cancelRequests := context.WithCancelCause(ctx)
 	limited := &limitedReader{conn: accepted, remaining: math.MaxInt64}
 	return &conn{
 		server: s, netConn: accepted, limited: limited, reader: bufio.NewReaderSize(limited, bufferBytes),
-		ctx: ctx, cancel: cancel, changed: make(chan struct{}, 1),
+		ctx: ctx, cancel: cancel, requestCtx: requestCtx, cancelRequests: cancelRequests, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -214,7 +218,7 @@
 	defer c.handlerDone()
 	request := e.request
 	defer c.server.options.Budget.Release(int64(cap(request.Body)))
-	response := c.server.options.Handler(c.ctx, request)
+	response := c.server.options.Handler(c.requestCtx, request)
 	request.Body = nil // the deferred call returns its memory to the budget
 	e.readyAt = time.Now()
 	e.response <- response
@@ -230,11 +234,12 @@
 	return &exchange{response: make(chan *Response, 1), written: make(chan struct{})}
 }
 
-// closeIfIdle closes the connection if it is idle. It reports false if a request is in flight or arriving.
+// closeIfIdle closes the connection if it is idle. It reports false if a request is in flight or arriving, or the last response was
+// sent and the connection lingers.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding > 0 || c.reading {
+	if c.outstanding > 0 || c.reading || c.closing {
 		return false
 	}
 	c.closedIdle = true
--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -61,7 +61,31 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = true
-	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
+	c.setArrivalDeadline(time.Now().Add(timeout))
+}
+
+func (c *conn) startBodyTimeout() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setArrivalDeadline(time.Now().Add(bodyTimeout))
+}
+
+// setArrivalDeadline sets the time until which the rest of a request must arrive. Once the server rejects requests that are not
+// complete, only what the read buffer holds can still be read. c.mu must be held.
+func (c *conn) setArrivalDeadline(at time.Time) {
+	if c.server.rejecting.Load() {
+		at = pastDeadline
+	}
+	_ = c.netConn.SetReadDeadline(at) // fails only on a closed connection, which the next read reports
+}
+
+// rejectUnread ends the wait for the rest of a request.
+func (c *conn) rejectUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		_ = c.netConn.SetReadDeadline(pastDeadline)
+	}
 }
 
 // reject returns an exchange whose response is ready, or nil if the rejection is 0.
@@ -69,6 +93,9 @@
 	if rejection == 0 {
 		return nil
 	}
+	if c.server.rejecting.Load() && (rejection == HeaderTimedOut || rejection == BodyTimedOut) {
+		rejection = ShuttingDown
+	}
 	e := newExchange()
 	e.close, e.barrier = true, true
 	response := c.server.options.Reject(rejection)
@@ -106,7 +133,7 @@
 	if request.HTTP.Header.Get("Expect") == "100-continue" && !c.sendContinue(last) {
 		return BodyTimedOut
 	}
-	_ = c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.startBodyTimeout()
 	size := length
 	if length < 0 {
 		size = min(limit, initialBodyBytes)
@@ -115,13 +142,17 @@
 }
 
 // sendContinue sends "100 Continue", which asks the caller for the body. It first waits for the responses to all earlier
-// requests, because on the wire it must not come between them. It reports false if the connection has ended.
+// requests, because on the wire it must not come between them. It reports false if the connection has ended or the server waits for
+// no further body.
 func (c *conn) sendContinue(last *exchange) bool {
 	if last != nil {
 		if arrives, ok := c.awaitWritten(last); !ok || arrives {
 			return ok
 		}
 	}
+	if c.server.rejecting.Load() {
+		return false
+	}
 	_, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err == nil
 }
@@ -129,7 +160,9 @@
 // awaitWritten waits until an exchange has ended, and watches the connection meanwhile. arrives is true if the caller sends the
 // body without waiting for "100 Continue". ok is false if the connection has ended.
 func (c *conn) awaitWritten(last *exchange) (arrives, ok bool) {
-	_ = c.netConn.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	c.setArrivalDeadline(time.Time{})
+	c.mu.Unlock()
 	stop := make(chan struct{})
 	interrupted := make(chan struct{})
 	go func() {
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -50,7 +50,8 @@
 // Rejection is the reason why a request did not reach the handler.
 type Rejection int
 
-// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the body.
+// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the body, and ShuttingDown that the
+// request had not arrived completely when the server stopped to wait for it.
 const (
 	Malformed Rejection = iota + 1
 	HeaderTooLarge
@@ -58,6 +59,7 @@
 	BodyTooLarge
 	BodyTimedOut
 	BudgetExhausted
+	ShuttingDown
 )
 
 // Options configures a Server.
@@ -103,6 +105,8 @@
 	inFlight atomic.Int64
 	rejected atomic.Int64
 	closing  atomic.Bool
+	// rejecting is set once requests that are not complete are rejected.
+	rejecting atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -137,8 +141,32 @@
 // CloseAfterResponses makes the server close each connection after the response to its last started request.
 func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
 
+// RejectUnread rejects with ShuttingDown each request that has begun to arrive and is not complete, now or when it begins to arrive
+// later.
+func (s *Server) RejectUnread() {
+	s.rejecting.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.rejectUnread()
+	}
+}
+
+// ErrShutdown is the cause of the context of a request that was cancelled by CancelRequests.
+var ErrShutdown = errors.New("the host shuts down")
+
+// CancelRequests cancels the contexts of all requests with ErrShutdown. Their responses are still written.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancelRequests(ErrShutdown)
+	}
+}
+
 // CloseIdle closes the connections that have no request in flight and returns how many stay open. A request that arrives at
-// that moment is dropped unread and never reaches the handler.
+// that moment is dropped unread and never reaches the handler. A connection whose last response was written stays open until the
+// caller closes it or lingerTimeout has elapsed, because a request that crosses a close would reset the connection.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -72,7 +72,7 @@
 	Admit(now time.Time, id settings.CustomerID, limit quota.Limit) quota.Decision
 }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. All fields but Shutdown are required.
 type Options struct {
 	// Snapshot returns the current settings; nil if none are known.
 	Snapshot func() *settings.Snapshot
@@ -88,13 +88,20 @@
 	LimitOf func(*settings.Customer) quota.Limit
 	// Random returns a random number in [0, 1). It chooses the service of a route with a split.
 	Random func() float64
+	// Shutdown returns the limits while the host shuts down, and false otherwise. Default false.
+	Shutdown func() (Shutdown, bool)
 }
 
 // Relay is the request path. It is safe for concurrent use.
 type Relay struct{ options Options }
 
 // New returns a Relay.
-func New(options Options) *Relay { return &Relay{options: options} }
+func New(options Options) *Relay {
+	if options.Shutdown == nil {
+		options.Shutdown = func() (Shutdown, bool) { return Shutdown{}, false }
+	}
+	return &Relay{options: options}
+}
 
 // exchange is the state of one request.
 type exchange struct {
@@ -124,12 +131,15 @@
 	response := x.serve(ctx)
 	x.event.Status = response.Status
 	x.event.Total = time.Since(request.ReadAt)
-	x.event.CallerGone = ctx.Err() != nil
+	x.event.CallerGone = ctx.Err() != nil && !cancelledByShutdown(ctx)
 	r.options.Observe(&x.event)
 	return response
 }
 
 func (x *exchange) serve(ctx context.Context) *pipeline.Response {
+	if rejection := x.rejectInShutdown(); rejection != nil {
+		return x.reject(rejection)
+	}
 	if rejection := x.admit(); rejection != nil {
 		return x.reject(rejection)
 	}
@@ -320,14 +330,14 @@
 	return outgoing
 }
 
-// retryAfterPrecision is the precision of the stated retry delay.
-const retryAfterPrecision = 100 * time.Millisecond
+// RetryAfterPrecision is the precision of the stated retry delay.
+const RetryAfterPrecision = 100 * time.Millisecond
 
 // reject returns a response of the host itself for an error.
 func (x *exchange) reject(e *errkind.Error) *pipeline.Response {
-	x.event.Kind, x.event.Cause = e.Kind, e.Cause
+	x.event.Kind, x.event.Cause = e.Kind, x.causeOf(e)
 	x.event.RetryAfter = e.RetryAfter
-	status, header, body := errkind.Render(x.id, e, retryAfterPrecision)
+	status, header, body := errkind.Render(x.id, e, RetryAfterPrecision)
 	header.Set(x.options.Headers.RequestID, x.id)
 	return &pipeline.Response{Status: status, Header: header, Body: body}
 }
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -23,6 +23,10 @@
 		if !ok {
 			return x.reject(x.noUpstream(errNoUpstream))
 		}
+		if rejection := x.rejectUnfinishable(&selection); rejection != nil {
+			selection.Done(Result{Outcome: Cancelled})
+			return x.reject(rejection)
+		}
 		ctx, cancel := context.WithCancel(x.ctx)
 		a := x.start(selection, cancel)
 		a.send(ctx, x)
@@ -96,10 +100,14 @@
 
 // deadlineExceeded returns the error of a request whose time limit ended, or whose caller disconnected, after a failed attempt.
 func (x *exchange) deadlineExceeded(cause error) *errkind.Error {
-	if x.mayHaveRun {
+	switch {
+	case x.mayHaveRun:
 		return errkind.New(errkind.UpstreamTimeout, cause)
+	case cancelledByShutdown(x.ctx):
+		return shuttingDown(cause)
+	default:
+		return errkind.New(errkind.DeadlineNotRun, cause)
 	}
-	return errkind.New(errkind.DeadlineNotRun, cause)
 }
 
 // race makes the attempts of an idempotent request: one after the other, and a hedged one while an attempt hangs.
@@ -114,8 +122,8 @@
 func (x *exchange) serveIdempotent() *pipeline.Response {
 	r := &race{x: x, results: make(chan *attempt, x.maxAttempts()+maxUnsent)}
 	defer r.stop()
-	if !r.launch() {
-		return x.reject(x.noUpstream(errNoUpstream))
+	if rejection := r.launch(); rejection != nil {
+		return x.reject(rejection)
 	}
 	return r.run()
 }
@@ -187,13 +195,18 @@
 	return false
 }
 
-// launch starts an attempt. It returns false if there is no upstream.
-func (r *race) launch() bool {
+// launch starts an attempt. It returns an error if there is no upstream or the host shuts down.
+func (r *race) launch() *errkind.Error {
 	selection, ok := r.x.pick(false)
-	if ok {
-		r.start(selection)
+	if !ok {
+		return r.x.noUpstream(errNoUpstream)
 	}
-	return ok
+	if rejection := r.x.rejectUnfinishable(&selection); rejection != nil {
+		selection.Done(Result{Outcome: Cancelled})
+		return rejection
+	}
+	r.start(selection)
+	return nil
 }
 
 func (r *race) start(selection Selection) {
@@ -227,10 +240,7 @@
 	if rejection := r.x.checkRetry(a); rejection != nil {
 		return rejection
 	}
-	if !r.launch() {
-		return r.x.noUpstream(errNoUpstream)
-	}
-	return nil
+	return r.launch()
 }
 
 // fail returns the response for a request without a successful attempt: an error response of an upstream if there is one.
