--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -214,20 +214,27 @@
 }
 
 func (c *conn) handle(e *exchange) {
-	defer c.startWaiting()
-	defer c.handlerDone()
 	request := e.request
-	defer c.server.options.Budget.Release(int64(cap(request.Body)))
+	bodyBytes := int64(cap(request.Body))
 	response := c.server.options.Handler(c.requestCtx, request)
-	request.Body = nil // the deferred call returns its memory to the budget
+	request.Body = nil
+	c.server.options.Budget.Release(bodyBytes)
 	e.readyAt = time.Now()
+	release := response.Release
 	e.response <- response
+	c.handlerDone()
+	if release != nil {
+		<-e.written
+		release()
+	}
 }
 
+// handlerDone starts the requests that waited because too many handlers were running.
 func (c *conn) handlerDone() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.running--
+	c.mu.Unlock()
+	c.startWaiting()
 }
 
 func newExchange() *exchange {
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -65,11 +65,19 @@
 		a.outcome, a.cause = Broken, errResponseTooLarge
 		return
 	}
+	if x.isContradictory(response) {
+		response.Close()
+		a.outcome, a.cause = Broken, errContradictory
+		return
+	}
 	a.response = response
 	a.outcome = x.classify(response)
 }
 
-var errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+var (
+	errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+	errContradictory    = errors.New("the response states that the request was not run, but it is a success or is signed")
+)
 
 func (a *attempt) fail(err error) {
 	a.cause = err
@@ -92,14 +100,26 @@
 	}
 }
 
+// isContradictory reports whether a response states that the request was not run although it is a success or is signed, as only
+// responses to requests that have run are. The beginning of an additional response, sent before the response, can lead to that.
+func (x *exchange) isContradictory(response *forward.Response) bool {
+	signed := response.Header.Get(x.options.Headers.Signature) != ""
+	return x.statesNotRun(response) && (signed || response.Status < http.StatusBadRequest)
+}
+
+func (x *exchange) statesNotRun(response *forward.Response) bool {
+	return response.Header.Get(x.options.Headers.NotRun) != ""
+}
+
 // classify returns the outcome of an attempt with a complete response.
 func (x *exchange) classify(response *forward.Response) Outcome {
+	misdirected := response.Status == http.StatusMisdirectedRequest
 	switch {
-	case response.Status == http.StatusMisdirectedRequest:
+	case misdirected && x.statesNotRun(response):
 		return WrongInstance
-	case response.Header.Get(x.options.Headers.NotRun) != "":
+	case x.statesNotRun(response):
 		return NotRun
-	case response.Status >= http.StatusInternalServerError:
+	case misdirected, response.Status >= http.StatusInternalServerError:
 		return FailedStatus
 	default:
 		return Answered
@@ -139,7 +159,7 @@
 			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
 		}
 		event.Status, event.Reused, event.Connection = a.response.Status, a.response.Reused, a.response.Connection
-		a.response.Close() // returns the share of the buffer budget; the body stays in memory
+		x.responses = append(x.responses, a.response)
 	}
 	var failure *forward.AttemptError
 	if errors.As(a.cause, &failure) {
