pipeline: responses that wait to be written count as concurrent requests

A caller that sends many requests ahead and reads nothing could keep 64 whole responses of one connection in memory (bounded by the buffer budget), where the channel of responses kept 16 before. The bound of 16 now covers the requests that run and those whose response waits.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -37,10 +37,9 @@
 	// waiting holds the requests that were read and may not start yet, and started those whose response the writer has not taken
 	// up, both in the order of the connection.
 	waiting, started []*exchange
-	// running counts the handlers that run. active counts the exchanges that have started and not ended; activeBarrier is true if
-	// one of them is a barrier.
-	running, active int
-	activeBarrier   bool
+	// active counts the exchanges that have started and not ended; activeBarrier is true if one of them is a barrier.
+	active        int
+	activeBarrier bool
 	// heldBytes is the size of the requests that were read behind others and are not answered.
 	heldBytes int64
 	// outstanding counts the requests that were read and are not yet answered, and unsent those of them whose response has not
@@ -187,7 +186,6 @@
 		c.active++
 		c.activeBarrier = e.barrier
 		if e.request != nil {
-			c.running++
 			go c.handle(e)
 		}
 		notify(c.changed)
@@ -196,7 +194,7 @@
 
 // mayStart reports whether a request may start. A barrier starts alone, and requests of safe methods run concurrently.
 func (c *conn) mayStart(e *exchange) bool {
-	if c.closing || c.ctx.Err() != nil || c.running >= c.server.options.MaxConcurrent {
+	if c.closing || c.ctx.Err() != nil || c.active >= c.server.options.MaxConcurrent {
 		return false
 	}
 	return c.active == 0 || (!e.barrier && !c.activeBarrier)
@@ -222,21 +220,12 @@
 	e.readyAt = time.Now()
 	release := response.Release
 	e.response <- response
-	c.handlerDone()
 	if release != nil {
 		<-e.written
 		release()
 	}
 }
 
-// handlerDone starts the requests that waited because too many handlers were running.
-func (c *conn) handlerDone() {
-	c.mu.Lock()
-	c.running--
-	c.mu.Unlock()
-	c.startWaiting()
-}
-
 func newExchange() *exchange {
 	return &exchange{response: make(chan *Response, 1), written: make(chan struct{})}
 }
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -82,7 +82,7 @@
 	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Further ones are discarded:
 	// the response to the last one that was accepted closes the connection, and the caller sends them again. Default 64.
 	MaxPipelined int
-	// MaxConcurrent bounds the requests of one connection that are handled at the same time. Default 16.
+	// MaxConcurrent bounds the requests of one connection that are handled or whose response waits to be written. Default 16.
 	MaxConcurrent int
 }
 
