--- /dev/null
+++ b/gateway/upstreamreader.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzeyard/bronzeyard/gateway/gossip"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
+)
+
+const (
+	// freshFraction is the fraction of the smaller of Bounds.MaxLeavingDelay and Bounds.MaxConfigurationDelay for which a read of
+	// the upstreams counts as recent. The rest is reserved for hosts that are scheduled next but fail, for the transmission to the
+	// other hosts, and for their own reads.
+	freshFraction = 0.45
+	// readStagger is the delay between the scheduled reads of two hosts, and maxReadStagger the maximum delay of a host.
+	readStagger    = 50 * time.Millisecond
+	maxReadStagger = 250 * time.Millisecond
+	// retryStagger is the delay between the attempts of two hosts to detect the recovery of the store.
+	retryStagger = 100 * time.Millisecond
+	// readJitter spreads the reads of hosts that are notified of a change at the same time.
+	readJitter = 60 * time.Millisecond
+	// readGapFraction is the fraction of Bounds.MaxLeavingDelay that must pass between a triggered read and the host's read before
+	// it. Without this gap, hosts that start together with their upstreams would read continuously, because each read finds other
+	// entries than the one before.
+	readGapFraction = 0.2
+	// maxDeltaAge is the age up to which a read is sent with its difference from the one before.
+	maxDeltaAge = time.Second
+	// minOverlapInterval and maxOverlapInterval bound overlapInterval.
+	minOverlapInterval = 150 * time.Millisecond
+	maxOverlapInterval = 600 * time.Millisecond
+	// readDuration is reserved for the read that detects the recovery of the store.
+	readDuration = 100 * time.Millisecond
+	// maxOverlappingReads is the maximum number of reads without a response.
+	maxOverlappingReads = 6
+)
+
+// overlapInterval is the time after which a read of the upstreams without a response is followed by another one. A read that waits for
+// its time-out would detect the recovery of a silent store too late for the time in which missing entries may be kept.
+func overlapInterval(stablePeriod time.Duration) time.Duration {
+	if stablePeriod <= 0 {
+		return maxOverlapInterval
+	}
+	return min(maxOverlapInterval, max(minOverlapInterval, registry.MaxDetectionTime(stablePeriod)-readDuration))
+}
+
+// registryUpdate is a read of the upstreams that another host has reported.
+type registryUpdate struct {
+	gossip.RegistryState
+	from   string
+	readAt time.Time
+}
+
+// report returns the update as the registry takes it, and false if the update does not state from when on missing entries are final.
+func (u *registryUpdate) report(now time.Time) (registry.Report, bool) {
+	report := registry.Report{ReadAt: u.readAt, KeptUntil: u.readAt}
+	if !u.Synced {
+		report.KeptUntil = now.Add(u.GraceLeft)
+	}
+	return report, u.Synced || u.GraceLeft > 0
+}
+
+// observeUpdate passes an update of another host to the registry. It reports whether the host must process it: it is newer than the
+// host's view, or it may end the time for which missing entries are kept. It may be called concurrently with upstreamReader.
+func observeUpdate(now time.Time, r *registry.Registry, update *registryUpdate) bool {
+	endsGrace := false
+	if report, ok := update.report(now); ok {
+		synced, _ := r.Synced(now)
+		endsGrace = r.ObserveReport(report) && !synced
+	}
+	return endsGrace || update.readAt.After(r.View().ReadAt)
+}
+
+// stateToReport returns the state of a host's own read of the upstreams, which is sent to the other hosts. Only scheduled reads are
+// reported. If triggered reads were reported too, each would trigger reads by the other hosts, and all hosts would keep reading while
+// upstreams start. It may be called concurrently with upstreamReader.
+func stateToReport(now time.Time, r *registry.Registry, scheduledReadAt time.Time) gossip.RegistryState {
+	own, ok := r.LocalRead()
+	if !ok || !own.At.Equal(scheduledReadAt) {
+		return gossip.RegistryState{}
+	}
+	state := gossip.RegistryState{Digest: own.Digest, Age: max(0, now.Sub(own.At))}
+	state.Synced, state.GraceLeft = r.Synced(now)
+	if state.Age < maxDeltaAge {
+		state.Version, state.Delta = own.Version, own.Delta
+	}
+	return state
+}
+
+// readConditions are the circumstances on which the time of a read depends.
+type readConditions struct {
+	bounds Bounds
+	// rank is the number of live hosts that read before this one.
+	rank int
+}
+
+func (c *readConditions) rankDelay(step time.Duration) time.Duration {
+	return time.Duration(c.rank) * step
+}
+
+// pendingRead is a read of the upstreams that has not ended.
+type pendingRead struct {
+	id        uint64
+	startedAt time.Time
+	// scheduled is false for a read that was triggered by a pause or by another host's update.
+	scheduled bool
+}
+
+// upstreamReader decides when a host reads the upstreams, and applies its reads and those of other hosts to the registry. Reads may
+// overlap. It does no I/O, takes the time as an argument, and is used by one goroutine.
+type upstreamReader struct {
+	registry *registry.Registry
+	// jitter returns a random duration below its argument.
+	jitter func(time.Duration) time.Duration
+	lastID uint64
+	// pending holds the reads that have not ended, in the order of their starts.
+	pending []pendingRead
+	// failing is true while the newest read that has ended has failed. From retryAt on, it may be repeated.
+	failing bool
+	retryAt time.Time
+	// triggeredAt is when a triggered read is due; zero if none is.
+	triggeredAt time.Time
+	// nextTrigger is the earliest time of a read that an update triggers while reads fail. Without it, a host that the store rejects
+	// reads again for each update of the others.
+	nextTrigger time.Time
+}
+
+// untilNextRead is the time until the next read begins. If a read is still without a response or has failed, the next one does not
+// wait until this host's turn comes, unless another host has read in the meantime.
+func (r *upstreamReader) untilNextRead(now time.Time, c readConditions) time.Duration {
+	wait := r.untilScheduledRead(now, c)
+	if len(r.pending) > 0 || r.failing {
+		wait = max(wait, r.retryAt.Sub(now))
+	}
+	if !r.triggeredAt.IsZero() && len(r.pending) < maxOverlappingReads {
+		wait = min(wait, r.triggeredAt.Sub(now))
+	}
+	return max(0, wait)
+}
+
+// untilScheduledRead is the time until this host reads the upstreams if no other host does. It is shorter if kept entries expire
+// earlier.
+func (r *upstreamReader) untilScheduledRead(now time.Time, c readConditions) time.Duration {
+	fresh := time.Duration(freshFraction * float64(c.bounds.maxStoreDelay()))
+	stagger := min(maxReadStagger, c.rankDelay(readStagger))
+	wait := r.registry.View().ReadAt.Add(fresh).Sub(now) + stagger
+	if until, kept := r.registry.KeptUntil(now); kept {
+		wait = min(wait, until.Sub(now))
+	}
+	return wait
+}
+
+// begin is called when a read is due. It returns the read to be made, and false if too many are without a response.
+func (r *upstreamReader) begin(now time.Time, c readConditions) (read pendingRead, ok bool) {
+	if len(r.pending) < maxOverlappingReads {
+		r.lastID++
+		read, ok = pendingRead{id: r.lastID, startedAt: now, scheduled: !r.beginTriggered(now)}, true
+		r.pending = append(r.pending, read)
+	}
+	interval := overlapInterval(c.bounds.StablePeriod) + c.rankDelay(retryStagger)
+	r.retryAt = now.Add(min(interval, maxRecoveryWait))
+	return read, ok
+}
+
+// beginTriggered reports whether the read that begins now is a triggered one.
+func (r *upstreamReader) beginTriggered(now time.Time) bool {
+	if r.triggeredAt.IsZero() || now.Before(r.triggeredAt) {
+		return false
+	}
+	r.triggeredAt, r.nextTrigger = time.Time{}, now.Add(maxRecoveryWait)
+	return true
+}
+
+// finish removes a read that has ended from the pending ones. It reports false if the read was abandoned.
+func (r *upstreamReader) finish(id uint64) (pendingRead, bool) {
+	i := slices.IndexFunc(r.pending, func(p pendingRead) bool { return p.id == id })
+	if i < 0 {
+		return pendingRead{}, false
+	}
+	read := r.pending[i]
+	r.pending = slices.Delete(r.pending, i, i+1)
+	return read, true
+}
+
+// fail processes the failure of a read. backoff is the time until the next read of a host with rank 0.
+func (r *upstreamReader) fail(now time.Time, c readConditions, read pendingRead, backoff time.Duration) {
+	r.registry.RecordFailure(read.startedAt, c.bounds.StablePeriod)
+	r.failing = true
+	wait := min(backoff+c.rankDelay(retryStagger), maxRecoveryWait)
+	if retryAt := now.Add(wait); retryAt.Before(r.retryAt) {
+		r.retryAt = retryAt
+	}
+}
+
+// succeed processes the response to a read, and abandons the pending ones. It replaces the view unless a later read by another host
+// has been applied in the meantime, in which case applied is false.
+func (r *upstreamReader) succeed(
+	c readConditions, read pendingRead, version uint64, entries []registry.Entry,
+) (changes []registry.Change, applied bool) {
+	for _, p := range slices.Backward(r.pending) {
+		if p.startedAt.Before(read.startedAt) {
+			// The store or the path to it was not stable when this read began.
+			r.registry.RecordFailure(p.startedAt, c.bounds.StablePeriod)
+			break
+		}
+	}
+	r.pending, r.failing = nil, false
+	if !read.startedAt.After(r.registry.View().ReadAt) {
+		return nil, false
+	}
+	return r.registry.Update(read.startedAt, version, entries), true
+}
+
+// resume is called after a pause of this process. It abandons the pending reads, because a response may have waited during the pause,
+// and makes a read due now.
+func (r *upstreamReader) resume(now time.Time) {
+	r.pending = nil
+	r.trigger(now)
+}
+
+// handleUpdate processes a read of another host. It triggers a read by this host if it cannot apply what the other one has found.
+// It returns the changes that were applied.
+func (r *upstreamReader) handleUpdate(now time.Time, c readConditions, update *registryUpdate) []registry.Change {
+	if !update.readAt.After(r.registry.View().ReadAt) {
+		return nil // this host has read more recently; the update may only end the time for which missing entries are kept
+	}
+	if r.registry.Confirm(update.readAt, update.Digest) {
+		return nil
+	}
+	if changes, ok := r.registry.Apply(update.readAt, update.Version, update.Digest, update.Delta); ok {
+		return changes
+	}
+	if !r.failing && r.newerThan(update.readAt) {
+		return nil // the response is about to arrive
+	}
+	at := now.Add(r.untilTriggeredRead(now, c))
+	if r.failing && at.Before(r.nextTrigger) {
+		at = r.nextTrigger
+	}
+	r.trigger(at)
+	return nil
+}
+
+// newerThan reports whether a read that began after a time is pending.
+func (r *upstreamReader) newerThan(at time.Time) bool {
+	return len(r.pending) > 0 && r.pending[len(r.pending)-1].startedAt.After(at)
+}
+
+// untilTriggeredRead is the time until this host may make a triggered read.
+func (r *upstreamReader) untilTriggeredRead(now time.Time, c readConditions) time.Duration {
+	wait := r.jitter(readJitter)
+	own, ok := r.registry.LocalRead()
+	if !ok {
+		return wait
+	}
+	gap := time.Duration(readGapFraction * float64(c.bounds.MaxLeavingDelay))
+	return max(wait, own.At.Add(gap).Sub(now))
+}
+
+// trigger makes a read due at a time.
+func (r *upstreamReader) trigger(at time.Time) {
+	if r.triggeredAt.IsZero() || at.Before(r.triggeredAt) {
+		r.triggeredAt = at
+	}
+}
