gateway: a pause of a host at the end of an outage does not shorten the grace period

A host that was paused while the store came back dropped live upstreams whose entries had expired, up to 2 s before these were back.

Cause: the end of the grace period is limited from the start of the newest failed read. After a pause this read is as old as the pause is long, and the return of the store may be later. Ruled out: the order in which results, timers and the signal of the pause are handled afterwards (the search tries them in any order; therefore the reader also recognizes a pause by an overdue read itself).

Fix: the end of a pause limits the grace period like the start of a failed read. The bound for departed upstreams holds: it counts from the return of the host too. Pauses shorter than minPause (0.7 s with a MaxLeavingDelay of 2 s) stay unnoticed.

--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -49,12 +49,12 @@
 			}
 		case result := <-calls.results:
 			calls.finish(result.id)
-			if read, ok := reader.finish(result.id); ok {
+			if read, ok := reader.finish(time.Now(), s.readConditions(), result.id); ok {
 				s.handleRead(reader, read, &result, dependency, &calls)
 			}
 		case <-s.rereadAfterPause.upstreams:
 			calls.abort()
-			reader.resume(time.Now())
+			reader.resume(time.Now(), s.readConditions())
 		case update := <-s.registryUpdates:
 			if changes := reader.handleUpdate(time.Now(), s.readConditions(), &update); len(changes) > 0 {
 				s.handleRegistryChanges(changes, update.Version, update.from)
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -20,7 +20,11 @@
 // minPause is the length above which a pause is handled. 0 disables the handling of pauses.
 func (g *Gateway) minPause() time.Duration {
 	bounds := g.boundsNow()
-	return time.Duration(pauseFraction * float64(min(bounds.MaxConfigurationDelay, bounds.MaxLeavingDelay)))
+	return bounds.minPause()
+}
+
+func (b *Bounds) minPause() time.Duration {
+	return time.Duration(pauseFraction * float64(min(b.MaxConfigurationDelay, b.MaxLeavingDelay)))
 }
 
 // loopDelayed handles a delay of the control loop.
--- a/gateway/registry/outage.go
+++ b/gateway/registry/outage.go
@@ -60,7 +60,7 @@
 }
 
 // RecordFailure records that a read that began at startedAt has failed: the store, or this host's path to it, has not been stable
-// before that time. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
+// before that time. It also records that this process was paused until startedAt, which hides the recovery of the store. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
 // 0 means that there is no such time. RecordFailure must not be called concurrently with Update.
 func (r *Registry) RecordFailure(startedAt time.Time, stablePeriod time.Duration) {
 	if stablePeriod <= 0 || startedAt.Before(r.failedAt) {
--- a/gateway/upstreamreader.go
+++ b/gateway/upstreamreader.go
@@ -120,6 +120,8 @@
 	retryAt time.Time
 	// triggeredAt is when a triggered read is due; zero if none is.
 	triggeredAt time.Time
+	// dueAt is when the next read was due when that was last determined.
+	dueAt time.Time
 	// nextTrigger is the earliest time of a read that an update triggers while reads fail. Without it, a host that the store rejects
 	// reads again for each update of the others.
 	nextTrigger time.Time
@@ -128,6 +130,7 @@
 // untilNextRead is the time until the next read begins. If a read is still without a response or has failed, the next one does not
 // wait until this host's turn comes, unless another host has read in the meantime.
 func (r *upstreamReader) untilNextRead(now time.Time, c readConditions) time.Duration {
+	r.detectPause(now, c)
 	wait := r.untilScheduledRead(now, c)
 	if len(r.pending) > 0 || r.failing {
 		wait = max(wait, r.retryAt.Sub(now))
@@ -135,7 +138,9 @@
 	if !r.triggeredAt.IsZero() && len(r.pending) < maxOverlappingReads {
 		wait = min(wait, r.triggeredAt.Sub(now))
 	}
-	return max(0, wait)
+	wait = max(0, wait)
+	r.dueAt = now.Add(wait)
+	return wait
 }
 
 // untilScheduledRead is the time until this host reads the upstreams if no other host does. It is shorter if kept entries expire
@@ -152,6 +157,7 @@
 
 // begin is called when a read is due. It returns the read to be made, and false if too many are without a response.
 func (r *upstreamReader) begin(now time.Time, c readConditions) (read pendingRead, ok bool) {
+	r.detectPause(now, c)
 	if len(r.pending) < maxOverlappingReads {
 		r.lastID++
 		read, ok = pendingRead{id: r.lastID, startedAt: now, scheduled: !r.beginTriggered(now)}, true
@@ -171,8 +177,16 @@
 	return true
 }
 
+// detectPause resumes after a pause of this process that has not been reported yet, because a read is overdue.
+func (r *upstreamReader) detectPause(now time.Time, c readConditions) {
+	if pause := c.bounds.minPause(); pause > 0 && !r.dueAt.IsZero() && now.Sub(r.dueAt) > pause {
+		r.resume(now, c)
+	}
+}
+
 // finish removes a read that has ended from the pending ones. It reports false if the read was abandoned.
-func (r *upstreamReader) finish(id uint64) (pendingRead, bool) {
+func (r *upstreamReader) finish(now time.Time, c readConditions, id uint64) (pendingRead, bool) {
+	r.detectPause(now, c)
 	i := slices.IndexFunc(r.pending, func(p pendingRead) bool { return p.id == id })
 	if i < 0 {
 		return pendingRead{}, false
@@ -212,15 +226,17 @@
 }
 
 // resume is called after a pause of this process. It abandons the pending reads, because a response may have waited during the pause,
-// and makes a read due now.
-func (r *upstreamReader) resume(now time.Time) {
-	r.pending = nil
+// and makes a read due now. A pause may hide the recovery of the store for longer than a failed read does.
+func (r *upstreamReader) resume(now time.Time, c readConditions) {
+	r.pending, r.dueAt = nil, now
+	r.registry.RecordFailure(now, c.bounds.StablePeriod)
 	r.trigger(now)
 }
 
 // handleUpdate processes a read of another host. It triggers a read by this host if it cannot apply what the other one has found.
 // It returns the changes that were applied.
 func (r *upstreamReader) handleUpdate(now time.Time, c readConditions, update *registryUpdate) []registry.Change {
+	r.detectPause(now, c)
 	if !update.readAt.After(r.registry.View().ReadAt) {
 		return nil // this host has read more recently; the update may only end the time for which missing entries are kept
 	}
