forward: responses wait for memory, and one upstream leaves as much as it holds

Requests that had run were answered 502 at once, bookings among them, and their upstreams' breakers heard of a failure that was the host's. One upstream with large bodies, or bodies without an end, took the whole budget from the others, and further requests were still passed on to it.

Change, in the order in which it takes effect: - The responses of one upstream hold at most as much as stays free. Responses above 64 KiB leave the last eighth to small ones. - A response without memory waits until its attempt ends, and reads no further meanwhile. If there was none until the deadline, the caller gets 504, and the breaker hears nothing. - A body of unknown length above 1 MiB that finds no memory may have no end. It fails at once if the request can be repeated, else at its deadline, and its breaker hears of it. - While a response of an upstream waits, and while less than an eighth of the budget is free, requests are not passed on: another upstream, or 503 with a Retry-After of 0.5 to 1.5 s; at the host's bound no token of the customer's limit is taken. The option is off for the other user of the package, which streams.

Evidence: without it TestBookingWaitsForMemory got 502 for a booking that had run, TestLackOfMemoryIsNoEvidenceAgainstTheUpstream the outcome "broken", TestScarceMemoryRejectsRequestsBeforeTheyAreSent 502 and an arrival, TestUpstreamWhoseResponseWaitsGetsNoFurtherRequest 502 and two arrivals; TestUpstreamsLeaveMemoryToTheOthers found 0 bytes for another upstream.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,7 @@
 	g.forwarder = forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
 		AllowCloseDelimited: true, RequireRequestID: true, ConnectTimeout: connectTimeout, IdleConnTimeout: idleConnTimeout,
-		MaxBufferedResponse: maxBufferedResponse, Budget: budget,
+		MaxBufferedResponse: maxBufferedResponse, Budget: budget, AwaitMemory: true,
 	})
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -81,6 +81,10 @@
 	switch {
 	case failure.Kind == forward.Cancelled:
 		a.outcome = Cancelled
+	case failure.Kind == forward.NoMemory && !failure.Sent:
+		a.outcome = NotPassedOn
+	case failure.Kind == forward.NoMemory:
+		a.outcome = NoMemory
 	case !failure.Connected:
 		a.outcome = NotConnected
 	case failure.Kind == forward.TimedOut:
@@ -109,7 +113,7 @@
 // mayHaveRun reports whether the upstream may have run the request.
 func (a *attempt) mayHaveRun() bool {
 	switch a.outcome {
-	case NotRun, WrongInstance, NotConnected, NotSent:
+	case NotRun, WrongInstance, NotConnected, NotSent, NotPassedOn:
 		return false
 	default:
 		return true
@@ -117,12 +121,15 @@
 }
 
 // reachedUpstream reports whether the attempt counts as sent to an upstream.
-func (a *attempt) reachedUpstream() bool { return a.outcome != NotConnected && a.outcome != NotSent }
+func (a *attempt) reachedUpstream() bool {
+	return a.outcome != NotConnected && a.outcome != NotSent && a.outcome != NotPassedOn
+}
 
 // end reports the result of the attempt and adds it to the event of the request.
 func (a *attempt) end(x *exchange) {
 	a.cancel()
 	x.mayHaveRun = x.mayHaveRun || a.mayHaveRun()
+	x.memoryScarce = a.outcome == NotPassedOn
 	if a.reachedUpstream() {
 		x.sent++
 	}
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -80,13 +80,17 @@
 	TimedOut
 	// Cancelled is an attempt that ended because another one was successful or the caller disconnected.
 	Cancelled
+	// NoMemory means that the host had no memory for the response. The request may have run.
+	NoMemory
+	// NotPassedOn means that the request was not sent because the host has no memory for a response of the upstream.
+	NotPassedOn
 )
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
 	names := [...]string{
 		"invalid", "answered", "failed_status", "not_run", "wrong_instance", "not_connected", "not_sent", "broken",
-		"timed_out", "cancelled",
+		"timed_out", "cancelled", "no_memory", "not_passed_on",
 	}
 	if o < 0 || int(o) >= len(names) {
 		return names[0]
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -113,6 +113,8 @@
 	tried         []settings.UpstreamID
 	sent          int  // attempts that reached an upstream
 	mayHaveRun    bool // an upstream may have run the request
+	// memoryScarce is true if the latest attempt was not sent because the host has no memory for a response.
+	memoryScarce bool
 	// responses are the complete responses of ended attempts. Their bodies count against the buffer budget until they are closed.
 	responses []*forward.Response
 	returned  *forward.Response // the one that the caller receives; nil if none
@@ -189,6 +191,9 @@
 	}
 	x.service = x.pickService()
 	x.event.Service = x.service
+	if x.options.Forwarder.MemoryScarce() {
+		return x.noMemory()
+	}
 	if rejection := x.takeRateToken(); rejection != nil {
 		return rejection
 	}
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -13,6 +13,7 @@
 var (
 	errNoUpstream    = errors.New("no further upstream of the service is available")
 	errNoRetryBudget = errors.New("the retry budget of the service is exhausted")
+	errMemoryScarce  = errors.New("the host has no memory for a further response of the upstreams of the service")
 	errMaxAttempts   = errors.New("the request has been sent to the maximum number of upstreams of its route")
 )
 
@@ -57,7 +58,7 @@
 		return x.reject(errkind.New(errkind.OutcomeUnknown, errUnmarkedRejection))
 	case a.response != nil:
 		return x.respond(a.response)
-	case a.outcome == TimedOut:
+	case a.outcome == TimedOut, a.outcome == NoMemory: // an attempt without memory has waited until its deadline
 		return x.reject(&errkind.Error{Kind: errkind.UpstreamTimeout, Cause: a.cause})
 	case x.policy.Idempotent:
 		return x.reject(errkind.New(errkind.UpstreamFailed, a.cause))
@@ -82,11 +83,23 @@
 	}
 }
 
+// memoryRetryAfter is the mean time within which responses that fill the memory of a host are likely to be written.
+const memoryRetryAfter = time.Second
+
+// noMemory returns the error of a request that was not sent because the host has no memory for its response.
+func (x *exchange) noMemory() *errkind.Error {
+	spread := 0.5 + x.options.Random() // callers that are rejected together must not return together
+	return &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Duration(spread * float64(memoryRetryAfter)), Cause: errMemoryScarce}
+}
+
 // noUpstream returns the error of a request for which there is no further upstream.
 func (x *exchange) noUpstream(cause error) *errkind.Error {
 	if x.mayHaveRun {
 		return errkind.New(errkind.UpstreamFailed, cause)
 	}
+	if x.memoryScarce {
+		return x.noMemory()
+	}
 	kind := errkind.NoUpstream
 	if x.sent > 0 {
 		kind = errkind.UpstreamRefused
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -226,7 +226,7 @@
 	case relay.TimedOut:
 		// A time-out after a short time limit is no evidence against the upstream. Before one after a long time limit, the attempt
 		// has already been reported as overdue.
-	case relay.NotRun, relay.Cancelled:
+	case relay.NotRun, relay.Cancelled, relay.NoMemory, relay.NotPassedOn:
 	}
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -114,8 +114,8 @@
 }
 
 // end adds the duration of a successful response to the model, without the time in the upstream's queue. The failure score of the
-// attempt is withdrawn if the response was successful or the upstream did not run the request. If a successful response came after
-// the last level, the fraction lateResponseFactor of the score remains.
+// attempt is withdrawn if the response was successful, if the upstream did not run the request, or if the host had no memory for the
+// response. If a successful response came after the last level, the fraction lateResponseFactor of the score remains.
 func (m *attemptMonitor) end(outcome relay.Outcome, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -125,7 +125,7 @@
 		m.service.durations.Observe(m.route, time.Duration(float64(took)/m.queue))
 	}
 	switch outcome {
-	case relay.Answered, relay.NotRun, relay.WrongInstance:
+	case relay.Answered, relay.NotRun, relay.WrongInstance, relay.NoMemory, relay.NotPassedOn:
 	default:
 		return
 	}
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -31,6 +31,8 @@
 	Connection Connection
 
 	attempt      *attempt
+	upstream     string // the address of the upstream
+	idempotent   bool
 	httpResponse *http.Response // its trailers are complete once the body has been read to its end
 	reserved     int64          // bytes reserved from the budget
 	reachedEOF   bool           // the body was read to its proper end
@@ -38,11 +40,11 @@
 }
 
 // newResponse validates the header of a response and reads a short body to its end.
-func (a *attempt) newResponse(httpResponse *http.Response, q *Request) (*Response, error) {
+func (a *attempt) newResponse(httpResponse *http.Response, q *Request, upstream string) (*Response, error) {
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
 		TimeToFirstByte: time.Since(a.start), Reused: a.reused.Load(), Connection: a.usedConnection(),
-		attempt: a, httpResponse: httpResponse,
+		attempt: a, httpResponse: httpResponse, upstream: upstream, idempotent: q.Idempotent,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
@@ -86,13 +88,14 @@
 	return nil
 }
 
-// buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed.
+// buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed. With
+// Options.AwaitMemory it returns errNoMemory if the budget does not allow it.
 func (r *Response) buffer() error {
 	if r.httpResponse.Body == http.NoBody {
 		r.Complete, r.reachedEOF = true, true
 		return nil
 	}
-	limit := r.attempt.forwarder.options.MaxBufferedResponse
+	limit := min(r.attempt.forwarder.options.MaxBufferedResponse, r.attempt.forwarder.options.Budget.largest())
 	if r.ContentLength > limit {
 		return nil
 	}
@@ -100,18 +103,22 @@
 	if r.ContentLength >= 0 {
 		first = r.ContentLength
 	}
-	if !r.reserve(first) {
-		return nil
+	if ok, err := r.reserve(first); !ok {
+		return err
 	}
 	buffer := make([]byte, 0, first)
 	reader := &idleTimeoutReader{body: r.httpResponse.Body, attempt: r.attempt}
 	defer reader.stop()
 	for {
 		if len(buffer) == cap(buffer) && r.ContentLength < 0 {
-			if int64(len(buffer)) >= limit || !r.reserve(int64(len(buffer))) {
+			if int64(len(buffer)) >= limit {
 				r.Body = buffer
 				return nil
 			}
+			if ok, err := r.reserve(int64(len(buffer))); !ok {
+				r.Body = buffer
+				return err
+			}
 			buffer = append(make([]byte, 0, 2*len(buffer)), buffer...)
 		}
 		n, err := reader.Read(spare(buffer))
@@ -139,12 +146,33 @@
 // streams are copied, in bytes.
 const copyBufferSize = 8 << 10
 
-func (r *Response) reserve(n int64) bool {
-	if !r.attempt.forwarder.options.Budget.Reserve(n) {
-		return false
+// maxUnknownLength is the size, in bytes, from which a body of unknown length that finds no memory counts as a failure of its upstream:
+// the body may have no end.
+const maxUnknownLength = 1 << 20
+
+// reserve reserves n further bytes. With Options.AwaitMemory it waits for them until the attempt ends, because a request at which an
+// upstream works must not be abandoned for a moment without memory; it then returns errNoMemory if there were none. A body without an
+// end would keep its buffer while it waits, so the attempt ends at once if the request can be repeated.
+func (r *Response) reserve(n int64) (bool, error) {
+	budget := r.attempt.forwarder.options.Budget
+	ok := budget.reserveFor(r.upstream, n)
+	if !ok && r.attempt.forwarder.options.AwaitMemory {
+		suspect := r.reserved >= maxUnknownLength // a body of known length is reserved at once
+		if !suspect || !r.idempotent {
+			ok = budget.awaitFor(r.attempt.ctx, r.upstream, n)
+		}
+		switch {
+		case ok:
+		case suspect:
+			return false, errUnknownLength
+		default:
+			return false, errNoMemory
+		}
+	}
+	if ok {
+		r.reserved += n
 	}
-	r.reserved += n
-	return true
+	return ok, nil
 }
 
 // Close ends the attempt. The connection is reused only if the response was read to its proper end.
@@ -158,7 +186,7 @@
 	}
 	_ = r.httpResponse.Body.Close()
 	r.attempt.cancel(errAttemptEnded)
-	r.attempt.forwarder.options.Budget.Release(r.reserved)
+	r.attempt.forwarder.options.Budget.releaseFor(r.upstream, r.reserved)
 }
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -19,6 +19,8 @@
 	Cancelled
 	// RequestBroken means that the caller's body could not be read to its end.
 	RequestBroken
+	// NoMemory means that the host had no memory for the response. It is no evidence against the upstream.
+	NoMemory
 )
 
 // String implements fmt.Stringer.
@@ -36,6 +38,8 @@
 		return "cancelled"
 	case RequestBroken:
 		return "request broken"
+	case NoMemory:
+		return "without memory"
 	default:
 		return "invalid"
 	}
@@ -70,6 +74,8 @@
 	errRequestIDMismatch   = errors.New("response carries the request id of another request")
 	errRequestIDMissing    = errors.New("response does not carry the request id")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
+	errNoMemory            = errors.New("the budget of buffered bodies has no memory for the response")
+	errUnknownLength       = errors.New("the response has no length, and the budget of buffered bodies has no memory for more of it")
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
 	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
 )
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -30,6 +30,9 @@
 	MaxBufferedResponse int64
 	// Budget limits the memory of buffered bodies. Default 64 MiB.
 	Budget *BufferBudget
+	// AwaitMemory makes attempts wait until Budget has memory for a response that can be buffered. A request to an upstream is not
+	// sent while memory is scarce. Default false: a response without memory is streamed.
+	AwaitMemory bool
 	// MaxIdlePerUpstream limits the idle connections to one upstream. Default 32.
 	MaxIdlePerUpstream int
 	// HeaderNames are the headers in which upstreams expect the id and the time limit of a request.
@@ -114,6 +117,9 @@
 // Budget returns the budget of buffered bodies.
 func (f *Forwarder) Budget() *BufferBudget { return f.options.Budget }
 
+// MemoryScarce reports whether so little of the budget is free that no further request should be accepted.
+func (f *Forwarder) MemoryScarce() bool { return f.options.Budget.scarceFor("") }
+
 // CloseIdle closes the idle connections to all upstreams.
 func (f *Forwarder) CloseIdle() { f.pooled.closeIdle() }
 
@@ -125,6 +131,10 @@
 	if !q.Verbatim {
 		a.attemptID = f.attemptID(q.ID)
 	}
+	if f.options.AwaitMemory && f.options.Budget.scarceFor(target.Address) {
+		cancel(errAttemptEnded)
+		return nil, &AttemptError{Kind: NoMemory, Cause: errNoMemory}
+	}
 	var firstByteTimer *time.Timer
 	if target.FirstByteTimeout > 0 {
 		firstByteTimer = time.AfterFunc(target.FirstByteTimeout, func() { cancel(errFirstByteTimeout) })
@@ -150,7 +160,7 @@
 		}
 		return nil, failure
 	}
-	return a.newResponse(response, q)
+	return a.newResponse(response, q, target.Address)
 }
 
 func (f *Forwarder) attemptID(requestID string) string {
@@ -304,6 +314,9 @@
 	}
 	cause := context.Cause(a.ctx)
 	switch {
+	case errors.Is(err, errNoMemory) && errors.Is(cause, context.DeadlineExceeded):
+		failure.Kind = NoMemory
+	case errors.Is(err, errUnknownLength) && (cause == nil || errors.Is(cause, context.DeadlineExceeded)): // Broken
 	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
