--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -83,6 +83,9 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitchingProtocols
 	}
+	if containsStatusLine(response) {
+		return errRunTogether
+	}
 	if !a.forwarder.options.AllowCloseDelimited && q.Method != http.MethodHead && response.ContentLength < 0 &&
 		len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return errCloseDelimited
--- a/traffic/forward/conn_test.go
+++ b/traffic/forward/conn_test.go
@@ -167,3 +167,22 @@
 		})
 	}
 }
+
+// Guards against the status of one response with the header and body of the next. An additional response that is cut off in its status
+// line or in a header runs together with the response behind it, and its status reached the caller.
+func TestResponsesRunTogetherAreRejected(t *testing.T) {
+	for _, beginning := range []string{"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX-Cut: a", "HTTP/1.1 200 OK\r\nX-Cut: "} {
+		c := newEchoClient(t, func(conn net.Conn) {
+			defer func() { _ = conn.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 500 Failed\r\nContent-Length: 0\r\nX-Id: %s\r\n\r\n", beginning, request.Header.Get("X-Id"))
+		})
+		var failure *AttemptError
+		if _, err := c.try(http.MethodGet, "one"); !errors.As(err, &failure) || failure.Kind != WrongResponse {
+			t.Errorf("%q before the response: error %v, want a wrong response", beginning, err)
+		}
+	}
+}
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -71,5 +71,6 @@
 	errRequestIDMissing    = errors.New("response does not carry the request id")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
+	errRunTogether         = errors.New("response begins with a part of another one")
 	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
 )
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -298,7 +298,8 @@
 	}
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols):
+	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols),
+		errors.Is(err, errRunTogether):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
 		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
--- a/traffic/forward/header.go
+++ b/traffic/forward/header.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -60,3 +62,26 @@
 	}
 	return `"` + text + `"`
 }
+
+// containsStatusLine reports whether the status or a header of a response contains the status line of another response.
+func containsStatusLine(response *http.Response) bool {
+	if hasStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasStatusLine reports whether a text contains an HTTP version, a space and a status code.
+func hasStatusLine(text string) bool {
+	_, rest, found := strings.Cut(text, "HTTP/1.")
+	if !found || len(rest) < len("1 200") || rest[1] != ' ' {
+		return false
+	}
+	_, err := strconv.ParseUint(rest[2:5], 10, 16)
+	return err == nil
+}
