--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -312,7 +312,7 @@
 		failure.Kind = NoMemory
 	case errors.Is(err, errUnknownLength) && (cause == nil || errors.Is(cause, context.DeadlineExceeded)): // Broken
 	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols),
-		errors.Is(err, errMergedResponses):
+		errors.Is(err, errRunTogether):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
 		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
