registry: a read of another host that confirms the view after a gap begins a grace period

A host that kept an entry after one outage dropped the live upstream of it after a second one at its own first read, up to 2 s before its entry could be back.

Cause: Confirm moved the time of the view across the gap, so this host's next read saw none and counted from the grace period of the first outage, which was over. Apply refuses changes across a gap; a confirmation was taken.

Fix: a confirmation after a gap is treated like a read by this host: it begins a grace period, which the report of the other host may end earlier. No further reads are made.

Evidence: TestConfirmedReadAfterGapBeginsGracePeriod and two histories of TestFoundDepartures fail before the fix.

--- a/gateway/departures_found_test.go
+++ b/gateway/departures_found_test.go
@@ -15,6 +15,14 @@
 		{kind: rejectingStore, at: 1300 * time.Millisecond, length: 5600 * time.Millisecond, hosts: 0b1},
 		{kind: frozen, at: 4100 * time.Millisecond, length: 2800 * time.Millisecond, hosts: 0b1},
 	}},
+	"the read of another host confirms the view after a second outage": {hosts: 2, seed: 4740, commands: []command{
+		{kind: rejectingStore, at: 2000 * time.Millisecond, length: 3700 * time.Millisecond, hosts: 0b11},
+		{kind: silentStore, at: 7850 * time.Millisecond, length: 4000 * time.Millisecond, hosts: 0b11},
+	}},
+	"the read of another host confirms the view after a second outage, rejected": {hosts: 2, seed: 10318, commands: []command{
+		{kind: silentStore, at: 1500 * time.Millisecond, length: 4200 * time.Millisecond, hosts: 0b11},
+		{kind: rejectingStore, at: 7850 * time.Millisecond, length: 3100 * time.Millisecond, hosts: 0b11},
+	}},
 }
 
 // Guards against the faults that the search for late departures has found.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -212,13 +212,17 @@
 }
 
 // Confirm applies a read by another host that found entries with this digest. It reports whether they are the entries of this
-// host's newest view. If they are and readAt is newer, it becomes the view's ReadAt. Confirm must not be called concurrently
-// with Update.
+// host's newest view. If they are and readAt is newer, it becomes the view's ReadAt; after a gap, missing entries are kept as after a
+// read by this host. Confirm must not be called concurrently with Update.
 func (r *Registry) Confirm(readAt time.Time, digest uint64) bool {
 	before := r.view.Load()
 	if digest != before.digest {
 		return false
 	}
+	if readAt.Sub(before.ReadAt) > gapThreshold {
+		r.replace(readAt, before.Version, before.stored, digest)
+		return true
+	}
 	if readAt.After(before.ReadAt) {
 		confirmed := *before
 		confirmed.ReadAt = readAt
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// Guards against dropping kept entries at the first read of this host after a gap, because another host's read has confirmed the view
+// in between and the gap went unnoticed.
+func TestConfirmedReadAfterGapBeginsGracePeriod(t *testing.T) {
+	r := New()
+	r.Update(at(0), 1, []Entry{entry("a", false), entry("b", false)})
+	r.Update(at(10), 2, []Entry{entry("a", false)})
+	checkUpstreams(t, r, "ab") // b is kept
+	if !r.Confirm(at(20), r.View().Digest()) {
+		t.Fatal("a read with the same digest was not confirmed")
+	}
+	r.Update(at(20.5), 3, []Entry{entry("a", false)})
+	checkUpstreams(t, r, "ab")
+	r.Update(at(22.2), 4, []Entry{entry("a", false)})
+	checkUpstreams(t, r, "a")
+}
+
 // Guards against a grace period that lasts longer than the stable period because the first read after an outage is late, and
 // against a late reader that drops live upstreams although another host knows when the store has recovered.
 func TestGracePeriodIsLimitedByNewestFailedRead(t *testing.T) {
