gateway: reports that waited in the socket during a pause are ignored

A host that was paused as the store went away dropped live upstreams whose entries had expired at its first read afterwards.

Cause: the time of another host's read is computed from the age that its report states. A report that waited while this process did not run states too small an age: the view counted as read at the end of the pause, and the gap in the reads went unnoticed. The gossip loop knows of such datagrams and does not take them as signs of life; reports of reads were still used. Ruled out: the pause itself (no drop when the datagrams are left out).

Fix: reports of reads are ignored while datagrams may be stale: while the last tick of the loop is older than it can be, and for 0.1 s after a delay, as in package gossip. The next report comes within 1 s, and this host reads after a pause anyway.

Evidence: TestReportsThatWaitedDuringAPauseAreIgnored and a history of TestFoundDepartures fail before. Not changed: the age of the configuration that such datagrams state.

--- a/gateway/departures_found_test.go
+++ b/gateway/departures_found_test.go
@@ -23,6 +23,10 @@
 		{kind: silentStore, at: 1500 * time.Millisecond, length: 4200 * time.Millisecond, hosts: 0b11},
 		{kind: rejectingStore, at: 7850 * time.Millisecond, length: 3100 * time.Millisecond, hosts: 0b11},
 	}},
+	"reports that waited during a pause hide a gap": {hosts: 2, seed: 573, commands: []command{
+		{kind: silentStore, at: 4800 * time.Millisecond, length: 3150 * time.Millisecond, hosts: 0b11},
+		{kind: frozen, at: 4200 * time.Millisecond, length: 1650 * time.Millisecond, hosts: 0b1},
+	}},
 }
 
 // Guards against the faults that the search for late departures has found.
--- a/gateway/departures_world_test.go
+++ b/gateway/departures_world_test.go
@@ -109,6 +109,8 @@
 	at    time.Duration
 	order int
 	host  int // -1 for the store
+	// stale is true if the event has waited during a pause that is long enough to be noticed.
+	stale bool
 	run   func()
 }
 
@@ -163,7 +165,9 @@
 	// storeFailedAgain is true once the store fails while the entry of "alive" is missing. The protocol does not state then when the
 	// entry is back.
 	storeFailedAgain bool
-	violations       []violation
+	// stale is true while an event is handled that has waited during a pause.
+	stale      bool
+	violations []violation
 }
 
 // violation is a broken bound.
@@ -231,10 +235,12 @@
 	event := heap.Pop(&w.events).(searchEvent)
 	if until := w.frozenUntil(event.host); until > 0 {
 		// What waits during a pause is handled in any order afterwards.
+		event.stale = event.stale || until-w.fault(event.host, frozen).begin() > maxTickAge
 		event.at = until + w.jitter(2*time.Millisecond)
 		heap.Push(&w.events, event)
 		return true
 	}
+	w.stale = event.stale
 	event.run()
 	return true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,8 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
+	// delayEndedAt is the end of the last delay of the node's loop; nil if there was none.
+	delayEndedAt atomic.Pointer[time.Time]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
 	// registryUpdates carries reads of the upstreams that other hosts have reported.
@@ -381,7 +383,7 @@
 		g.lag.observe(g.logger, now, m.Host, m.Configuration, version)
 		notify(g.rereadConfiguration)
 	}
-	if m.Registry.Digest != 0 {
+	if m.Registry.Digest != 0 && !g.updatesMayBeStale(now) {
 		g.receiveRegistryUpdate(registryUpdate{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
 	}
 }
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -338,6 +338,31 @@
 	}
 }
 
+// Guards against a read of another host that appears recent because its report waited in the socket during a pause of this process.
+func TestReportsThatWaitedDuringAPauseAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOutage(t, 0)
+		time.Sleep(5 * time.Second)
+		o.source.set(func() { o.source.rejects = true })
+		time.Sleep(time.Second)
+		view := o.g.router.registry.View()
+		report := func() {
+			o.g.receiveState(time.Now(), &gossip.Message{Registry: gossip.RegistryState{Digest: view.Digest(), Synced: true}})
+			time.Sleep(time.Millisecond)
+		}
+		o.g.delayEndedAt.Store(new(time.Now()))
+		report()
+		if !o.g.router.registry.View().ReadAt.Equal(view.ReadAt) {
+			t.Error("a report right after a pause has confirmed the view")
+		}
+		time.Sleep(staleUpdatePeriod)
+		report()
+		if o.g.router.registry.View().ReadAt.Equal(view.ReadAt) {
+			t.Error("a later report has not confirmed the view")
+		}
+	})
+}
+
 // Guards against a host that is paused while its reads fail and then waits before it reads again, although the store has recovered.
 func TestReadAfterAPauseIsNotDelayedByFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -15,6 +15,10 @@
 	maxHoldAfterPause = 300 * time.Millisecond
 	// holdCheckInterval is the interval between checks whether the reads have finished.
 	holdCheckInterval = 3 * time.Millisecond
+	// maxTickAge is the time since the newest tick of the node's loop above which this process may be resuming from a pause.
+	maxTickAge = 400 * time.Millisecond
+	// staleUpdatePeriod is the time after a delay of the node's loop for which received datagrams may have waited in the socket.
+	staleUpdatePeriod = 100 * time.Millisecond
 )
 
 // minPause is the length above which a pause is handled. 0 disables the handling of pauses.
@@ -30,11 +34,19 @@
 // loopDelayed handles a delay of the control loop.
 func (g *Gateway) loopDelayed(by time.Duration) {
 	g.log.loopDelayed(by)
+	g.delayEndedAt.Store(new(time.Now()))
 	if limit := g.minPause(); limit > 0 && by > limit {
 		g.recordPause(time.Now())
 	}
 }
 
+// updatesMayBeStale reports whether the datagrams that are received now may have waited in the socket while this process did not run.
+// What they state as the age of a read is too small then.
+func (g *Gateway) updatesMayBeStale(now time.Time) bool {
+	delayEnd := g.delayEndedAt.Load()
+	return g.node.SinceLastTick(now) > maxTickAge || (delayEnd != nil && now.Sub(*delayEnd) < staleUpdatePeriod)
+}
+
 // recordPause records that this process was paused until now, and triggers reads of the configuration and the upstreams. Further
 // calls for the same pause have no effect.
 func (g *Gateway) recordPause(now time.Time) {
