--- a/gateway/registry/doc.go
+++ b/gateway/registry/doc.go
@@ -9,5 +9,10 @@
 // latter and is limited by the former, unless a report of another host states its end more precisely. It ends at once if another
 // host has read the store without a gap.
 //
+// The bound: a host sends no request to an upstream later than Bounds.MaxLeavingDelay after the store has acknowledged that it leaves or
+// is removed, nor, if that is later, later than Bounds.StablePeriod after the store, this host, and the path between them have last
+// returned from a disturbance. It holds whatever other hosts report, provided that their reports arrive within 0.8 s. The search for late
+// departures in package gateway checks it.
+//
 // The package does no I/O and takes the time as an argument.
 package registry
