registry: an entry whose address another upstream has taken is not used

What callers saw: requests that were offered to an upstream that had ended and were answered 421 by its successor, until the old entry expired after three heartbeat intervals; each costs an attempt.

Cause: an upstream that crashed keeps its entry while its successor has one with the same address. A 421 took the old one out of use only until the next read, which brought it back.

Fix, in package registry: of two entries at one address the process that was started later wins as soon as this host has read it, whatever its service or state (change "superseded"). Where a start time is missing, or both are equal, both stay in use until a response decides. A 421 takes the process (id, address, start) out of use at this host until a read shows another process under the id, or no entry (change "misdirected"); if that was the later one, the other returns at once. With a missing start time, a process that returns under the same id at the same address while its old entry never disappears stays out of use. The digest and the changes that hosts tell each other stay those of the store. Views are now replaced under a lock, since a rejection could be lost beside a read. Hosts do not tell each other of a 421: with start times it saves nothing, and each host loses one attempt without them.

--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -27,6 +27,7 @@
 		{kind: removed, at: 2500 * time.Millisecond, amount: 4 * time.Second},
 		{kind: removed, at: 3100 * time.Millisecond, amount: time.Second},
 		{kind: draining, at: 2500 * time.Millisecond},
+		{kind: replaced, at: 2500 * time.Millisecond},
 	}
 }
 
@@ -66,8 +67,12 @@
 	h := &history{hosts: 1 + random.IntN(4), seed: seed}
 	all := 1<<h.hosts - 1
 	h.commands = append(h.commands, command{kind: removed, at: grid(6 * time.Second), amount: grid(5 * time.Second)})
-	if random.IntN(3) == 0 {
+	switch random.IntN(4) {
+	case 0:
 		h.commands[0] = command{kind: draining, at: grid(6 * time.Second)}
+	case 1:
+		h.commands[0] = command{kind: replaced, at: grid(6 * time.Second)}
+	default:
 	}
 	kinds := []commandKind{silentStore, rejectingStore, slowStore, lostDatagrams, lateDatagrams, isolated, frozen, restarted}
 	for range 1 + random.IntN(5) {
--- a/gateway/follow_upstreams.go
+++ b/gateway/follow_upstreams.go
@@ -96,7 +96,7 @@
 func (s *syncer) handleRegistryChanges(changes []registry.Change, version uint64, from string) {
 	for _, change := range changes {
 		line := s.logger.Info().Str("event", "upstream").Str("upstream", string(change.Upstream)).
-			Str("service", string(change.Service)).Str("change", change.Kind).Uint64("store_version", version)
+			Str("service", string(change.Service)).Str("change", string(change.Kind)).Uint64("store_version", version)
 		if from != "" {
 			line = line.Str("from", from)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,7 +190,7 @@
 	})
 	g.router.queueNotices, g.router.queueLocalNotices, g.router.queueLoad = g.node.QueueNotices, g.node.QueueLocalNotices, g.node.QueueLoad
 	g.router.onBreakerChange, g.router.onConnectionLost = g.log.breakerChanged, g.log.connectionLost
-	g.router.onSignal = g.log.upstreamSignals
+	g.router.onSignal, g.router.onMisdirected = g.log.upstreamSignals, g.log.upstreamMisdirected
 	return nil
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
+	"github.com/bronzeyard/bronzeyard/gateway/registry"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
@@ -146,6 +147,13 @@
 	}
 }
 
+// upstreamMisdirected logs that an upstream is taken out of use because another one has responded at its address. It happens once for
+// each process of an upstream.
+func (d *decisionLog) upstreamMisdirected(upstream *settings.Upstream) {
+	d.logger.Info().Str("event", "upstream").Str("upstream", string(upstream.ID)).Str("change", string(registry.Misdirected)).
+		Str("address", upstream.Address).Int64("incarnation", upstream.Incarnation).Send()
+}
+
 // connectionLost logs a connection to an upstream that broke together with connections to other upstreams, which indicates a
 // fault of this host.
 func (d *decisionLog) connectionLost(upstream settings.UpstreamID) {
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,8 +47,8 @@
 	// upstreams are sorted by ID.
 	upstreams map[settings.ServiceName][]settings.Upstream
 	known     map[settings.UpstreamID]Entry
-	// stored is what the store held at the read. Unlike known, it does not hold kept entries, and it still holds upstreams
-	// that were dropped by Remove.
+	// stored is what the store held at the read. Unlike known, it does not hold kept entries, and it holds entries that are superseded or
+	// misdirected.
 	stored map[settings.UpstreamID]Entry
 	// digest is the digest of stored.
 	digest uint64
@@ -80,13 +81,34 @@
 type Change struct {
 	Upstream settings.UpstreamID
 	Service  settings.ServiceName
-	// Kind is "added", "leaving", "removed" or "kept" (missing after a gap).
-	Kind string
+	Kind     ChangeKind
 }
 
+// ChangeKind is the kind of a Change.
+type ChangeKind string
+
+const (
+	// Added upstreams are new in the view.
+	Added ChangeKind = "added"
+	// Leaving upstreams have an entry that states that they leave.
+	Leaving ChangeKind = "leaving"
+	// Removed upstreams no longer have an entry.
+	Removed ChangeKind = "removed"
+	// Kept upstreams have no entry after a gap in the reads.
+	Kept ChangeKind = "kept"
+	// Superseded upstreams have an entry with the address of an upstream that was started later.
+	Superseded ChangeKind = "superseded"
+	// Misdirected upstreams have an entry with the address of an upstream that has rejected a request for them.
+	Misdirected ChangeKind = "misdirected"
+)
+
 // Registry holds the newest View. Update must not be called concurrently.
 type Registry struct {
 	view atomic.Pointer[View]
+	// mu is held while view is replaced. It protects misdirected.
+	mu sync.Mutex
+	// misdirected holds processes of upstreams at whose addresses other upstreams have responded, while the store has their entries.
+	misdirected map[settings.UpstreamID]process
 	// kept holds the entries that were missing in the first read after a gap and in each read since. The first read at or after
 	// the end of the grace period drops them.
 	kept map[settings.UpstreamID]bool
@@ -144,6 +166,8 @@
 
 // replace stores a new view that consists of the entries of a read and the kept ones.
 func (r *Registry) replace(startedAt time.Time, version uint64, stored map[settings.UpstreamID]Entry, digest uint64) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	before := r.view.Load()
 	gap := !before.ReadAt.IsZero() && startedAt.Sub(before.ReadAt) > gapThreshold
 	if gap || before.ReadAt.IsZero() {
@@ -169,20 +193,26 @@
 		if gap && !expired && !entry.Upstream.Leaving {
 			r.kept[id] = true
 		}
-		kind := "removed"
+		kind := Removed
 		if r.kept[id] && !addressReused(known, entry) {
 			known[id] = entry
-			kind = "kept"
+			kind = Kept
 		}
 		changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: kind})
 	}
+	r.forgetMisdirected(stored)
+	for id, kind := range r.removeUnused(known) {
+		if entry, ok := before.known[id]; ok {
+			changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: kind})
+		}
+	}
 	for id, entry := range known {
 		old, ok := before.known[id]
 		switch {
 		case !ok:
-			changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: "added"})
+			changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: Added})
 		case entry.Upstream.Leaving && !old.Upstream.Leaving:
-			changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: "leaving"})
+			changes = append(changes, Change{Upstream: id, Service: entry.Service, Kind: Leaving})
 		}
 	}
 	r.view.Store(newView(startedAt, version, known, stored, digest))
@@ -200,17 +230,6 @@
 	return false
 }
 
-// Remove drops an upstream from the view without a read, because another upstream has responded at its address.
-func (r *Registry) Remove(id settings.UpstreamID) {
-	before := r.view.Load()
-	if _, ok := before.known[id]; !ok {
-		return
-	}
-	known := maps.Clone(before.known)
-	delete(known, id)
-	r.view.CompareAndSwap(before, newView(before.ReadAt, before.Version, known, before.stored, before.digest))
-}
-
 // Confirm applies a read by another host that found entries with this digest. It reports whether they are the entries of this
 // host's newest view. If they are and readAt is newer, it becomes the view's ReadAt; after a gap, missing entries are kept as after a
 // read by this host. Confirm must not be called concurrently with Update.
@@ -224,9 +243,11 @@
 		return true
 	}
 	if readAt.After(before.ReadAt) {
-		confirmed := *before
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		confirmed := *r.view.Load()
 		confirmed.ReadAt = readAt
-		r.view.CompareAndSwap(before, &confirmed)
+		r.view.Store(&confirmed)
 	}
 	return true
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -91,6 +91,8 @@
 	onBreakerChange func(id settings.UpstreamID, open bool, cause, from string)
 	// onSignal is called when an upstream has asked for something that it had not asked for before.
 	onSignal func(settings.UpstreamID, placement.Signals)
+	// onMisdirected is called when an upstream is taken out of use because another one has responded at its address.
+	onMisdirected func(*settings.Upstream)
 	// onConnectionLost is called for a connection to an upstream that broke together with connections to other upstreams.
 	onConnectionLost func(settings.UpstreamID)
 
@@ -103,7 +105,7 @@
 	return &router{
 		self: self, dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
 		retries:  quota.New(),
-		onSignal: func(settings.UpstreamID, placement.Signals) {},
+		onSignal: func(settings.UpstreamID, placement.Signals) {}, onMisdirected: func(*settings.Upstream) {},
 		services: make(map[settings.ServiceName]*serviceState),
 	}
 }
@@ -222,7 +224,9 @@
 	case relay.NotConnected:
 		r.report(id, breaker.Unreachable)
 	case relay.WrongInstance:
-		r.registry.Remove(id)
+		if r.registry.Misdirected(upstream) {
+			r.onMisdirected(upstream)
+		}
 	case relay.TimedOut:
 		// A time-out after a short time limit is no evidence against the upstream. Before one after a long time limit, the attempt
 		// has already been reported as overdue.
