registry: a pause that is noticed after the first read does not shorten the grace period

Fix: RecordPause also lifts the limit of a grace period that has begun in the meantime, up to the end that a timely host would have.

--- a/gateway/departures_found_test.go
+++ b/gateway/departures_found_test.go
@@ -15,6 +15,11 @@
 		{kind: rejectingStore, at: 1300 * time.Millisecond, length: 5600 * time.Millisecond, hosts: 0b1},
 		{kind: frozen, at: 4100 * time.Millisecond, length: 2800 * time.Millisecond, hosts: 0b1},
 	}},
+	"a pause is noticed after the first read that follows it": {hosts: 3, seed: 1000734, commands: []command{
+		{kind: rejectingStore, at: 1500 * time.Millisecond, length: 3450 * time.Millisecond, hosts: 0b111},
+		{kind: isolated, at: 4200 * time.Millisecond, length: 150 * time.Millisecond, hosts: 0b100},
+		{kind: frozen, at: 4100 * time.Millisecond, length: 1000 * time.Millisecond, hosts: 0b111},
+	}},
 	"the read of another host confirms the view after a second outage": {hosts: 2, seed: 4740, commands: []command{
 		{kind: rejectingStore, at: 2000 * time.Millisecond, length: 3700 * time.Millisecond, hosts: 0b11},
 		{kind: silentStore, at: 7850 * time.Millisecond, length: 4000 * time.Millisecond, hosts: 0b11},
--- a/gateway/registry/outage.go
+++ b/gateway/registry/outage.go
@@ -60,7 +60,7 @@
 }
 
 // RecordFailure records that a read that began at startedAt has failed: the store, or this host's path to it, has not been stable
-// before that time. It also records that this process was paused until startedAt, which hides the recovery of the store. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
+// before that time. stablePeriod is the time after the recovery of the store from which on missing entries must no longer be used;
 // 0 means that there is no such time. RecordFailure must not be called concurrently with Update.
 func (r *Registry) RecordFailure(startedAt time.Time, stablePeriod time.Duration) {
 	if stablePeriod <= 0 || startedAt.Before(r.failedAt) {
@@ -70,6 +70,20 @@
 	r.keepLimit = startedAt.Add(max(stablePeriod-keepMargin, gracePeriod))
 }
 
+// RecordPause records that this process was paused until endedAt, which hides the recovery of the store as a failed read does. A grace
+// period that has begun in the meantime is no longer limited by earlier failures: the read that began it may be handled before the pause is
+// noticed. RecordPause must not be called concurrently with Update.
+func (r *Registry) RecordPause(endedAt time.Time, stablePeriod time.Duration) {
+	r.RecordFailure(endedAt, stablePeriod)
+	g := r.grace.Load()
+	if g == nil || !endedAt.Before(g.keptUntil) {
+		return
+	}
+	if until := earlier(g.syncedAt, r.keepLimit); g.keptUntil.Before(until) {
+		r.grace.Store(&grace{syncedAt: g.syncedAt, keptUntil: until})
+	}
+}
+
 // grace describes the time after the start, or after a gap in the reads, in which entries of live upstreams may be missing.
 type grace struct {
 	// syncedAt is the time from which on no live upstream is missing.
--- a/gateway/upstreamreader.go
+++ b/gateway/upstreamreader.go
@@ -229,7 +229,7 @@
 // and makes a read due now. A pause may hide the recovery of the store for longer than a failed read does.
 func (r *upstreamReader) resume(now time.Time, c readConditions) {
 	r.pending, r.dueAt = nil, now
-	r.registry.RecordFailure(now, c.bounds.StablePeriod)
+	r.registry.RecordPause(now, c.bounds.StablePeriod)
 	r.trigger(now)
 }
 
