--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
-	// lastDelay is the last time for which the control loop did not run although it was due.
+	// lastDelay is the last time for which the control loop did not run although it was due; nil if there was none.
 	lastDelay atomic.Pointer[loopDelay]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
@@ -193,7 +193,7 @@
 	})
 	g.router.queueNotices, g.router.queueLocalNotices, g.router.queueLoad = g.node.QueueNotices, g.node.QueueLocalNotices, g.node.QueueLoad
 	g.router.onBreakerChange, g.router.onConnectionLost = g.log.breakerChanged, g.log.connectionLost
-	g.router.onSignal = g.log.upstreamSignals
+	g.router.onSignal, g.router.onMisdirected = g.log.upstreamSignals, g.log.upstreamMisdirected
 	return nil
 }
 
@@ -393,7 +393,7 @@
 		g.lag.observe(g.logger, now, m.Host, m.Configuration, version)
 		notify(g.rereadConfiguration)
 	}
-	if m.Registry.Digest != 0 {
+	if m.Registry.Digest != 0 && !g.updatesMayBeStale(now) {
 		g.receiveRegistryUpdate(registryUpdate{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
 	}
 }
