--- a/gateway/confsync/confsync.go
+++ b/gateway/confsync/confsync.go
@@ -26,6 +26,8 @@
 	maxCompressedBytes = 16 << 10
 	// maxConfigurationBytes bounds a decompressed configuration from another host.
 	maxConfigurationBytes = 4 << 20
+	// MaxHeaderBytes limits the headers of requests and responses between hosts. The default of net/http for responses is 10 MB.
+	MaxHeaderBytes = 4 << 10
 	// fetchTimeout bounds one request to another host, including the response body.
 	fetchTimeout = 300 * time.Millisecond
 	// maxConcurrentRequests bounds the requests that a host serves at the same time.
@@ -97,6 +99,7 @@
 	dialer := &net.Dialer{Timeout: fetchTimeout}
 	return &Client{http: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}}
 }
 
--- a/gateway/confsync/confsync_test.go
+++ b/gateway/confsync/confsync_test.go
@@ -82,3 +82,16 @@
 		}
 	}
 }
+
+// Guards against a faulty host that fills the memory of another one with the header of its response.
+func TestLongResponseHeaderIsRejected(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 64<<10))
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}))
+	t.Cleanup(server.Close)
+	_, err := NewClient().Fetch(t.Context(), strings.TrimPrefix(server.URL, "http://"), key)
+	if err == nil || errors.Is(err, ErrTooLarge) {
+		t.Errorf("Fetch returned error %v, want one about the length of the header", err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,6 +226,7 @@
 	router.Path(confsync.Path).Methods(http.MethodGet).Handler(confsync.NewHandler(key, compressed))
 	return &http.Server{
 		Handler: router, ReadHeaderTimeout: settingsHeaderTimeout, IdleTimeout: settingsHeaderTimeout,
+		ReadTimeout: settingsHeaderTimeout, WriteTimeout: settingsHeaderTimeout, MaxHeaderBytes: confsync.MaxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0), // the requesting host logs failures
 	}
 }
