--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -73,6 +73,7 @@
 	errAttemptEnded        = errors.New("attempt ended")
 	errRequestIDMismatch   = errors.New("response carries the request id of another request")
 	errRequestIDMissing    = errors.New("response does not carry the request id")
+	errMergedResponses     = errors.New("response header contains the status line of another response")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
 	errNoMemory            = errors.New("the budget of buffered bodies has no memory for the response")
 	errUnknownLength       = errors.New("the response has no length, and the budget of buffered bodies has no memory for more of it")
