forward: a response in tiny chunks without an end is broken

Cause: a chunk of one byte takes six bytes and a call of the parser, and net/http accepts them up to any number. An attempt read up to 16 MiB of body, which are 96 MiB on the connection.

Change: a body that takes more than four times its size and 128 KiB on the connection is broken. Chunks of two bytes or more and short bodies are not affected.

--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -133,7 +133,7 @@
 		return err
 	}
 	buffer := make([]byte, 0, first)
-	reader := &idleTimeoutReader{body: r.httpResponse.Body, attempt: r.attempt}
+	reader := r.attempt.newReader(r.httpResponse.Body)
 	defer reader.stop()
 	for {
 		if len(buffer) == cap(buffer) && r.ContentLength < 0 {
@@ -265,7 +265,7 @@
 	}
 	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buffer)
-	reader := &idleTimeoutReader{body: r.httpResponse.Body, attempt: r.attempt}
+	reader := r.attempt.newReader(r.httpResponse.Body)
 	defer reader.stop()
 	for {
 		n, err := reader.Read(buffer[:])
@@ -290,12 +290,40 @@
 // Trailer returns the trailers. They are complete once the response was read to its end.
 func (r *Response) Trailer() http.Header { return r.httpResponse.Trailer }
 
-// idleTimeoutReader limits the time of each Read to Options.IdleTimeout. The time between reads, which the caller takes to
-// accept the data, does not count.
+const (
+	// maxFramingFactor limits the bytes on the connection for each byte of a body. Chunks of one byte take six, and parsing them takes
+	// so much processor time that an upstream that sends them without an end takes it from all others.
+	maxFramingFactor = 4
+	// framingAllowance is the number of bytes on the connection to which maxFramingFactor does not apply: the trailers, and a short body
+	// in small chunks.
+	framingAllowance = 128 << 10
+)
+
+// idleTimeoutReader limits the time of each Read to Options.IdleTimeout, and the bytes on the connection for each byte of the body. The
+// time between reads, which the caller takes to accept the data, does not count.
 type idleTimeoutReader struct {
-	body    io.Reader
-	attempt *attempt
-	timer   *time.Timer
+	body     io.Reader
+	attempt  *attempt
+	timer    *time.Timer
+	conn     *countedConn // nil if it is of another type
+	received int64        // bytes read from the connection before the body
+	read     int64        // bytes of the body
+}
+
+func (a *attempt) newReader(body io.Reader) *idleTimeoutReader {
+	reader := &idleTimeoutReader{body: body, attempt: a, conn: a.connection().conn}
+	if reader.conn != nil {
+		reader.received = reader.conn.received.Load()
+	}
+	return reader
+}
+
+// checkFraming returns an error if the body takes too many bytes on the connection.
+func (r *idleTimeoutReader) checkFraming() error {
+	if r.conn != nil && r.conn.received.Load()-r.received > framingAllowance+maxFramingFactor*r.read {
+		return errFraming
+	}
+	return nil
 }
 
 // Read implements io.Reader.
@@ -309,6 +337,10 @@
 	}
 	n, err := r.body.Read(p)
 	r.timer.Stop()
+	r.read += int64(n)
+	if err == nil {
+		return n, r.checkFraming()
+	}
 	if err != nil && err != io.EOF && context.Cause(r.attempt.ctx) != nil {
 		return n, context.Cause(r.attempt.ctx)
 	}
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -78,15 +78,17 @@
 	return false
 }
 
-// countedConn counts the bytes written, to distinguish a request that never left this host from one that may have run.
+// countedConn counts the bytes written, to distinguish a request that never left this host from one that may have run, and the bytes
+// read, to find responses that consist of little but the framing of their chunks.
 type countedConn struct {
 	net.Conn
 	number   uint64       // identifies the connection in this process, from 1
 	requests atomic.Int64 // requests that were assigned to the connection
 	// ids holds the hashes of the ids that the connection was assigned, at most maxIDsPerConnection. http.Transport assigns a
 	// connection to one request at a time, so it needs no lock.
-	ids  []uint64
-	sent sentCounter
+	ids      []uint64
+	sent     sentCounter
+	received atomic.Int64 // bytes read
 }
 
 // assign counts a request that is about to be sent, and returns what the connection was before it.
@@ -119,7 +121,14 @@
 // request would get the response to the one before it. Writes are blocked because http.Transport may just be assigning it.
 func (c *countedConn) discard() {
 	c.sent.block()
-	_ = c.Conn.Close() // http.Transport reports that the connection has ended
+	_ = c.Close() // http.Transport reports that the connection has ended
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -75,6 +75,7 @@
 	errRequestIDMissing    = errors.New("response does not carry the request id")
 	errMergedResponses     = errors.New("response header contains the status line of another response")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
+	errFraming             = errors.New("the chunks of the response have too few bytes")
 	errNoMemory            = errors.New("the budget of buffered bodies has no memory for the response")
 	errUnknownLength       = errors.New("the response has no length, and the budget of buffered bodies has no memory for more of it")
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
