--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
@@ -275,6 +276,12 @@
 	LogLinesSkipped      int64
 	// UpstreamsLeaving have stated that they leave, and UpstreamsInBackoff ask for no requests from this host now.
 	UpstreamsLeaving, UpstreamsInBackoff int
+	// BufferedBytes is the size of the buffered bodies of requests and responses, and BufferedLimit its bound.
+	BufferedBytes, BufferedLimit int64
+	// ResponsesWaiting is the number of responses of upstreams that wait for memory.
+	ResponsesWaiting int
+	// RuntimeBytes is the memory that the Go runtime holds for the whole process, with garbage and free memory that it keeps.
+	RuntimeBytes uint64
 }
 
 // Status returns the current state of the host.
@@ -295,10 +302,20 @@
 		}
 	}
 	status.UpstreamsLeaving, status.UpstreamsInBackoff = g.router.refusingUpstreams(now)
+	budget := g.forwarder.Budget()
+	status.BufferedBytes, status.BufferedLimit, status.ResponsesWaiting = budget.Used(), budget.Limit(), budget.Waiting()
+	status.RuntimeBytes = runtimeBytes()
 	status.DatagramsSent, status.DatagramsRejected, status.DatagramsRepeated = g.node.Counters()
 	return status
 }
 
+// runtimeBytes returns the memory that the Go runtime holds and has not returned to the operating system, as bounded by its limit.
+func runtimeBytes() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+}
+
 // maxHostsWait is how long a host that has a configuration waits for the records of the other hosts before it serves.
 const maxHostsWait = time.Second
 
