gateway: a line and the id for requests that are rejected while they are read

A caller that got 400, 408, 413, 431 or 503 for a request that was not read whole could not be told why: no line of the log named it, its response had an empty X-Request-Id, and the 503 for want of memory said nothing on when to come back.

Cause: pipeline.Options.Reject knew only the kind of the rejection.

It is now given the request as far as it was read.

The harnesses of gateway/pipeline and gateway/relay (memory_test.go) have the new signature of Reject; nothing else in them changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
-	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -74,6 +73,7 @@
 	router         *router
 	limiter        *quota.Limiter
 	forwarder      *forward.Forwarder
+	budget         *forward.BufferBudget
 	server         *pipeline.Server
 	node           *gossip.Node
 	listener       net.Listener
@@ -133,6 +133,7 @@
 		buffers = options.MemoryBytes / bufferDivisor
 	}
 	budget := forward.NewBufferBudget(buffers)
+	g.budget = budget
 	g.forwarder = forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
 		AllowCloseDelimited: true, RequireRequestID: true, ConnectTimeout: connectTimeout, IdleConnTimeout: idleConnTimeout,
@@ -148,7 +149,7 @@
 		return handler.Serve(ctx, request)
 	}
 	g.server = pipeline.New(pipeline.Options{
-		Handler: serve, Limits: g.limits, Reject: reject, Budget: budget, MaxConnections: options.Connections,
+		Handler: serve, Limits: g.limits, Reject: g.reject, Budget: budget, MaxConnections: options.Connections,
 		ResponseWritten: g.responseWritten,
 	})
 	return g, g.listen(ctx)
@@ -345,30 +346,6 @@
 	return defaultLimits
 }
 
-// reject returns the response to a request that cannot be read.
-func reject(rejection pipeline.Rejection) *pipeline.Response {
-	kind := errkind.RequestMalformed
-	switch rejection {
-	case pipeline.HeaderTooLarge:
-		kind = errkind.HeaderTooLarge
-	case pipeline.BodyTooLarge:
-		kind = errkind.RequestTooLarge
-	case pipeline.HeaderTimedOut, pipeline.BodyTimedOut:
-		kind = errkind.RequestTimeout
-	case pipeline.BudgetExhausted:
-		kind = errkind.Overloaded
-	case pipeline.ShuttingDown:
-		kind = errkind.ShuttingDown
-	case pipeline.Malformed:
-	}
-	rejected := &errkind.Error{Kind: kind}
-	if kind == errkind.ShuttingDown {
-		rejected.RetryAfter = relay.ShutdownRetryAfter
-	}
-	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
-	return &pipeline.Response{Status: status, Header: header, Body: body}
-}
-
 // receive processes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
 	if !m.Stale {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 	"github.com/bronzeyard/bronzeyard/gateway/placement"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
@@ -66,6 +67,16 @@
 	line.Array("attempts", attempts(e.Attempts)).Send()
 }
 
+// rejected logs a request that was not read completely. buffered is the size of the bodies and headers in the memory budget.
+func (d *decisionLog) rejected(id string, reason pipeline.Rejection, status int, buffered int64) {
+	if !d.failures.Allow() {
+		d.skipped.Add(1)
+		return
+	}
+	d.logger.Info().Str("event", "request_rejected").Str("id", id).Stringer("reason", reason).Int("status", status).
+		Int64("buffered_bytes", buffered).Send()
+}
+
 // lateWriteThreshold is the time from the return of a response by the handler to the write of its last byte from which the write
 // counts as late. Earlier responses on the connection, or the connection itself, delayed it.
 const lateWriteThreshold = 100 * time.Millisecond
--- a/gateway/pipeline/pipeline_test.go
+++ b/gateway/pipeline/pipeline_test.go
@@ -36,7 +36,7 @@
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
 		},
-		Reject: func(r Rejection) *Response {
+		Reject: func(r Rejection, _ *http.Request) *Response {
 			return &Response{Status: 400 + int(r), Header: http.Header{}, Body: []byte("rejected")}
 		},
 		Budget: forward.NewBufferBudget(1 << 20), MaxConnections: harnessConnections,
--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -31,13 +31,13 @@
 	begin := c.consumed()
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return c.reject(headerRejection(c.limited))
+		return c.reject(headerRejection(c.limited), nil)
 	}
 	headerBytes := c.consumed() - begin
 	c.limited.remaining = math.MaxInt64
 	request := &Request{HTTP: parsed, ReadAt: time.Now()}
 	if rejection := c.readBody(request, limits.BodyBytes, last); rejection != 0 {
-		return c.reject(rejection)
+		return c.reject(rejection, parsed)
 	}
 	e := newExchange()
 	e.request, e.headerBytes = request, headerBytes
@@ -89,7 +89,7 @@
 }
 
 // reject returns an exchange whose response is ready, or nil if the rejection is 0.
-func (c *conn) reject(rejection Rejection) *exchange {
+func (c *conn) reject(rejection Rejection, request *http.Request) *exchange {
 	if rejection == 0 {
 		return nil
 	}
@@ -98,7 +98,7 @@
 	}
 	e := newExchange()
 	e.close, e.barrier = true, true
-	response := c.server.options.Reject(rejection)
+	response := c.server.options.Reject(rejection, request)
 	response.Close = true
 	e.response <- response
 	return e
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -52,7 +52,8 @@
 // Rejection is the reason why a request did not reach the handler.
 type Rejection int
 
-// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the body, and ShuttingDown that the
+// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the header or
+// the body, and ShuttingDown that the
 // request had not arrived completely when the server stopped to wait for it.
 const (
 	Malformed Rejection = iota + 1
@@ -64,15 +65,28 @@
 	ShuttingDown
 )
 
+// String returns the name of the rejection in lower case with underscores.
+func (r Rejection) String() string {
+	names := [...]string{
+		"invalid", "malformed", "header_too_large", "header_timed_out", "body_too_large", "body_timed_out", "memory_exhausted",
+		"shutting_down",
+	}
+	if r < 0 || int(r) >= len(names) {
+		return names[0]
+	}
+	return names[r]
+}
+
 // Options configures a Server.
 type Options struct {
 	// Handler handles the requests. Required.
 	Handler Handler
 	// Limits returns the current limits. It is called for each request. Required.
 	Limits func() Limits
-	// Reject returns the response to a request that does not reach the handler. The connection is closed after it. Required.
-	Reject func(Rejection) *Response
-	// Budget bounds the memory of request bodies. Required.
+	// Reject returns the response to a request that does not reach the handler. The request is nil if its header was not read. The
+	// connection is closed after the response. Required.
+	Reject func(Rejection, *http.Request) *Response
+	// Budget bounds the memory of request bodies and of large headers. Required.
 	Budget *forward.BufferBudget
 	// ResponseWritten is called when a response of the handler was written or its write failed, but not if the connection ended
 	// before the write; after is the time since the handler returned it. ResponseWritten must not block. Default none.
--- a/gateway/pipeline/slow_test.go
+++ b/gateway/pipeline/slow_test.go
@@ -43,7 +43,9 @@
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 8 << 10, BodyBytes: slowBudgetBytes / 2, HeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
 		},
-		Reject: func(r Rejection) *Response { return &Response{Status: 400 + int(r), Header: http.Header{}} },
+		Reject: func(r Rejection, _ *http.Request) *Response {
+			return &Response{Status: 400 + int(r), Header: http.Header{}}
+		},
 		Budget: r.budget,
 	})
 	var accepted net.Conn
--- a/gateway/relay/memory_test.go
+++ b/gateway/relay/memory_test.go
@@ -83,7 +83,7 @@
 		Limits: func() pipeline.Limits {
 			return pipeline.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 		},
-		Reject: func(pipeline.Rejection) *pipeline.Response {
+		Reject: func(pipeline.Rejection, *http.Request) *pipeline.Response {
 			return &pipeline.Response{Status: 400, Header: http.Header{}}
 		},
 	})
