pipeline: large headers count towards the memory budget

Callers that send headers of the greatest size in many short fields took 0.25 MB of memory for 16 KB, running, waiting or incomplete, and 4 MB on a connection with 16 of them behind a booking. Nothing bounded that: 4096 connections are allowed, and a machine of the grown sites has 536 MB. An idle connection kept a write buffer of 4 KB.

Cause: only bodies were counted, and of waiting headers the bytes on the wire. A parsed header with many fields is some 17 times larger.

A header counts with its bytes and 160 bytes a line while it is read, before it is parsed, and a field after that. What is above 8 KB is a part of the memory budget, so that requests of the usual size are served while bodies use up the budget; of headers that wait behind others all is. A request for which there is no memory gets 503, which is true. Write buffers come from a pool.

Bound: connections x (4 KB read buffer + 8 KB + stacks) + the budget.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -58,18 +58,16 @@
 
 // exchange is one request and its response.
 type exchange struct {
-	method      string
-	close       bool // the caller wants the connection closed after the response
-	inFlight    bool // the request counts as in flight and may start
-	response    chan *Response
-	request     *Request      // nil for a request that was rejected
-	readyAt     time.Time     // when the handler returned the response
-	written     chan struct{} // closed when the exchange has ended, answered or not
-	barrier     bool          // no later request may start before the response was written
-	headerBytes int64         // size of the request without its body
-	// heldBytes is the size of a request that was read behind others. Its header is a part of the memory budget then, as its body
-	// always is.
-	heldBytes int64
+	method    string
+	close     bool // the caller wants the connection closed after the response
+	inFlight  bool // the request counts as in flight and may start
+	response  chan *Response
+	request   *Request      // nil for a request that was rejected
+	readyAt   time.Time     // when the handler returned the response
+	written   chan struct{} // closed when the exchange has ended, answered or not
+	barrier   bool          // no later request may start before the response was written
+	memory    *headerMemory // nil for a request that was rejected
+	heldBytes int64         // size of a request that was read behind others
 }
 
 func newConn(ctx context.Context, s *Server, accepted net.Conn) *conn {
@@ -157,18 +155,18 @@
 	return true
 }
 
-// hold accounts for a request that is read while earlier ones are not answered. It reports false if the connection may hold no
-// further request.
+// hold accounts for a request that is read while earlier ones are not answered: the budget contains its whole header. It reports false
+// if the connection may hold no further request.
 func (c *conn) hold(e *exchange) bool {
-	size := e.headerBytes
-	if e.request != nil {
-		size += int64(cap(e.request.Body))
-	}
-	if c.unsent >= c.server.options.MaxPipelined || c.heldBytes+size > maxHeldBytes {
+	if c.unsent >= c.server.options.MaxPipelined {
 		return false
 	}
-	if !c.server.options.Budget.Reserve(e.headerBytes) {
-		return false
+	size := int64(0)
+	if e.request != nil {
+		size = e.memory.size + int64(cap(e.request.Body))
+		if c.heldBytes+size > maxHeldBytes || !e.memory.set(e.memory.size, 0) {
+			return false
+		}
 	}
 	e.heldBytes = size
 	c.heldBytes += size
@@ -255,13 +253,13 @@
 // end ends an exchange and returns its share of the memory budget.
 func (c *conn) end(e *exchange) {
 	close(e.written)
+	if e.memory != nil {
+		e.memory.release()
+	}
 	if !e.inFlight {
 		return
 	}
 	c.server.inFlight.Add(-1)
-	if e.heldBytes > 0 {
-		c.server.options.Budget.Release(e.headerBytes)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heldBytes -= e.heldBytes
--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -28,23 +28,47 @@
 	}
 	c.startHeaderTimeout(limits.HeaderTimeout)
 	c.limited.remaining = limits.HeaderBytes + headerSlack
-	begin := c.consumed()
-	parsed, err := http.ReadRequest(c.reader)
-	if err != nil {
-		return c.reject(headerRejection(c.limited), nil)
+	memory := &headerMemory{budget: c.server.options.Budget}
+	parsed, rejection := c.readHeader(memory)
+	if parsed == nil {
+		memory.release()
+		return c.reject(rejection, nil)
 	}
-	headerBytes := c.consumed() - begin
 	c.limited.remaining = math.MaxInt64
 	request := &Request{HTTP: parsed, ReadAt: time.Now()}
 	if rejection := c.readBody(request, limits.BodyBytes, last); rejection != 0 {
+		memory.release()
 		return c.reject(rejection, parsed)
 	}
 	e := newExchange()
-	e.request, e.headerBytes = request, headerBytes
+	e.request, e.memory = request, memory
 	e.method, e.close, e.barrier = parsed.Method, parsed.Close, !isSafe(parsed.Method)
 	return e
 }
 
+// readHeader reads the request line and the header. It returns no request if the header is rejected, or the connection has ended and
+// the rejection is 0.
+func (c *conn) readHeader(memory *headerMemory) (*http.Request, Rejection) {
+	begin := c.consumed()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if !memory.add(buffered) {
+		return nil, BudgetExhausted
+	}
+	c.limited.header = memory
+	parsed, err := http.ReadRequest(c.reader)
+	c.limited.header = nil
+	switch {
+	case memory.exhausted:
+		return nil, BudgetExhausted
+	case err != nil:
+		return nil, headerRejection(c.limited)
+	case !memory.set(headerSize(c.consumed()-begin, fieldCount(parsed.Header)), freeHeaderBytes):
+		return nil, BudgetExhausted
+	default:
+		return parsed, 0
+	}
+}
+
 // consumed returns the number of bytes of the connection that were parsed.
 func (c *conn) consumed() int64 { return c.limited.total - int64(c.reader.Buffered()) }
 
@@ -233,6 +257,8 @@
 	remaining int64
 	total     int64 // bytes that were read
 	connErr   error // the last read error of the connection
+	// header accounts for the bytes while a header is read; nil otherwise.
+	header *headerMemory
 }
 
 // Read implements io.Reader.
@@ -249,6 +275,9 @@
 	if err != nil {
 		l.connErr = err
 	}
+	if l.header != nil && !l.header.add(p[:n]) {
+		return 0, errHeaderTooLarge
+	}
 	return n, err
 }
 
--- a/gateway/pipeline/write.go
+++ b/gateway/pipeline/write.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -21,7 +22,6 @@
 
 // write sends the responses in order. It reports whether the connection is to be closed gracefully.
 func (c *conn) write() bool {
-	writer := bufio.NewWriterSize(c.netConn, bufferBytes)
 	for {
 		e := c.next()
 		if e == nil {
@@ -33,7 +33,7 @@
 			return false
 		}
 		last := c.isLast(e, response)
-		err := writeResponse(c.netConn, writer, e.method, response, last)
+		err := writeResponse(c.netConn, e.method, response, last)
 		if e.request != nil {
 			c.server.options.ResponseWritten(e.request, time.Since(e.readyAt), err)
 		}
@@ -75,7 +75,7 @@
 }
 
 // writeResponse writes one response to the connection. If last is true, the response has the header "Connection: close".
-func writeResponse(netConn net.Conn, writer *bufio.Writer, method string, response *Response, last bool) error {
+func writeResponse(netConn net.Conn, method string, response *Response, last bool) error {
 	message := http.Response{
 		StatusCode: response.Status, ProtoMajor: 1, ProtoMinor: 1, Header: response.Header, Close: last,
 		Body: io.NopCloser(bytes.NewReader(response.Body)), ContentLength: int64(len(response.Body)),
@@ -93,12 +93,21 @@
 	if err := netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	writer := writers.Get().(*bufio.Writer) //nolint:forcetypeassert // the pool holds only writers
+	defer func() {
+		writer.Reset(nil)
+		writers.Put(writer)
+	}()
+	writer.Reset(netConn)
 	if err := message.Write(writer); err != nil {
 		return err
 	}
 	return writer.Flush()
 }
 
+// writers holds write buffers that are not in use, so that idle connections have none.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+
 // linger closes the sending side and waits until the reader has seen the end of the connection, for at most lingerTimeout.
 func (c *conn) linger() {
 	writeCloser, ok := c.netConn.(interface{ CloseWrite() error })
