pipeline: a new connection replaces the one that has been idle for longest

Callers could not connect while others held all connections of a host, even when nothing was sent on those: 4096 idle connections kept everyone else out for the idle timeout.

Cause: further connections were closed when the maximum was open.

Now a further connection replaces the one that has been idle for longest. Connections with a request in flight, arriving, or with a last response are never replaced; if all are such, the new one is closed as before. A request that crosses the close is unread, and its caller sends it again.

Evidence: TestIdleConnectionsMakeRoom failed before ("unexpected EOF" for a request on a new connection).

Test changed: TestConnectionFlood waits until the connections of its flood have been accepted before it sends requests. A connection that was served may be replaced while more arrive, so the number of those served depended on the order of both; the numbers that it demands are the same.

--- a/gateway/pipeline/callers_test.go
+++ b/gateway/pipeline/callers_test.go
@@ -144,3 +144,35 @@
 		})
 	}
 }
+
+// Guards against callers that keep all others out by connections on which they send nothing: a new connection replaces the one that
+// has been idle for longest. Connections with a request are not replaced.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	const count = 50
+	h := newCrowdHarness(t, count)
+	busy, busyReader := h.dial(t)
+	sendText(t, busy, fmt.Sprintf(get, "/wait"))
+	partial, partialReader := h.dial(t)
+	sendText(t, partial, "GET /b HTTP/1.1\r\nHo")
+	h.await(t, "the first requests", func() bool { return h.started.Load() == 1 && h.readingConnections() == 1 })
+	h.dialMany(t, 3*count, "")
+	h.await(t, "connections that are replaced", func() bool { return h.server.RejectedConnections() == 2*count+2 })
+	for range count {
+		conn, reader := h.dial(t)
+		sendText(t, conn, fmt.Sprintf(get, "/a"))
+		if status, _ := readResponse(t, reader); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+	sendText(t, partial, "st: a\r\n\r\n")
+	if _, body := readResponse(t, partialReader); body != "GET /b 0" {
+		t.Errorf("response %q, want that of /b", body)
+	}
+	close(h.release)
+	if _, body := readResponse(t, busyReader); body != "GET /wait 0" {
+		t.Errorf("response %q, want that of /wait", body)
+	}
+	if open := h.server.Connections(); open > count {
+		t.Errorf("%d connections are open, want %d at most", open, count)
+	}
+}
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -54,6 +54,7 @@
 	closing    bool
 	reading    bool // a request has begun to arrive, so the idle timeout does not apply
 	closedIdle bool // the connection was closed while it was idle; no request may start
+	idleSince  time.Time
 }
 
 // exchange is one request and its response.
@@ -76,7 +77,7 @@
 	limited := &limitedReader{conn: accepted, remaining: math.MaxInt64}
 	return &conn{
 		server: s, netConn: accepted, limited: limited, reader: bufio.NewReaderSize(limited, bufferBytes),
-		ctx: ctx, cancel: cancel, requestCtx: requestCtx, cancelRequests: cancelRequests, changed: make(chan struct{}, 1),
+		ctx: ctx, cancel: cancel, requestCtx: requestCtx, cancelRequests: cancelRequests, changed: make(chan struct{}, 1), idleSince: time.Now(),
 	}
 }
 
@@ -228,12 +229,25 @@
 	return &exchange{response: make(chan *Response, 1), written: make(chan struct{})}
 }
 
+// isIdle reports whether no request is in flight or arriving, and no last response was sent. c.mu must be held.
+func (c *conn) isIdle() bool { return c.outstanding == 0 && !c.reading && !c.closing && !c.closedIdle }
+
+// idleStart returns since when the connection is idle. It returns false if it is not.
+func (c *conn) idleStart() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.isIdle()
+}
+
 // closeIfIdle closes the connection if it is idle. It reports false if a request is in flight or arriving, or the last response was
 // sent and the connection lingers.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding > 0 || c.reading || c.closing {
+	if c.closedIdle {
+		return true
+	}
+	if !c.isIdle() {
 		return false
 	}
 	c.closedIdle = true
@@ -264,6 +278,7 @@
 	defer c.mu.Unlock()
 	c.heldBytes -= e.heldBytes
 	c.outstanding--
+	c.idleSince = time.Now()
 	if c.outstanding == 0 && !c.reading {
 		_ = c.netConn.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	}
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -91,7 +91,8 @@
 	// ResponseWritten is called when a response of the handler was written or its write failed, but not if the connection ended
 	// before the write; after is the time since the handler returned it. ResponseWritten must not block. Default none.
 	ResponseWritten func(r *Request, after time.Duration, err error)
-	// MaxConnections bounds the open connections; further ones are closed immediately. Default 4096.
+	// MaxConnections bounds the open connections. A further one replaces the one that has been idle for longest, or is closed
+	// immediately if none is idle. Default 4096.
 	MaxConnections int64
 	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Further ones are discarded:
 	// the response to the last one that was accepted closes the connection, and the caller sends them again. Default 64.
@@ -195,6 +196,20 @@
 	return open
 }
 
+// closeLongestIdle closes the connection that has been idle for longest. It reports false if none is idle.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		if start, ok := c.idleStart(); ok && (longest == nil || start.Before(since)) {
+			longest, since = c, start
+		}
+	}
+	return longest != nil && longest.closeIfIdle()
+}
+
 // Serve accepts connections until the listener is closed, and then returns nil. It returns the error of ctx if ctx is done
 // while Serve waits after a failed accept.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
@@ -210,10 +225,12 @@
 			continue
 		}
 		if s.open.Add(1) > s.options.MaxConnections {
-			s.open.Add(-1)
 			s.rejected.Add(1)
-			_ = accepted.Close()
-			continue
+			if !s.closeLongestIdle() {
+				s.open.Add(-1)
+				_ = accepted.Close()
+				continue
+			}
 		}
 		c := newConn(ctx, s, accepted)
 		s.track(c, true)
--- a/gateway/pipeline/slow_test.go
+++ b/gateway/pipeline/slow_test.go
@@ -165,6 +165,8 @@
 		defer func() { _ = conn.Close() }()
 		conns = append(conns, conn)
 	}
+	// A connection may replace an idle one, also one that was served, as long as connections are accepted.
+	h.await(t, "the end of the flood", func() bool { return h.server.RejectedConnections() == 2*harnessConnections })
 	for _, conn := range conns {
 		if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
 			t.Fatal(err)
