--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -52,7 +52,8 @@
 // Rejection is the reason why a request did not reach the handler.
 type Rejection int
 
-// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the body, and ShuttingDown that the
+// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the header or
+// the body, and ShuttingDown that the
 // request had not arrived completely when the server stopped to wait for it.
 const (
 	Malformed Rejection = iota + 1
@@ -64,20 +65,34 @@
 	ShuttingDown
 )
 
+// String returns the name of the rejection in lower case with underscores.
+func (r Rejection) String() string {
+	names := [...]string{
+		"invalid", "malformed", "header_too_large", "header_timed_out", "body_too_large", "body_timed_out", "memory_exhausted",
+		"shutting_down",
+	}
+	if r < 0 || int(r) >= len(names) {
+		return names[0]
+	}
+	return names[r]
+}
+
 // Options configures a Server.
 type Options struct {
 	// Handler handles the requests. Required.
 	Handler Handler
 	// Limits returns the current limits. It is called for each request. Required.
 	Limits func() Limits
-	// Reject returns the response to a request that does not reach the handler. The connection is closed after it. Required.
-	Reject func(Rejection) *Response
-	// Budget bounds the memory of request bodies. Required.
+	// Reject returns the response to a request that does not reach the handler. The request is nil if its header was not read. The
+	// connection is closed after the response. Required.
+	Reject func(Rejection, *http.Request) *Response
+	// Budget bounds the memory of request bodies and of large headers. Required.
 	Budget *forward.BufferBudget
 	// ResponseWritten is called when a response of the handler was written or its write failed, but not if the connection ended
 	// before the write; after is the time since the handler returned it. ResponseWritten must not block. Default none.
 	ResponseWritten func(r *Request, after time.Duration, err error)
-	// MaxConnections bounds the open connections; further ones are closed immediately. Default 4096.
+	// MaxConnections bounds the open connections. A further one replaces the one that has been idle for longest, or is closed
+	// immediately if none is idle. Default 4096.
 	MaxConnections int64
 	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Further ones are discarded:
 	// the response to the last one that was accepted closes the connection, and the caller sends them again. Default 64.
@@ -181,6 +196,20 @@
 	return open
 }
 
+// closeLongestIdle closes the connection that has been idle for longest. It reports false if none is idle.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		if start, ok := c.idleStart(); ok && (longest == nil || start.Before(since)) {
+			longest, since = c, start
+		}
+	}
+	return longest != nil && longest.closeIfIdle()
+}
+
 // Serve accepts connections until the listener is closed, and then returns nil. It returns the error of ctx if ctx is done
 // while Serve waits after a failed accept.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
@@ -196,10 +225,12 @@
 			continue
 		}
 		if s.open.Add(1) > s.options.MaxConnections {
-			s.open.Add(-1)
 			s.rejected.Add(1)
-			_ = accepted.Close()
-			continue
+			if !s.closeLongestIdle() {
+				s.open.Add(-1)
+				_ = accepted.Close()
+				continue
+			}
 		}
 		c := newConn(ctx, s, accepted)
 		s.track(c, true)
