pipeline test: measure the heap once no further request starts

TestGreatestHeadersStayWithinTheBudget failed once with the race detector at load 25 (many_responses_not_read: 11,989,896 bytes, allowed 8,367,104). It measured 1 s after the callers had sent; the server was still answering their 100,000 requests, and garbage that arises during a collection counts. Alone, the same case takes 340,000 bytes. The test now waits until no request has started for 0.3 s; the bound is unchanged.

--- a/gateway/pipeline/callers_test.go
+++ b/gateway/pipeline/callers_test.go
@@ -107,6 +107,22 @@
 	}
 }
 
+// quietPeriod is the time without the start of a request after which all requests that may start have done so.
+const quietPeriod = 300 * time.Millisecond
+
+// awaitNoFurtherStarts waits until the server starts no further requests. Before that, the heap holds garbage of requests that end
+// while it is measured.
+func (h *harness) awaitNoFurtherStarts(t *testing.T) {
+	t.Helper()
+	started, since := h.started.Load(), time.Now()
+	h.await(t, "no further start of a request", func() bool {
+		if n := h.started.Load(); n != started {
+			started, since = n, time.Now()
+		}
+		return time.Since(since) >= quietPeriod
+	})
+}
+
 // Guards against callers whose headers take many times their size when they are parsed (16 KB of short fields took 0.25 MB, and 4 MB on
 // a connection with requests that wait behind another), which no budget bounded. A request of the usual size must be served beside them.
 func TestGreatestHeadersStayWithinTheBudget(t *testing.T) {
@@ -128,6 +144,7 @@
 			h.dialMany(t, count, text)
 			h.await(t, "all connections", func() bool { return h.server.Connections() > 0 })
 			time.Sleep(time.Second) // until the server has read what it reads
+			h.awaitNoFurtherStarts(t)
 			// The callers' buffers, the parts of headers that the budget leaves out, and the buffers of idle connections.
 			const want = crowdBudget + count*(bufferBytes+freeHeaderBytes+maxIdleHeapBytes)
 			size := heapBytes() - before
