relay: signals of upstreams in repeated headers are heeded

Of a repeated Server-Leaving or Retry-After, or of several values in one header, only the first line was read, and a list was no number: an upstream that stated its leaving in the second line went on getting requests. Now the strongest counts: any statement that it leaves, and the longest time.

Evidence: TestParseSignals; with the first line only its cases "repeated" and "lists" fail by construction (not run on the old code, which had no such function). TestParseRetryAfter is unchanged.

--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -134,10 +134,7 @@
 	if a.response != nil {
 		result.Status, result.Reused = a.response.Status, a.response.Reused
 		result.Load = parseLoad(a.response.Header.Get(x.options.Headers.Load))
-		result.Leaving = strings.TrimSpace(a.response.Header.Get(x.options.Headers.Leaving)) == "1"
-		if a.response.Status == http.StatusServiceUnavailable {
-			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
-		}
+		result.Leaving, result.Backoff = parseSignals(a.response.Header, a.response.Status, x.options.Headers.Leaving)
 		event.Status, event.Reused, event.Connection = a.response.Status, a.response.Reused, a.response.Connection
 		a.response.Close() // returns the share of the buffer budget; the body stays in memory
 	}
@@ -149,22 +146,6 @@
 	a.selection.Done(result)
 }
 
-// maxRetryAfter bounds the time that is read from a Retry-After header.
-const maxRetryAfter = 24 * time.Hour
-
-// parseRetryAfter parses a number of seconds, which may have a fraction. It returns 0 for a text that is not a positive number, as
-// dates are not.
-func parseRetryAfter(text string) time.Duration {
-	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) {
-		return 0
-	}
-	if !(seconds > 0) { // also for NaN
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // parseLoad parses a load of the form "running,waiting,slots". It returns nil if the text has another form.
 func parseLoad(text string) *placement.Load {
 	fields := strings.Split(text, ",")
--- a/gateway/relay/retryafter_test.go
+++ b/gateway/relay/retryafter_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 	"time"
 )
@@ -17,3 +18,31 @@
 		}
 	}
 }
+
+// Guards against signals that are missed, or read from a response that does not carry them, because a header is repeated, holds several
+// values, or belongs to another status.
+func TestParseSignals(t *testing.T) {
+	const leavingHeader = "Leaving"
+	for _, c := range []struct {
+		name    string
+		status  int
+		header  http.Header
+		leaving bool
+		backoff time.Duration
+	}{
+		{name: "none", status: 503, header: http.Header{}},
+		{name: "both", status: 503, header: http.Header{"Leaving": {"1"}, "Retry-After": {"2"}}, leaving: true, backoff: 2 * time.Second},
+		{name: "no 503", status: 200, header: http.Header{"Leaving": {"1"}, "Retry-After": {"2"}}, leaving: true},
+		{name: "429", status: 429, header: http.Header{"Retry-After": {"2"}}},
+		{name: "not leaving", status: 200, header: http.Header{"Leaving": {"0"}}},
+		{name: "unknown values", status: 503, header: http.Header{"Leaving": {"yes"}, "Retry-After": {"soon"}}},
+		{name: "repeated", status: 503, header: http.Header{"Leaving": {"0", "1"}, "Retry-After": {"1", "-4", "3", "2"}}, leaving: true, backoff: 3 * time.Second},
+		{name: "lists", status: 503, header: http.Header{"Leaving": {"0, 1"}, "Retry-After": {"0.5, 1.5"}}, leaving: true, backoff: 1500 * time.Millisecond},
+		{name: "a date, which has a comma", status: 503, header: http.Header{"Retry-After": {"Fri, 31 Dec 2027 23:59:59 GMT"}}},
+	} {
+		leaving, backoff := parseSignals(c.header, c.status, leavingHeader)
+		if leaving != c.leaving || backoff != c.backoff {
+			t.Errorf("%s: read as leaving %v, backoff %v; want %v and %v", c.name, leaving, backoff, c.leaving, c.backoff)
+		}
+	}
+}
