forward: limit the fields of a response's header and count them

Change: a header has at most 500 fields, else the response is broken and the breaker hears of it. In hosts on the platform, the memory of the header counts against the budget as long as the body does.

Evidence: TestHeadersOfManyFields failed before: headers of 501 and 8,000 fields were accepted, and no bytes were reserved for one of 500.

--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -61,7 +61,7 @@
 	for _, name := range reservedHeaders {
 		delete(response.Header, name)
 	}
-	if err := response.buffer(); err != nil {
+	if err := response.bufferWhole(); err != nil {
 		failure := a.attemptError(err)
 		response.Close()
 		return nil, failure
@@ -90,6 +90,9 @@
 	if containsStatusLine(response.Header) {
 		return errMergedResponses
 	}
+	if fields, _ := headerSize(response.Header); fields > maxHeaderFields {
+		return errHeaderFields
+	}
 	if !a.forwarder.options.AllowCloseDelimited && q.Method != http.MethodHead && response.ContentLength < 0 &&
 		len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return errCloseDelimited
@@ -97,6 +100,25 @@
 	return nil
 }
 
+const (
+	// maxHeaderFields is the largest number of fields in the header of a response. A header of 64 KiB can have 16,000 of them, which take
+	// over 1 MiB of memory.
+	maxHeaderFields = 500
+	// fieldOverheadBytes is the approximate memory of a field beside its name and its value: an entry of the map and two strings.
+	fieldOverheadBytes = 112
+)
+
+// headerSize returns the number of fields of a header and the approximate memory that they take, in bytes.
+func headerSize(header http.Header) (fields int, size int64) {
+	for name, values := range header {
+		for _, value := range values {
+			fields++
+			size += int64(len(name) + len(value) + fieldOverheadBytes)
+		}
+	}
+	return fields, size
+}
+
 // statusLine matches the beginning of a status line of HTTP/1.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
 
@@ -114,6 +136,17 @@
 	return false
 }
 
+// bufferWhole reserves memory for the header, which stays in memory as long as the body, and buffers the body.
+func (r *Response) bufferWhole() error {
+	if r.attempt.forwarder.options.AwaitMemory {
+		_, size := headerSize(r.Header)
+		if _, err := r.reserve(size); err != nil {
+			return err
+		}
+	}
+	return r.buffer()
+}
+
 // buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed. With
 // Options.AwaitMemory it returns errNoMemory if the budget does not allow it.
 func (r *Response) buffer() error {
@@ -341,8 +374,8 @@
 	if err == nil {
 		return n, r.checkFraming()
 	}
-	if err != nil && err != io.EOF && context.Cause(r.attempt.ctx) != nil {
-		return n, context.Cause(r.attempt.ctx)
+	if cause := context.Cause(r.attempt.ctx); err != io.EOF && cause != nil {
+		return n, cause
 	}
 	return n, err
 }
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -1,6 +1,9 @@
 package forward
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // FailureKind is the reason why an attempt produced no response.
 type FailureKind int
@@ -76,6 +79,7 @@
 	errMergedResponses     = errors.New("response header contains the status line of another response")
 	errCloseDelimited      = errors.New("close-delimited response: its end is marked only by the close of the connection")
 	errFraming             = errors.New("the chunks of the response have too few bytes")
+	errHeaderFields        = fmt.Errorf("the header of the response has more than %d fields", maxHeaderFields)
 	errNoMemory            = errors.New("the budget of buffered bodies has no memory for the response")
 	errUnknownLength       = errors.New("the response has no length, and the budget of buffered bodies has no memory for more of it")
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
--- a/traffic/forward/framing_test.go
+++ b/traffic/forward/framing_test.go
@@ -68,3 +68,43 @@
 		response.Close()
 	}
 }
+
+// serveHeader responds to one request with a header of the given number of fields and no body.
+func serveHeader(t *testing.T, fields int) net.Listener {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		var header strings.Builder
+		for i := range fields - 1 {
+			_, _ = fmt.Fprintf(&header, "A%d:\r\n", i)
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", header.String())
+	})
+}
+
+// Guards against headers that take many times their size in memory, and against memory of headers that the budget does not count.
+func TestHeadersOfManyFields(t *testing.T) {
+	for fields, accepted := range map[int]bool{maxHeaderFields: true, maxHeaderFields + 1: false, 8000: false} {
+		budget := NewBufferBudget(1 << 20)
+		f := New(Options{Budget: budget, AwaitMemory: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		request := &Request{Method: http.MethodGet, Host: "a", RequestTarget: "/", ID: "1", Verbatim: true, Pooled: true}
+		response, err := f.Do(ctx, request, Target{Address: serveHeader(t, fields).Addr().String()})
+		if (err == nil) != accepted {
+			t.Errorf("%d fields: error %v, accepted %v; want %v", fields, err, err == nil, accepted)
+		}
+		if err == nil {
+			if used := budget.Used(); used < int64(fields)*fieldOverheadBytes {
+				t.Errorf("%d fields: %d bytes are reserved", fields, used)
+			}
+			response.Close()
+		}
+		if used := budget.Used(); used != 0 {
+			t.Errorf("%d fields: %d bytes are reserved after the attempt", fields, used)
+		}
+	}
+}
