gateway: a rejection for lack of memory states when to return

A request whose body finds no memory was rejected with 503 without a Retry-After, so callers came back when they liked. It is now 0.5 to 1.5 s, as for requests that are not passed on.

Evidence: TestRejectionForLackOfMemoryStatesWhenToReturn failed before: the header was missing.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -380,8 +380,11 @@
 	case pipeline.Malformed:
 	}
 	rejected := &errkind.Error{Kind: kind}
-	if kind == errkind.ShuttingDown {
+	switch kind {
+	case errkind.ShuttingDown:
 		rejected.RetryAfter = relay.ShutdownRetryAfter
+	case errkind.Overloaded:
+		rejected.RetryAfter = relay.MemoryRetryAfter(rand.Float64())
 	}
 	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
 	return &pipeline.Response{Status: status, Header: header, Body: body}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 	"github.com/bronzeyard/bronzeyard/gateway/registry"
 	"github.com/bronzeyard/bronzeyard/settings"
 )
@@ -129,3 +132,12 @@
 	close(s.upstreams)
 	expectReady(t, g)
 }
+
+// Guards against a rejection for lack of memory that does not say when to return.
+func TestRejectionForLackOfMemoryStatesWhenToReturn(t *testing.T) {
+	response := reject(pipeline.BudgetExhausted)
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if response.Status != http.StatusServiceUnavailable || err != nil || seconds < 0.5 || seconds > 1.6 {
+		t.Errorf("status %d, Retry-After %q; want 503 and 0.5 to 1.6 s", response.Status, response.Header.Get("Retry-After"))
+	}
+}
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -92,8 +92,13 @@
 
 // noMemory returns the error of a request that was not sent because the host has no memory for its response.
 func (x *exchange) noMemory() *errkind.Error {
-	spread := 0.5 + x.options.Random() // callers that are rejected together must not return together
-	return &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Duration(spread * float64(memoryRetryAfter)), Cause: errMemoryScarce}
+	return &errkind.Error{Kind: errkind.Overloaded, RetryAfter: MemoryRetryAfter(x.options.Random()), Cause: errMemoryScarce}
+}
+
+// MemoryRetryAfter returns the time after which a caller is asked to return that was rejected for lack of memory. random is a random
+// number in [0, 1): callers that are rejected together must not return together.
+func MemoryRetryAfter(random float64) time.Duration {
+	return time.Duration((0.5 + random) * float64(memoryRetryAfter))
 }
 
 // noUpstream returns the error of a request for which there is no further upstream.
