gateway: waiting for memory of the host is no evidence against the upstream

A response that waits for memory of this host counted as overdue: the failure score of its upstream rose until the attempt ended, was passed on to other hosts, and could open the breaker of a sound upstream. The time without memory also counted as the duration of the response, which delays hedged attempts afterwards.

Change: when a response begins to wait, the monitor of the attempt withdraws its score and stops. The wait is not a part of the duration.

Evidence: without it TestResponsesThatWaitForMemoryAreNotOverdue found the breaker open, and TestBookingWaitsForMemory, which now also checks the duration, an attempt as long as the wait.

--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -54,6 +54,7 @@
 		Header:  map[string]string{x.options.Headers.Instance: string(a.selection.Upstream.ID)},
 		// A trial on a pooled connection would test only the connection: upstreams that drop idle ones would stay out of use.
 		NewConnection: a.selection.Trial,
+		AwaitsMemory:  a.selection.AwaitsMemory,
 	}
 	response, err := x.options.Forwarder.Do(ctx, x.outgoing, target)
 	if err != nil {
@@ -160,6 +161,7 @@
 	}
 	if a.response != nil {
 		result.Status, result.Reused = a.response.Status, a.response.Reused
+		result.Took -= a.response.MemoryWait
 		result.Load = parseLoad(a.response.Header.Get(x.options.Headers.Load))
 		result.Leaving = strings.TrimSpace(a.response.Header.Get(x.options.Headers.Leaving)) == "1"
 		if a.response.Status == http.StatusServiceUnavailable {
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -104,6 +104,7 @@
 	Status  int
 	// Load is nil if the upstream reported none.
 	Load *placement.Load
+	// Took is the time of the attempt without that for which its response waited for memory of this host.
 	Took time.Duration
 	// TimeLimit is the time from the start of the attempt to its deadline.
 	TimeLimit time.Duration
--- a/gateway/relay/memory_test.go
+++ b/gateway/relay/memory_test.go
@@ -168,7 +168,7 @@
 // Guards against a booking that is abandoned, although its upstream works at it, because the host has no memory for the response for
 // a moment.
 func TestBookingWaitsForMemory(t *testing.T) {
-	relay, budget, _ := newMemoryRelay(t, newLargeUpstream(t), false)
+	relay, budget, results := newMemoryRelay(t, newLargeUpstream(t), false)
 	const occupied = unreadBudget - largeBody/2
 	if !budget.Reserve(occupied) {
 		t.Fatal("the budget is smaller than expected")
@@ -178,6 +178,9 @@
 	if response.Status != http.StatusOK || len(response.Body) != largeBody {
 		t.Fatalf("status %d with %d bytes, want 200 with %d", response.Status, len(response.Body), largeBody)
 	}
+	if result := <-results; result.Took >= unreadDeadline/4 {
+		t.Errorf("the attempt counts as %v long, which contains the time without memory", result.Took)
+	}
 	response.Release()
 	if used := budget.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after the response was released", used)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -52,7 +52,9 @@
 	// HedgeAfter is the time without a response after which an idempotent request is also sent to another upstream.
 	// TypicalDuration is the time within which most successful responses arrive. Both are 0 if unknown.
 	HedgeAfter, TypicalDuration time.Duration
-	Done                        func(Result)
+	// AwaitsMemory is called if the response of the upstream begins to wait for memory of this host. Optional.
+	AwaitsMemory func()
+	Done         func(Result)
 }
 
 // Upstreams chooses upstreams and accounts for retries.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -177,6 +177,7 @@
 	}
 	selection := relay.Selection{
 		Upstream: choice.Upstream, Trial: choice.Trial, Load: choice.Load, RegistryAge: now.Sub(view.ReadAt), Done: done,
+		AwaitsMemory: monitor.suspend,
 	}
 	selection.HedgeAfter, _ = s.durations.ExceedanceAge(route, hedgeProbabilityFor(choice, r.breakers.FailureScore(now, id)))
 	selection.TypicalDuration, _ = s.durations.ExceedanceAge(route, typicalProbability)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -113,6 +113,17 @@
 	m.reported = score
 }
 
+// suspend withdraws the failure score of the attempt and reports it no more: its response has begun, and waits for memory of this host.
+func (m *attemptMonitor) suspend() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.timer.Stop()
+	m.ended = true
+	if m.reported != 0 {
+		m.report(0)
+	}
+}
+
 // end adds the duration of a successful response to the model, without the time in the upstream's queue. The failure score of the
 // attempt is withdrawn if the response was successful, if the upstream did not run the request, or if the host had no memory for the
 // response. If a successful response came after the last level, the fraction lateResponseFactor of the score remains.
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -106,3 +106,23 @@
 		t.Error("the breaker opened as soon as the process resumed")
 	}
 }
+
+// Guards against upstreams that are taken out of use because this host has no memory for their responses.
+func TestResponsesThatWaitForMemoryAreNotOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newMonitoredRouter()
+		for range 4 {
+			m := r.monitor(s, monitoredRoute, "u", time.Now())
+			time.AfterFunc(250*time.Millisecond, m.suspend)
+		}
+		for range 2000 {
+			time.Sleep(time.Millisecond)
+			if r.breakers.IsOpen("u") {
+				t.Fatal("the breaker opened although the responses have begun")
+			}
+		}
+		if score := r.breakers.FailureScore(time.Now(), "u"); score != 0 {
+			t.Errorf("the failure score is %v, want 0", score)
+		}
+	})
+}
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -31,9 +31,11 @@
 	Reused bool
 	// Connection is the connection that carried the attempt.
 	Connection Connection
+	// MemoryWait is the time for which the response waited for memory of this host.
+	MemoryWait time.Duration
 
 	attempt      *attempt
-	upstream     string // the address of the upstream
+	target       Target
 	idempotent   bool
 	httpResponse *http.Response // its trailers are complete once the body has been read to its end
 	reserved     int64          // bytes reserved from the budget
@@ -42,12 +44,12 @@
 }
 
 // newResponse validates the header of a response and reads a short body to its end.
-func (a *attempt) newResponse(httpResponse *http.Response, q *Request, upstream string) (*Response, error) {
+func (a *attempt) newResponse(httpResponse *http.Response, q *Request, target Target) (*Response, error) {
 	used := a.connection()
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
 		TimeToFirstByte: time.Since(a.start), Reused: used.reused, Connection: used.Connection,
-		attempt: a, httpResponse: httpResponse, upstream: upstream, idempotent: q.Idempotent,
+		attempt: a, httpResponse: httpResponse, target: target, idempotent: q.Idempotent,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
@@ -214,11 +216,11 @@
 // end would keep its buffer while it waits, so the attempt ends at once if the request can be repeated.
 func (r *Response) reserve(n int64) (bool, error) {
 	budget := r.attempt.forwarder.options.Budget
-	ok := budget.reserveFor(r.upstream, n)
+	ok := budget.reserveFor(r.target.Address, n)
 	if !ok && r.attempt.forwarder.options.AwaitMemory {
 		suspect := r.reserved >= maxUnknownLength // a body of known length is reserved at once
 		if !suspect || !r.idempotent {
-			ok = budget.awaitFor(r.attempt.ctx, r.upstream, n)
+			ok = r.awaitMemory(n)
 		}
 		switch {
 		case ok:
@@ -234,6 +236,17 @@
 	return ok, nil
 }
 
+// awaitMemory waits until n bytes are reserved. It returns false if the attempt ends first.
+func (r *Response) awaitMemory(n int64) bool {
+	if r.MemoryWait == 0 && r.target.AwaitsMemory != nil {
+		r.target.AwaitsMemory()
+	}
+	begin := time.Now()
+	ok := r.attempt.forwarder.options.Budget.awaitFor(r.attempt.ctx, r.target.Address, n)
+	r.MemoryWait += time.Since(begin)
+	return ok
+}
+
 // Close ends the attempt. The connection is reused only if the response was read to its proper end.
 func (r *Response) Close() {
 	if r.closed {
@@ -245,7 +258,7 @@
 	}
 	_ = r.httpResponse.Body.Close()
 	r.attempt.cancel(errAttemptEnded)
-	r.attempt.forwarder.options.Budget.releaseFor(r.upstream, r.reserved)
+	r.attempt.forwarder.options.Budget.releaseFor(r.target.Address, r.reserved)
 }
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -160,7 +160,7 @@
 		}
 		return nil, failure
 	}
-	return a.newResponse(response, q, target.Address)
+	return a.newResponse(response, q, target)
 }
 
 func (f *Forwarder) attemptID(requestID string) string {
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -148,4 +148,6 @@
 	FirstByteTimeout time.Duration
 	// NewConnection prevents the attempt from using an idle connection, whose failure would indicate little about the upstream.
 	NewConnection bool
+	// AwaitsMemory, if not nil, is called when the response begins to wait for memory of this host, at most once.
+	AwaitsMemory func()
 }
