--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -385,6 +385,7 @@
 		rejected.RetryAfter = relay.ShutdownRetryAfter
 	case errkind.Overloaded:
 		rejected.RetryAfter = relay.MemoryRetryAfter(rand.Float64())
+	default:
 	}
 	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
 	return &pipeline.Response{Status: status, Header: header, Body: body}
