--- a/gateway/reject.go
+++ b/gateway/reject.go
@@ -3,16 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 )
 
-// memoryRetryAfter is the mean time in which requests that hold memory for bodies are likely to end.
-const memoryRetryAfter = 500 * time.Millisecond
-
 // reject returns the response to a request that does not reach the request path. request is nil if its header was not read.
 func (g *Gateway) reject(rejection pipeline.Rejection, request *http.Request) *pipeline.Response {
 	e := rejectionError(rejection)
@@ -36,8 +32,7 @@
 		e.Kind = errkind.RequestTimeout
 	case pipeline.BudgetExhausted:
 		e.Kind = errkind.Overloaded
-		spread := 0.5 + rand.Float64() // callers that are rejected together must not return together
-		e.RetryAfter = time.Duration(spread * float64(memoryRetryAfter))
+		e.RetryAfter = relay.MemoryRetryAfter(rand.Float64())
 	case pipeline.ShuttingDown:
 		e.Kind = errkind.ShuttingDown
 		e.RetryAfter = relay.ShutdownRetryAfter
--- a/gateway/reject_test.go
+++ b/gateway/reject_test.go
@@ -43,3 +43,13 @@
 		}
 	}
 }
+
+// Guards against a rejection for lack of memory that does not say when to return.
+func TestRejectionForLackOfMemoryStatesWhenToReturn(t *testing.T) {
+	g := &Gateway{log: newDecisionLog(zerolog.Nop()), budget: forward.NewBufferBudget(1)}
+	response := g.reject(pipeline.BudgetExhausted, nil)
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if response.Status != http.StatusServiceUnavailable || err != nil || seconds < 0.5 || seconds > 1.6 {
+		t.Errorf("status %d, Retry-After %q; want 503 and 0.5 to 1.6 s", response.Status, response.Header.Get("Retry-After"))
+	}
+}
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -29,9 +29,11 @@
 	Reused bool
 	// Connection is the connection that carried the attempt.
 	Connection Connection
+	// MemoryWait is the time for which the response waited for memory of this host.
+	MemoryWait time.Duration
 
 	attempt      *attempt
-	upstream     string // the address of the upstream
+	target       Target
 	idempotent   bool
 	httpResponse *http.Response // its trailers are complete once the body has been read to its end
 	reserved     int64          // bytes reserved from the budget
@@ -40,12 +42,12 @@
 }
 
 // newResponse validates the header of a response and reads a short body to its end.
-func (a *attempt) newResponse(httpResponse *http.Response, q *Request, upstream string) (*Response, error) {
+func (a *attempt) newResponse(httpResponse *http.Response, q *Request, target Target) (*Response, error) {
 	used := a.connection()
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
 		TimeToFirstByte: time.Since(a.start), Reused: used.reused, Connection: used.Connection,
-		attempt: a, httpResponse: httpResponse, upstream: upstream, idempotent: q.Idempotent,
+		attempt: a, httpResponse: httpResponse, target: target, idempotent: q.Idempotent,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
@@ -59,7 +61,7 @@
 	for _, name := range reservedHeaders {
 		delete(response.Header, name)
 	}
-	if err := response.buffer(); err != nil {
+	if err := response.bufferWhole(); err != nil {
 		failure := a.attemptError(err)
 		response.Close()
 		return nil, failure
@@ -88,6 +90,9 @@
 	if containsStatusLine(response) {
 		return errRunTogether
 	}
+	if fields, _ := headerSize(response.Header); fields > maxHeaderFields {
+		return errHeaderFields
+	}
 	if !a.forwarder.options.AllowCloseDelimited && q.Method != http.MethodHead && response.ContentLength < 0 &&
 		len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return errCloseDelimited
@@ -95,6 +100,36 @@
 	return nil
 }
 
+const (
+	// maxHeaderFields is the largest number of fields in the header of a response. A header of 64 KiB can have 16,000 of them, which take
+	// over 1 MiB of memory.
+	maxHeaderFields = 500
+	// fieldOverheadBytes is the approximate memory of a field beside its name and its value: an entry of the map and two strings.
+	fieldOverheadBytes = 112
+)
+
+// headerSize returns the number of fields of a header and the approximate memory that they take, in bytes.
+func headerSize(header http.Header) (fields int, size int64) {
+	for name, values := range header {
+		for _, value := range values {
+			fields++
+			size += int64(len(name) + len(value) + fieldOverheadBytes)
+		}
+	}
+	return fields, size
+}
+
+// bufferWhole reserves memory for the header, which stays in memory as long as the body, and buffers the body.
+func (r *Response) bufferWhole() error {
+	if r.attempt.forwarder.options.AwaitMemory {
+		_, size := headerSize(r.Header)
+		if _, err := r.reserve(size); err != nil {
+			return err
+		}
+	}
+	return r.buffer()
+}
+
 // buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed. With
 // Options.AwaitMemory it returns errNoMemory if the budget does not allow it.
 func (r *Response) buffer() error {
@@ -162,11 +197,11 @@
 // end would keep its buffer while it waits, so the attempt ends at once if the request can be repeated.
 func (r *Response) reserve(n int64) (bool, error) {
 	budget := r.attempt.forwarder.options.Budget
-	ok := budget.reserveFor(r.upstream, n)
+	ok := budget.reserveFor(r.target.Address, n)
 	if !ok && r.attempt.forwarder.options.AwaitMemory {
 		suspect := r.reserved >= maxUnknownLength // a body of known length is reserved at once
 		if !suspect || !r.idempotent {
-			ok = budget.awaitFor(r.attempt.ctx, r.upstream, n)
+			ok = r.awaitMemory(n)
 		}
 		switch {
 		case ok:
@@ -182,6 +217,17 @@
 	return ok, nil
 }
 
+// awaitMemory waits until n bytes are reserved. It returns false if the attempt ends first.
+func (r *Response) awaitMemory(n int64) bool {
+	if r.MemoryWait == 0 && r.target.AwaitsMemory != nil {
+		r.target.AwaitsMemory()
+	}
+	begin := time.Now()
+	ok := r.attempt.forwarder.options.Budget.awaitFor(r.attempt.ctx, r.target.Address, n)
+	r.MemoryWait += time.Since(begin)
+	return ok
+}
+
 // Close ends the attempt. The connection is reused only if the response was read to its proper end.
 func (r *Response) Close() {
 	if r.closed {
@@ -193,7 +239,7 @@
 	}
 	_ = r.httpResponse.Body.Close()
 	r.attempt.cancel(errAttemptEnded)
-	r.attempt.forwarder.options.Budget.releaseFor(r.upstream, r.reserved)
+	r.attempt.forwarder.options.Budget.releaseFor(r.target.Address, r.reserved)
 }
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
@@ -322,8 +368,8 @@
 	if err == nil {
 		return n, r.checkFraming()
 	}
-	if err != nil && err != io.EOF && context.Cause(r.attempt.ctx) != nil {
-		return n, context.Cause(r.attempt.ctx)
+	if cause := context.Cause(r.attempt.ctx); err != io.EOF && cause != nil {
+		return n, cause
 	}
 	return n, err
 }
