pipeline: only the header of a request counts as its header

A request of the usual size could be rejected with 503 while bodies use up the memory budget, because requests that arrived in the same segment counted as a part of its header. The account now ends at the empty line. TestUsualRequestIsServedWithoutMemoryForOthers failed before: the first of 80 requests got the rejection.

--- a/gateway/pipeline/ahead_test.go
+++ b/gateway/pipeline/ahead_test.go
@@ -110,3 +110,27 @@
 		})
 	}
 }
+
+// Guards against a request of the usual size that is rejected, or never answered, while bodies use up the memory budget, because
+// others arrive with it.
+func TestUsualRequestIsServedWithoutMemoryForOthers(t *testing.T) {
+	h := newHarness(t)
+	h.server.options.Budget.Reserve(1 << 20)
+	conn, reader := h.dial(t)
+	sendText(t, conn, strings.Repeat(fmt.Sprintf(get, "/a"), 80))
+	served := int64(0)
+	for last := false; !last; served++ {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", served, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if last = response.Close; response.StatusCode != http.StatusOK {
+			t.Errorf("response %d has status %d, want 200", served, response.StatusCode)
+		}
+	}
+	if started := h.started.Load(); started != served {
+		t.Errorf("%d requests have started, %d were answered", started, served)
+	}
+}
--- a/gateway/pipeline/headermemory.go
+++ b/gateway/pipeline/headermemory.go
@@ -15,6 +15,8 @@
 	freeHeaderBytes = 8 << 10
 )
 
+var endOfHeader = []byte("\r\n\r\n")
+
 // headerMemory is the share of the memory budget for the header of one request. A header with many short fields takes many times its
 // size, so lines count as well as bytes.
 type headerMemory struct {
@@ -25,8 +27,12 @@
 	exhausted bool
 }
 
-// add accounts for bytes of the header before they are parsed. It reports false if the budget has no memory left.
+// add accounts for bytes of the connection that begin in the header, before they are parsed. It reports false if the budget has no
+// memory left.
 func (m *headerMemory) add(text []byte) bool {
+	if end := bytes.Index(text, endOfHeader); end >= 0 { // a body or further requests follow
+		text = text[:end]
+	}
 	return m.set(m.size+headerSize(int64(len(text)), bytes.Count(text, []byte{'\n'})), freeHeaderBytes)
 }
 
