--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -91,6 +91,12 @@
 const largeBudget = 1 << 20
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithLimit(t, testTimeLimit)
+}
+
+// newFixtureWithLimit returns a fixture whose requests have the given time limit.
+func newFixtureWithLimit(t *testing.T, limit time.Duration) *fixture {
 	t.Helper()
 	r := &fixture{t: t, limiter: quota.New()}
 	r.limiter.SetHosts(nil)
@@ -98,7 +104,7 @@
 	r.first, r.second = newUpstream(t, "first"), newUpstream(t, "second")
 	r.choice = &inOrder{upstreams: []*testUpstream{r.first, r.second}, budget: largeBudget}
 	snapshot := settings.NewSnapshot(7, []settings.Route{{
-		Name: "r", Service: service, PathPrefix: "/", Policy: settings.Policy{Timeout: 2 * time.Second, MaxAttempts: 2},
+		Name: "r", Service: service, PathPrefix: "/", Policy: settings.Policy{Timeout: limit, MaxAttempts: 2},
 	}}, nil, []settings.Customer{{ID: "customer", Keys: []settings.Key{{ID: "1", Hash: settings.HashKey(key)}}}})
 	forwarder := forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: testHeaders.RequestID, Timeout: testHeaders.Timeout},
@@ -207,7 +213,7 @@
 }
 
 func endAtEachByte(t *testing.T, method string, reused, reset bool) {
-	r := newFixture(t)
+	r, stalls := newFixtureWithLimit(t, time.Minute), startStallMeter(t)
 	run := func(what string, f fault) {
 		if reused {
 			r.first.fault.Store(&noFault)
@@ -215,7 +221,7 @@
 		}
 		f.reset = reset
 		r.first.fault.Store(&f)
-		response, id := r.send(method)
+		response, id := r.sendInTime(what, method, stalls)
 		r.expect(what, method == http.MethodGet, response, id)
 	}
 	r.send(method)
