--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -75,7 +75,7 @@
 	Admit(now time.Time, id settings.CustomerID, limit quota.Limit) quota.Decision
 }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. All fields but Shutdown are required.
 type Options struct {
 	// Snapshot returns the current settings; nil if none are known.
 	Snapshot func() *settings.Snapshot
@@ -91,13 +91,20 @@
 	LimitOf func(*settings.Customer) quota.Limit
 	// Random returns a random number in [0, 1). It chooses the service of a route with a split.
 	Random func() float64
+	// Shutdown returns the limits while the host shuts down, and false otherwise. Default false.
+	Shutdown func() (Shutdown, bool)
 }
 
 // Relay is the request path. It is safe for concurrent use.
 type Relay struct{ options Options }
 
 // New returns a Relay.
-func New(options Options) *Relay { return &Relay{options: options} }
+func New(options Options) *Relay {
+	if options.Shutdown == nil {
+		options.Shutdown = func() (Shutdown, bool) { return Shutdown{}, false }
+	}
+	return &Relay{options: options}
+}
 
 // exchange is the state of one request.
 type exchange struct {
@@ -116,7 +123,12 @@
 	tried         []settings.UpstreamID
 	sent          int  // attempts that reached an upstream
 	mayHaveRun    bool // an upstream may have run the request
-	event         Event
+	// memoryScarce is true if the latest attempt was not sent because the host has no memory for a response.
+	memoryScarce bool
+	// responses are the complete responses of ended attempts. Their bodies count against the buffer budget until they are closed.
+	responses []*forward.Response
+	returned  *forward.Response // the one that the caller receives; nil if none
+	event     Event
 }
 
 // Serve serves one request. It implements pipeline.Handler.
@@ -125,19 +137,32 @@
 	x.id = requestID(request.HTTP.Header.Get(r.options.Headers.RequestID))
 	x.event.RequestID, x.event.Method = x.id, request.HTTP.Method
 	response := x.serve(ctx)
+	x.closeUnused()
 	x.event.Status = response.Status
 	x.event.Total = time.Since(request.ReadAt)
-	x.event.CallerGone = ctx.Err() != nil
+	x.event.CallerGone = ctx.Err() != nil && !cancelledByShutdown(ctx)
 	r.options.Observe(&x.event)
 	return response
 }
 
+// closeUnused closes the responses that the caller does not receive.
+func (x *exchange) closeUnused() {
+	for _, response := range x.responses {
+		if response != x.returned {
+			response.Close()
+		}
+	}
+}
+
 func (x *exchange) serve(ctx context.Context) *pipeline.Response {
 	if hasSpaceInName(x.request.HTTP.Header) {
 		response := x.reject(errkind.New(errkind.RequestMalformed, errSpaceInName))
 		response.Close = true // the header may have been meant to state the length of the body, which then follows
 		return response
 	}
+	if rejection := x.rejectInShutdown(); rejection != nil {
+		return x.reject(rejection)
+	}
 	if rejection := x.admit(); rejection != nil {
 		return x.reject(rejection)
 	}
@@ -197,6 +222,9 @@
 	}
 	x.service = x.pickService()
 	x.event.Service = x.service
+	if x.options.Forwarder.MemoryScarce() {
+		return x.noMemory()
+	}
 	if rejection := x.takeRateToken(); rejection != nil {
 		return rejection
 	}
@@ -341,22 +369,26 @@
 	return outgoing
 }
 
-// retryAfterPrecision is the precision of the stated retry delay.
-const retryAfterPrecision = 100 * time.Millisecond
+// RetryAfterPrecision is the precision of the stated retry delay.
+const RetryAfterPrecision = 100 * time.Millisecond
 
 // reject returns a response of the host itself for an error.
 func (x *exchange) reject(e *errkind.Error) *pipeline.Response {
-	x.event.Kind, x.event.Cause = e.Kind, e.Cause
+	x.event.Kind, x.event.Cause = e.Kind, x.causeOf(e)
 	x.event.RetryAfter = e.RetryAfter
-	status, header, body := errkind.Render(x.id, e, retryAfterPrecision)
+	status, header, body := errkind.Render(x.id, e, RetryAfterPrecision)
 	header.Set(x.options.Headers.RequestID, x.id)
 	return &pipeline.Response{Status: status, Header: header, Body: body}
 }
 
-// respond returns the response of an upstream as the response to the caller.
+// respond returns the response of an upstream as the response to the caller. Its body counts against the buffer budget until it is
+// released.
 func (x *exchange) respond(response *forward.Response) *pipeline.Response {
 	header := response.Header
 	header.Set(x.options.Headers.RequestID, x.id)
 	header.Del("Content-Length")
-	return &pipeline.Response{Status: response.Status, Header: header, Body: response.Body, Length: response.ContentLength}
+	x.returned = response
+	return &pipeline.Response{
+		Status: response.Status, Header: header, Body: response.Body, Length: response.ContentLength, Release: response.Close,
+	}
 }
