--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -119,7 +119,7 @@
 // request would get the response to the one before it. Writes are blocked because http.Transport may just be assigning it.
 func (c *countedConn) discard() {
 	c.sent.block()
-	_ = c.Conn.Close() // http.Transport reports that the connection has ended
+	_ = c.Close() // http.Transport reports that the connection has ended
 }
 
 // Write implements net.Conn. Bytes are counted before they are written, because a failed write may have sent some of them.
