--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -31,10 +31,14 @@
 	return time.Duration(pauseFraction * float64(min(b.MaxConfigurationDelay, b.MaxLeavingDelay)))
 }
 
+// loopDelay is a time for which the control loop did not run.
+type loopDelay struct{ from, until time.Time }
+
 // loopDelayed handles a delay of the control loop.
 func (g *Gateway) loopDelayed(by time.Duration) {
+	now := time.Now()
+	g.lastDelay.Store(&loopDelay{from: now.Add(-by), until: now})
 	g.log.loopDelayed(by)
-	g.delayEndedAt.Store(new(time.Now()))
 	if limit := g.minPause(); limit > 0 && by > limit {
 		g.recordPause(time.Now())
 	}
@@ -43,8 +47,8 @@
 // updatesMayBeStale reports whether the datagrams that are received now may have waited in the socket while this process did not run.
 // What they state as the age of a read is too small then.
 func (g *Gateway) updatesMayBeStale(now time.Time) bool {
-	delayEnd := g.delayEndedAt.Load()
-	return g.node.SinceLastTick(now) > maxTickAge || (delayEnd != nil && now.Sub(*delayEnd) < staleUpdatePeriod)
+	delay := g.lastDelay.Load()
+	return g.node.SinceLastTick(now) > maxTickAge || (delay != nil && now.Sub(delay.until) < staleUpdatePeriod)
 }
 
 // recordPause records that this process was paused until now, and triggers reads of the configuration and the upstreams. Further
--- a/gateway/relay/event.go
+++ b/gateway/relay/event.go
@@ -63,30 +63,34 @@
 const (
 	// Answered is a complete response that has a status below 500 and is neither NotRun nor WrongInstance.
 	Answered Outcome = iota + 1
-	// FailedStatus is a response with a status of 500 or higher. The request may have run.
+	// FailedStatus is a response with a status of 500 or higher, or 421, that does not state "not run". The request may have run.
 	FailedStatus
 	// NotRun is a response which states that the upstream did not run the request.
 	NotRun
-	// WrongInstance is a response from another upstream at the same address, which did not run the request.
+	// WrongInstance is a response from another upstream at the same address, which states that it did not run the request.
 	WrongInstance
 	// NotConnected means that no connection could be obtained.
 	NotConnected
 	// NotSent means that the connection broke before a byte of the request was written.
 	NotSent
-	// Broken is a connection that broke, or a response that is incomplete, larger than the host buffers, or the response to
-	// another request.
+	// Broken is a connection that broke, or a response that is incomplete, larger than the host buffers, contradictory, or the
+	// response to another request.
 	Broken
 	// TimedOut is an attempt that was still running at its deadline.
 	TimedOut
 	// Cancelled is an attempt that ended because another one was successful or the caller disconnected.
 	Cancelled
+	// NoMemory means that the host had no memory for the response. The request may have run.
+	NoMemory
+	// NotPassedOn means that the request was not sent because the host has no memory for a response of the upstream.
+	NotPassedOn
 )
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
 	names := [...]string{
 		"invalid", "answered", "failed_status", "not_run", "wrong_instance", "not_connected", "not_sent", "broken",
-		"timed_out", "cancelled",
+		"timed_out", "cancelled", "no_memory", "not_passed_on",
 	}
 	if o < 0 || int(o) >= len(names) {
 		return names[0]
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -13,6 +13,7 @@
 var (
 	errNoUpstream    = errors.New("no further upstream of the service is available")
 	errNoRetryBudget = errors.New("the retry budget of the service is exhausted")
+	errMemoryScarce  = errors.New("the host has no memory for a further response of the upstreams of the service")
 	errMaxAttempts   = errors.New("the request has been sent to the maximum number of upstreams of its route")
 )
 
@@ -23,6 +24,10 @@
 		if !ok {
 			return x.reject(x.noUpstream(errNoUpstream))
 		}
+		if rejection := x.rejectUnfinishable(&selection); rejection != nil {
+			selection.Done(Result{Outcome: Cancelled})
+			return x.reject(rejection)
+		}
 		ctx, cancel := context.WithCancel(x.ctx)
 		a := x.start(selection, cancel)
 		a.send(ctx, x)
@@ -57,7 +62,7 @@
 		return x.reject(errkind.New(errkind.OutcomeUnknown, errUnmarkedRejection))
 	case a.response != nil:
 		return x.respond(a.response)
-	case a.outcome == TimedOut:
+	case a.outcome == TimedOut, a.outcome == NoMemory: // an attempt without memory has waited until its deadline
 		return x.reject(&errkind.Error{Kind: errkind.UpstreamTimeout, Cause: a.cause})
 	case x.policy.Idempotent:
 		return x.reject(errkind.New(errkind.UpstreamFailed, a.cause))
@@ -82,11 +87,23 @@
 	}
 }
 
+// memoryRetryAfter is the mean time within which responses that fill the memory of a host are likely to be written.
+const memoryRetryAfter = time.Second
+
+// noMemory returns the error of a request that was not sent because the host has no memory for its response.
+func (x *exchange) noMemory() *errkind.Error {
+	spread := 0.5 + x.options.Random() // callers that are rejected together must not return together
+	return &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Duration(spread * float64(memoryRetryAfter)), Cause: errMemoryScarce}
+}
+
 // noUpstream returns the error of a request for which there is no further upstream.
 func (x *exchange) noUpstream(cause error) *errkind.Error {
 	if x.mayHaveRun {
 		return errkind.New(errkind.UpstreamFailed, cause)
 	}
+	if x.memoryScarce {
+		return x.noMemory()
+	}
 	kind := errkind.NoUpstream
 	if x.sent > 0 {
 		kind = errkind.UpstreamRefused
@@ -96,10 +113,14 @@
 
 // deadlineExceeded returns the error of a request whose time limit ended, or whose caller disconnected, after a failed attempt.
 func (x *exchange) deadlineExceeded(cause error) *errkind.Error {
-	if x.mayHaveRun {
+	switch {
+	case x.mayHaveRun:
 		return errkind.New(errkind.UpstreamTimeout, cause)
+	case cancelledByShutdown(x.ctx):
+		return shuttingDown(cause)
+	default:
+		return errkind.New(errkind.DeadlineNotRun, cause)
 	}
-	return errkind.New(errkind.DeadlineNotRun, cause)
 }
 
 // race makes the attempts of an idempotent request: one after the other, and a hedged one while an attempt hangs.
@@ -114,8 +135,8 @@
 func (x *exchange) serveIdempotent() *pipeline.Response {
 	r := &race{x: x, results: make(chan *attempt, x.maxAttempts()+maxUnsent)}
 	defer r.stop()
-	if !r.launch() {
-		return x.reject(x.noUpstream(errNoUpstream))
+	if rejection := r.launch(); rejection != nil {
+		return x.reject(rejection)
 	}
 	return r.run()
 }
@@ -187,13 +208,18 @@
 	return false
 }
 
-// launch starts an attempt. It returns false if there is no upstream.
-func (r *race) launch() bool {
+// launch starts an attempt. It returns an error if there is no upstream or the host shuts down.
+func (r *race) launch() *errkind.Error {
 	selection, ok := r.x.pick(false)
-	if ok {
-		r.start(selection)
+	if !ok {
+		return r.x.noUpstream(errNoUpstream)
 	}
-	return ok
+	if rejection := r.x.rejectUnfinishable(&selection); rejection != nil {
+		selection.Done(Result{Outcome: Cancelled})
+		return rejection
+	}
+	r.start(selection)
+	return nil
 }
 
 func (r *race) start(selection Selection) {
@@ -227,10 +253,7 @@
 	if rejection := r.x.checkRetry(a); rejection != nil {
 		return rejection
 	}
-	if !r.launch() {
-		return r.x.noUpstream(errNoUpstream)
-	}
-	return nil
+	return r.launch()
 }
 
 // fail returns the response for a request without a successful attempt: an error response of an upstream if there is one.
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -30,6 +30,9 @@
 	MaxBufferedResponse int64
 	// Budget limits the memory of buffered bodies. Default 64 MiB.
 	Budget *BufferBudget
+	// AwaitMemory makes attempts wait until Budget has memory for a response that can be buffered. A request to an upstream is not
+	// sent while memory is scarce. Default false: a response without memory is streamed.
+	AwaitMemory bool
 	// MaxIdlePerUpstream limits the idle connections to one upstream. Default 32.
 	MaxIdlePerUpstream int
 	// HeaderNames are the headers in which upstreams expect the id and the time limit of a request.
@@ -114,6 +117,9 @@
 // Budget returns the budget of buffered bodies.
 func (f *Forwarder) Budget() *BufferBudget { return f.options.Budget }
 
+// MemoryScarce reports whether so little of the budget is free that no further request should be accepted.
+func (f *Forwarder) MemoryScarce() bool { return f.options.Budget.scarceFor("") }
+
 // CloseIdle closes the idle connections to all upstreams.
 func (f *Forwarder) CloseIdle() { f.pooled.closeIdle() }
 
@@ -125,6 +131,10 @@
 	if !q.Verbatim {
 		a.attemptID = f.attemptID(q.ID)
 	}
+	if f.options.AwaitMemory && f.options.Budget.scarceFor(target.Address) {
+		cancel(errAttemptEnded)
+		return nil, &AttemptError{Kind: NoMemory, Cause: errNoMemory}
+	}
 	var firstByteTimer *time.Timer
 	if target.FirstByteTimeout > 0 {
 		firstByteTimer = time.AfterFunc(target.FirstByteTimeout, func() { cancel(errFirstByteTimeout) })
@@ -136,7 +146,7 @@
 	if target.NewConnection {
 		transport.CloseIdleConnections()
 	}
-	response, err := transport.RoundTrip(a.newRequest(q, target))
+	response, err := a.roundTrip(transport, q, target)
 	if firstByteTimer != nil && !firstByteTimer.Stop() && err == nil {
 		_ = response.Body.Close()
 		err = errFirstByteTimeout
@@ -150,7 +160,7 @@
 		}
 		return nil, failure
 	}
-	return a.newResponse(response, q)
+	return a.newResponse(response, q, target.Address)
 }
 
 func (f *Forwarder) attemptID(requestID string) string {
@@ -159,30 +169,43 @@
 
 // attempt is the state of one attempt.
 type attempt struct {
-	forwarder  *Forwarder
-	ctx        context.Context
-	cancel     context.CancelCauseFunc
-	start      time.Time
-	attemptID  string
-	connected  atomic.Bool
-	reused     atomic.Bool
-	connection atomic.Pointer[Connection]  // nil if it is not a countedConn
-	sent       atomic.Pointer[sentCounter] // of the connection; nil if it is not a countedConn
-	sentBefore atomic.Int64                // bytes written to the connection before this request
-	bodyError  atomic.Pointer[error]       // error of reading the caller's body
+	forwarder *Forwarder
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	start     time.Time
+	attemptID string
+	assigned  atomic.Pointer[assignment] // nil until there is a connection
+	bodyError atomic.Pointer[error]      // error of reading the caller's body
+}
+
+// roundTrip sends the request. If http.Transport chooses an idle connection that must not carry it, nothing is sent on that connection, any
+// response on it belongs to an earlier request, and another connection is used.
+func (a *attempt) roundTrip(transport *http.Transport, q *Request, target Target) (*http.Response, error) {
+	for {
+		a.assigned.Store(nil) // otherwise a failed dial would count as a failure on the connection before it
+		response, err := transport.RoundTrip(a.newRequest(q, target))
+		if !a.connection().claimFailed {
+			return response, err
+		}
+		if err == nil {
+			_ = response.Body.Close() // also closes the connection, which is blocked for writing
+			err = errNotSentOnConnection
+		}
+		if q.Stream != nil || a.ctx.Err() != nil {
+			return nil, err
+		}
+	}
 }
 
 // newRequest builds the outgoing request.
 func (a *attempt) newRequest(q *Request, target Target) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		a.connected.Store(true)
-		a.reused.Store(info.Reused)
+		used := assignment{connected: true, reused: info.Reused}
 		if counted, ok := info.Conn.(*countedConn); ok {
-			a.sentBefore.Store(counted.sent.count())
-			a.sent.Store(&counted.sent)
-			connection := counted.assign()
-			a.connection.Store(&connection)
+			used.conn, used.sentBefore, used.Connection = counted, counted.sent.count(), counted.assign()
+			used.claimFailed = q.Verbatim && !counted.claim(a.attemptID)
 		}
+		a.assigned.Store(&used)
 	}}
 	names := &a.forwarder.options.HeaderNames
 	header := make(http.Header, len(q.Header)+2)
@@ -265,26 +288,31 @@
 	return n, err
 }
 
-// usedConnection returns the connection of the attempt. It is zero if there was none.
-func (a *attempt) usedConnection() Connection {
-	if used := a.connection.Load(); used != nil {
+// connection returns the connection that was assigned to the attempt. It is zero if there was none.
+func (a *attempt) connection() assignment {
+	if used := a.assigned.Load(); used != nil {
 		return *used
 	}
-	return Connection{}
+	return assignment{}
 }
 
 // attemptError classifies an error of the attempt. If no byte of the request was written, it also blocks later writes, so that
 // Sent stays correct.
 func (a *attempt) attemptError(err error) *AttemptError {
-	failure := &AttemptError{Kind: Broken, Connected: a.connected.Load(), Reused: a.reused.Load(), Cause: err}
-	failure.Connection = a.usedConnection()
-	failure.Sent = failure.Connected
-	if counter := a.sent.Load(); counter != nil {
-		failure.Sent = counter.seal(a.sentBefore.Load())
+	used := a.connection()
+	failure := &AttemptError{
+		Kind: Broken, Connected: used.connected, Sent: used.connected, Reused: used.reused, Connection: used.Connection, Cause: err,
+	}
+	if used.conn != nil {
+		failure.Sent = used.conn.sent.seal(used.sentBefore)
 	}
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols):
+	case errors.Is(err, errNoMemory) && errors.Is(cause, context.DeadlineExceeded):
+		failure.Kind = NoMemory
+	case errors.Is(err, errUnknownLength) && (cause == nil || errors.Is(cause, context.DeadlineExceeded)): // Broken
+	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols),
+		errors.Is(err, errMergedResponses):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
 		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
