--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -350,7 +350,7 @@
 			o.g.receiveState(time.Now(), &gossip.Message{Registry: gossip.RegistryState{Digest: view.Digest(), Synced: true}})
 			time.Sleep(time.Millisecond)
 		}
-		o.g.lastDelay.Store(&loopDelay{until: time.Now()})
+		o.g.lastDelay.Store(&loopDelay{from: view.ReadAt, until: time.Now()})
 		report()
 		if !o.g.router.registry.View().ReadAt.Equal(view.ReadAt) {
 			t.Error("a report right after a pause has confirmed the view")
