bronzeyardctl bench memory: a real host beside bad bytes and callers that do not read

Plays eight cases against a real process and prints its peak memory and the responses of a sound service before and beside the fault; the report (--output) holds the memory over time.

--- a/cmd/internal/bench/bench.go
+++ b/cmd/internal/bench/bench.go
@@ -26,6 +26,8 @@
 	seed       uint64
 	duration   time.Duration
 	binary     string
+	callers    int
+	memoryMB   int
 	output     string
 	out, log   io.Writer
 }
@@ -52,6 +54,7 @@
 		{name: "fleet", description: "rate limits over all hosts, in real time", run: c.fleet},
 		{name: "latency", description: "time that a host adds to a lookup", run: c.latency},
 		{name: "capacity", description: "what control costs a host at several sizes of the fleet", run: c.capacity},
+		{name: "memory", description: "memory of a real host beside bad bytes, large bodies and callers that do not read", run: c.memory},
 		{name: "processes", description: "the real programs on loopback under faults", run: c.processes},
 	}
 	c.bench.Description = "run an experiment and print its figures beside their targets"
@@ -70,7 +73,11 @@
 	e.subcommand.UInt64(&c.seed, "", "seed", "seed of the load")
 	e.subcommand.Duration(&c.duration, "", "duration", "length of each phase (default: the experiment's)")
 	e.subcommand.String(&c.output, "", "output", "file for the whole report as JSON")
-	if e.name == "processes" {
+	if e.name == "memory" {
+		e.subcommand.Int(&c.callers, "", "callers", "number of callers (default 150)")
+		e.subcommand.Int(&c.memoryMB, "", "memory", "memory of the machine in MiB (default 536)")
+	}
+	if e.name == "processes" || e.name == "memory" {
 		e.subcommand.String(&c.binary, "", "binary", "path of the program bronzeyard (default: beside this program)")
 	}
 	c.bench.AttachSubcommand(e.subcommand, 1)
@@ -111,7 +118,7 @@
 		}
 		return nil
 	}
-	return errors.New("name an experiment: bronzeyardctl bench upstreams|fleet|latency|capacity|processes")
+	return errors.New("name an experiment: bronzeyardctl bench upstreams|fleet|latency|capacity|memory|processes")
 }
 
 func (c *Command) write(d *document) error {
--- a/cmd/internal/bench/experiments.go
+++ b/cmd/internal/bench/experiments.go
@@ -16,6 +16,7 @@
 	"github.com/bronzeyard/bronzeyard/bench/processbench"
 	"github.com/bronzeyard/bronzeyard/bench/upstreambench"
 	"github.com/bronzeyard/bronzeyard/emulator/deployment"
+	"github.com/bronzeyard/bronzeyard/platform/platformtest/memorybench"
 )
 
 func (c *Command) upstreams(ctx context.Context) ([]bounds.Figure, any, error) {
@@ -159,6 +160,27 @@
 	return report.Figures(), report, err
 }
 
+func (c *Command) memory(ctx context.Context) ([]bounds.Figure, any, error) {
+	binary, err := c.findBinary()
+	if err != nil {
+		return nil, nil, err
+	}
+	var results []memorybench.Result
+	for _, played := range memorybench.Cases() {
+		result, err := memorybench.Run(ctx, memorybench.Options{
+			Binary: binary, MemoryMB: c.memoryMB, Callers: c.callers, Duration: c.duration,
+		}, played)
+		if err != nil {
+			return nil, results, fmt.Errorf("%s: %w", played.Name, err)
+		}
+		results = append(results, result)
+		_, _ = fmt.Fprintf(c.out, "%-40s idle %d MiB, peak %d MiB, ended %v; sound service: %d responses before, %d and %d failures beside it; %v\n",
+			result.Case, result.IdleBytes>>20, result.PeakBytes>>20, result.Ended, result.Before.SoundServed, result.During.SoundServed,
+			result.During.SoundFailed, result.During.Statuses)
+	}
+	return nil, results, nil
+}
+
 func (c *Command) findBinary() (string, error) {
 	binary := c.binary
 	if binary == "" {
