--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -308,6 +308,11 @@
 		return errors.Join(writeErr, err)
 	}
 	others := s.applyRecords(readAt, stored)
+	var rewriteErr error
+	if own.written && s.isReplaced(stored) {
+		s.logger.Warn().Str("event", "host_record_replaced").Send()
+		rewriteErr = s.writeRecord(calling)
+	}
 	own.written = own.written || writeErr == nil || s.isStored(stored)
 	if registered := own.written && !s.hostsLoaded.Load(); registered || !own.introduced {
 		own.introduced = true
@@ -320,7 +325,7 @@
 	s.node.SetRegistered()
 	s.updateHosts()
 	s.hostsLoaded.Store(true)
-	return nil
+	return rewriteErr
 }
 
 // applyRecords adds the records that were read, and returns how many of them are of other hosts.
@@ -349,6 +354,12 @@
 	return err == nil && bytes.Equal(stored[s.options.HostID], record)
 }
 
+// isReplaced reports whether the record that was read for this host is that of another process. The hosts that read it do not hear
+// this one. A host that is leaving has ended its part: the record may be that of the next process.
+func (s *syncer) isReplaced(stored map[string][]byte) bool {
+	return stored[s.options.HostID] != nil && !s.isStored(stored) && !s.leaving.Load()
+}
+
 // writeRecord writes this host's record to the store.
 func (s *syncer) writeRecord(ctx context.Context) error {
 	record, err := s.node.EncodedRecord()
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -136,6 +137,41 @@
 	})
 }
 
+// Guards against a host whose record is replaced by that of an earlier process (issue 36): the others then do not hear it until it is
+// restarted. It must write its record again at its next read, unless it is leaving.
+func TestHostWritesItsRecordAgainAfterItWasReplaced(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &partialHostStore{}
+			g := startHostSync(t, store)
+			time.Sleep(time.Second)
+			own, err := g.node.EncodedRecord()
+			if err != nil {
+				t.Fatal(err)
+			}
+			earlier := gossip.Record{
+				ID: g.options.HostID, Incarnation: 1, Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Key: gossip.NewKey(),
+			}
+			data, err := earlier.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := store.PutHost(t.Context(), g.options.HostID, data); err != nil {
+				t.Fatal(err)
+			}
+			g.leaving.Store(leaving)
+			time.Sleep(hostsInterval + maxRecoveryWait)
+			stored, err := store.Hosts(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if written := bytes.Equal(stored[g.options.HostID], own); written == leaving {
+				t.Errorf("the record was written again: %v, want %v", written, !leaving)
+			}
+		})
+	}
+}
+
 // Guards against a host that cannot write its record and therefore neither introduces itself nor admits a part of the limits, and
 // against one that admits more than an equal share after the silent others no longer count as members.
 func TestHostThatCannotWriteItsRecordReadsTheOthers(t *testing.T) {
