--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,6 @@
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
-	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -62,6 +62,9 @@
 	// compressed is the active configuration as served to other hosts. It holds nil if the configuration is too large.
 	compressed atomic.Pointer[[]byte]
 	leaving    atomic.Bool
+	// stopSignal is nil until this process is asked to shut down, and stopGrace is the grace period in nanoseconds from then on.
+	stopSignal atomic.Pointer[stopSignal]
+	stopGrace  atomic.Int64
 	// storeUnavailable is set while reads of the configuration fail. longPolling is set while this host is one of those that
 	// long-poll the store for a new configuration.
 	storeUnavailable, longPolling atomic.Bool
@@ -71,6 +74,7 @@
 	router         *router
 	limiter        *quota.Limiter
 	forwarder      *forward.Forwarder
+	budget         *forward.BufferBudget
 	server         *pipeline.Server
 	node           *gossip.Node
 	listener       net.Listener
@@ -86,6 +90,8 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
+	// lastDelay is the last time for which the control loop did not run although it was due; nil if there was none.
+	lastDelay atomic.Pointer[loopDelay]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
 	// registryUpdates carries reads of the upstreams that other hosts have reported.
@@ -128,22 +134,23 @@
 		buffers = options.MemoryBytes / bufferDivisor
 	}
 	budget := forward.NewBufferBudget(buffers)
+	g.budget = budget
 	g.forwarder = forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
 		AllowCloseDelimited: true, RequireRequestID: true, ConnectTimeout: connectTimeout, IdleConnTimeout: idleConnTimeout,
-		MaxBufferedResponse: maxBufferedResponse, Budget: budget,
+		MaxBufferedResponse: maxBufferedResponse, Budget: budget, AwaitMemory: true,
 	})
 	handler := relay.New(relay.Options{
 		Snapshot: g.snapshot, SettingsAge: g.settingsAge, Upstreams: g.router, Limiter: g.limiter,
 		Forwarder: g.forwarder, Headers: options.Headers, Observe: g.observe, Random: rand.Float64,
-		LimitOf: g.limitOfCustomer,
+		LimitOf: g.limitOfCustomer, Shutdown: g.shutdown,
 	})
 	serve := func(ctx context.Context, request *pipeline.Request) *pipeline.Response {
 		g.awaitFreshState(ctx)
 		return handler.Serve(ctx, request)
 	}
 	g.server = pipeline.New(pipeline.Options{
-		Handler: serve, Limits: g.limits, Reject: reject, Budget: budget, MaxConnections: options.Connections,
+		Handler: serve, Limits: g.limits, Reject: g.reject, Budget: budget, MaxConnections: options.Connections,
 		ResponseWritten: g.responseWritten,
 	})
 	return g, g.listen(ctx)
@@ -188,7 +195,7 @@
 	})
 	g.router.queueNotices, g.router.queueLocalNotices, g.router.queueLoad = g.node.QueueNotices, g.node.QueueLocalNotices, g.node.QueueLoad
 	g.router.onBreakerChange, g.router.onConnectionLost = g.log.breakerChanged, g.log.connectionLost
-	g.router.onSignal = g.log.upstreamSignals
+	g.router.onSignal, g.router.onMisdirected = g.log.upstreamSignals, g.log.upstreamMisdirected
 	return nil
 }
 
@@ -226,6 +233,7 @@
 	router.Path(confsync.Path).Methods(http.MethodGet).Handler(confsync.NewHandler(key, compressed))
 	return &http.Server{
 		Handler: router, ReadHeaderTimeout: settingsHeaderTimeout, IdleTimeout: settingsHeaderTimeout,
+		ReadTimeout: settingsHeaderTimeout, WriteTimeout: settingsHeaderTimeout, MaxHeaderBytes: confsync.MaxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0), // the requesting host logs failures
 	}
 }
@@ -246,6 +254,7 @@
 // SetBounds replaces the bounds.
 func (g *Gateway) SetBounds(bounds Bounds) {
 	g.bounds.Store(&bounds)
+	g.limitStopGrace()
 	g.logger.Info().Str("event", "reload").Send()
 }
 
@@ -274,6 +283,12 @@
 	LogLinesSkipped      int64
 	// UpstreamsLeaving have stated that they leave, and UpstreamsInBackoff ask for no requests from this host now.
 	UpstreamsLeaving, UpstreamsInBackoff int
+	// BufferedBytes is the size of the buffered bodies of requests and responses, and BufferedLimit its bound.
+	BufferedBytes, BufferedLimit int64
+	// ResponsesWaiting is the number of responses of upstreams that wait for memory.
+	ResponsesWaiting int
+	// RuntimeBytes is the memory that the Go runtime holds for the whole process, with garbage and free memory that it keeps.
+	RuntimeBytes uint64
 }
 
 // Status returns the current state of the host.
@@ -294,10 +309,20 @@
 		}
 	}
 	status.UpstreamsLeaving, status.UpstreamsInBackoff = g.router.refusingUpstreams(now)
+	budget := g.forwarder.Budget()
+	status.BufferedBytes, status.BufferedLimit, status.ResponsesWaiting = budget.Used(), budget.Limit(), budget.Waiting()
+	status.RuntimeBytes = runtimeBytes()
 	status.DatagramsSent, status.DatagramsRejected, status.DatagramsRepeated = g.node.Counters()
 	return status
 }
 
+// runtimeBytes returns the memory that the Go runtime holds and has not returned to the operating system, as bounded by its limit.
+func runtimeBytes() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+}
+
 // maxHostsWait is how long a host that has a configuration waits for the records of the other hosts before it serves.
 const maxHostsWait = time.Second
 
@@ -339,24 +364,6 @@
 	return defaultLimits
 }
 
-// reject returns the response to a request that cannot be read.
-func reject(rejection pipeline.Rejection) *pipeline.Response {
-	kind := errkind.RequestMalformed
-	switch rejection {
-	case pipeline.HeaderTooLarge:
-		kind = errkind.HeaderTooLarge
-	case pipeline.BodyTooLarge:
-		kind = errkind.RequestTooLarge
-	case pipeline.HeaderTimedOut, pipeline.BodyTimedOut:
-		kind = errkind.RequestTimeout
-	case pipeline.BudgetExhausted:
-		kind = errkind.Overloaded
-	case pipeline.Malformed:
-	}
-	status, header, body := errkind.Render("", errkind.New(kind, nil), time.Second)
-	return &pipeline.Response{Status: status, Header: header, Body: body}
-}
-
 // receive processes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
 	if !m.Stale {
@@ -381,7 +388,7 @@
 		g.lag.observe(g.logger, now, m.Host, m.Configuration, version)
 		notify(g.rereadConfiguration)
 	}
-	if m.Registry.Digest != 0 {
+	if m.Registry.Digest != 0 && !g.updatesMayBeStale(now) {
 		g.receiveRegistryUpdate(registryUpdate{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
 	}
 }
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -42,6 +42,8 @@
 	Length int64
 	// Close requests that the connection is closed after the response.
 	Close bool
+	// Release, if not nil, is called once, when the response was written or dropped and Body is no longer in use.
+	Release func()
 }
 
 // Handler responds to requests. It is called concurrently. ctx is cancelled when the caller closes the connection.
@@ -50,7 +52,9 @@
 // Rejection is the reason why a request did not reach the handler.
 type Rejection int
 
-// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the body.
+// The reasons for a Rejection. BudgetExhausted means that Options.Budget has no memory left for the header or
+// the body, and ShuttingDown that the
+// request had not arrived completely when the server stopped to wait for it.
 const (
 	Malformed Rejection = iota + 1
 	HeaderTooLarge
@@ -58,30 +62,49 @@
 	BodyTooLarge
 	BodyTimedOut
 	BudgetExhausted
+	ShuttingDown
 )
 
+// String returns the name of the rejection in lower case with underscores.
+func (r Rejection) String() string {
+	names := [...]string{
+		"invalid", "malformed", "header_too_large", "header_timed_out", "body_too_large", "body_timed_out", "memory_exhausted",
+		"shutting_down",
+	}
+	if r < 0 || int(r) >= len(names) {
+		return names[0]
+	}
+	return names[r]
+}
+
 // Options configures a Server.
 type Options struct {
 	// Handler handles the requests. Required.
 	Handler Handler
 	// Limits returns the current limits. It is called for each request. Required.
 	Limits func() Limits
-	// Reject returns the response to a request that does not reach the handler. The connection is closed after it. Required.
-	Reject func(Rejection) *Response
-	// Budget bounds the memory of request bodies. Required.
+	// Reject returns the response to a request that does not reach the handler. The request is nil if its header was not read. The
+	// connection is closed after the response. Required.
+	Reject func(Rejection, *http.Request) *Response
+	// Budget bounds the memory of request bodies and of large headers. Required.
 	Budget *forward.BufferBudget
 	// ResponseWritten is called when a response of the handler was written or its write failed, but not if the connection ended
 	// before the write; after is the time since the handler returned it. ResponseWritten must not block. Default none.
 	ResponseWritten func(r *Request, after time.Duration, err error)
-	// MaxConnections bounds the open connections; further ones are closed immediately. Default 4096.
+	// MaxConnections bounds the open connections. A further one replaces the one that has been idle for longest, or is closed
+	// immediately if none is idle. Default 4096.
 	MaxConnections int64
-	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Default 16.
+	// MaxPipelined bounds the requests of one connection that were read and wait for their response. Further ones are discarded:
+	// the response to the last one that was accepted closes the connection, and the caller sends them again. Default 64.
 	MaxPipelined int
+	// MaxConcurrent bounds the requests of one connection that are handled or whose response waits to be written. Default 16.
+	MaxConcurrent int
 }
 
 const (
 	defaultMaxConnections = 4096
-	defaultMaxPipelined   = 16
+	defaultMaxPipelined   = 64
+	defaultMaxConcurrent  = 16
 	// bodyTimeout bounds the time in which a body must arrive.
 	bodyTimeout = 20 * time.Second
 	// writeTimeout bounds the time in which a caller must accept a response.
@@ -99,6 +122,8 @@
 	inFlight atomic.Int64
 	rejected atomic.Int64
 	closing  atomic.Bool
+	// rejecting is set once requests that are not complete are rejected.
+	rejecting atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -112,6 +137,9 @@
 	if options.MaxPipelined == 0 {
 		options.MaxPipelined = defaultMaxPipelined
 	}
+	if options.MaxConcurrent == 0 {
+		options.MaxConcurrent = defaultMaxConcurrent
+	}
 	if options.ResponseWritten == nil {
 		options.ResponseWritten = func(*Request, time.Duration, error) {}
 	}
@@ -130,8 +158,32 @@
 // CloseAfterResponses makes the server close each connection after the response to its last started request.
 func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
 
+// RejectUnread rejects with ShuttingDown each request that has begun to arrive and is not complete, now or when it begins to arrive
+// later.
+func (s *Server) RejectUnread() {
+	s.rejecting.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.rejectUnread()
+	}
+}
+
+// ErrShutdown is the cause of the context of a request that was cancelled by CancelRequests.
+var ErrShutdown = errors.New("the host shuts down")
+
+// CancelRequests cancels the contexts of all requests with ErrShutdown. Their responses are still written.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancelRequests(ErrShutdown)
+	}
+}
+
 // CloseIdle closes the connections that have no request in flight and returns how many stay open. A request that arrives at
-// that moment is dropped unread and never reaches the handler.
+// that moment is dropped unread and never reaches the handler. A connection whose last response was written stays open until the
+// caller closes it or lingerTimeout has elapsed, because a request that crosses a close would reset the connection.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -144,6 +196,20 @@
 	return open
 }
 
+// closeLongestIdle closes the connection that has been idle for longest. It reports false if none is idle.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		if start, ok := c.idleStart(); ok && (longest == nil || start.Before(since)) {
+			longest, since = c, start
+		}
+	}
+	return longest != nil && longest.closeIfIdle()
+}
+
 // Serve accepts connections until the listener is closed, and then returns nil. It returns the error of ctx if ctx is done
 // while Serve waits after a failed accept.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
@@ -159,10 +225,12 @@
 			continue
 		}
 		if s.open.Add(1) > s.options.MaxConnections {
-			s.open.Add(-1)
 			s.rejected.Add(1)
-			_ = accepted.Close()
-			continue
+			if !s.closeLongestIdle() {
+				s.open.Add(-1)
+				_ = accepted.Close()
+				continue
+			}
 		}
 		c := newConn(ctx, s, accepted)
 		s.track(c, true)
@@ -184,6 +252,14 @@
 	delete(s.conns, c)
 }
 
+// notify sends a signal on a channel of capacity 1. It does not block: a signal that is already pending is enough.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -54,6 +54,7 @@
 		Header:  map[string]string{x.options.Headers.Instance: string(a.selection.Upstream.ID)},
 		// A trial on a pooled connection would test only the connection: upstreams that drop idle ones would stay out of use.
 		NewConnection: a.selection.Trial,
+		AwaitsMemory:  a.selection.AwaitsMemory,
 	}
 	response, err := x.options.Forwarder.Do(ctx, x.outgoing, target)
 	if err != nil {
@@ -65,11 +66,19 @@
 		a.outcome, a.cause = Broken, errResponseTooLarge
 		return
 	}
+	if x.isContradictory(response) {
+		response.Close()
+		a.outcome, a.cause = Broken, errContradictory
+		return
+	}
 	a.response = response
 	a.outcome = x.classify(response)
 }
 
-var errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+var (
+	errResponseTooLarge = errors.New("the response body is larger than this host buffers")
+	errContradictory    = errors.New("the response states that the request was not run, but it is a success or is signed")
+)
 
 func (a *attempt) fail(err error) {
 	a.cause = err
@@ -81,6 +90,10 @@
 	switch {
 	case failure.Kind == forward.Cancelled:
 		a.outcome = Cancelled
+	case failure.Kind == forward.NoMemory && !failure.Sent:
+		a.outcome = NotPassedOn
+	case failure.Kind == forward.NoMemory:
+		a.outcome = NoMemory
 	case !failure.Connected:
 		a.outcome = NotConnected
 	case failure.Kind == forward.TimedOut:
@@ -92,14 +105,26 @@
 	}
 }
 
+// isContradictory reports whether a response states that the request was not run although it is a success or is signed, as only
+// responses to requests that have run are. The beginning of an additional response, sent before the response, can lead to that.
+func (x *exchange) isContradictory(response *forward.Response) bool {
+	signed := response.Header.Get(x.options.Headers.Signature) != ""
+	return x.statesNotRun(response) && (signed || response.Status < http.StatusBadRequest)
+}
+
+func (x *exchange) statesNotRun(response *forward.Response) bool {
+	return response.Header.Get(x.options.Headers.NotRun) != ""
+}
+
 // classify returns the outcome of an attempt with a complete response.
 func (x *exchange) classify(response *forward.Response) Outcome {
+	misdirected := response.Status == http.StatusMisdirectedRequest
 	switch {
-	case response.Status == http.StatusMisdirectedRequest:
+	case misdirected && x.statesNotRun(response):
 		return WrongInstance
-	case response.Header.Get(x.options.Headers.NotRun) != "":
+	case x.statesNotRun(response):
 		return NotRun
-	case response.Status >= http.StatusInternalServerError:
+	case misdirected, response.Status >= http.StatusInternalServerError:
 		return FailedStatus
 	default:
 		return Answered
@@ -109,7 +134,7 @@
 // mayHaveRun reports whether the upstream may have run the request.
 func (a *attempt) mayHaveRun() bool {
 	switch a.outcome {
-	case NotRun, WrongInstance, NotConnected, NotSent:
+	case NotRun, WrongInstance, NotConnected, NotSent, NotPassedOn:
 		return false
 	default:
 		return true
@@ -117,12 +142,15 @@
 }
 
 // reachedUpstream reports whether the attempt counts as sent to an upstream.
-func (a *attempt) reachedUpstream() bool { return a.outcome != NotConnected && a.outcome != NotSent }
+func (a *attempt) reachedUpstream() bool {
+	return a.outcome != NotConnected && a.outcome != NotSent && a.outcome != NotPassedOn
+}
 
 // end reports the result of the attempt and adds it to the event of the request.
 func (a *attempt) end(x *exchange) {
 	a.cancel()
 	x.mayHaveRun = x.mayHaveRun || a.mayHaveRun()
+	x.memoryScarce = a.outcome == NotPassedOn
 	if a.reachedUpstream() {
 		x.sent++
 	}
@@ -133,13 +161,11 @@
 	}
 	if a.response != nil {
 		result.Status, result.Reused = a.response.Status, a.response.Reused
+		result.Took -= a.response.MemoryWait
 		result.Load = parseLoad(a.response.Header.Get(x.options.Headers.Load))
-		result.Leaving = strings.TrimSpace(a.response.Header.Get(x.options.Headers.Leaving)) == "1"
-		if a.response.Status == http.StatusServiceUnavailable {
-			result.Backoff = parseRetryAfter(a.response.Header.Get("Retry-After"))
-		}
+		result.Leaving, result.Backoff = parseSignals(a.response.Header, a.response.Status, x.options.Headers.Leaving)
 		event.Status, event.Reused, event.Connection = a.response.Status, a.response.Reused, a.response.Connection
-		a.response.Close() // returns the share of the buffer budget; the body stays in memory
+		x.responses = append(x.responses, a.response)
 	}
 	var failure *forward.AttemptError
 	if errors.As(a.cause, &failure) {
@@ -149,22 +175,6 @@
 	a.selection.Done(result)
 }
 
-// maxRetryAfter bounds the time that is read from a Retry-After header.
-const maxRetryAfter = 24 * time.Hour
-
-// parseRetryAfter parses a number of seconds, which may have a fraction. It returns 0 for a text that is not a positive number, as
-// dates are not.
-func parseRetryAfter(text string) time.Duration {
-	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) {
-		return 0
-	}
-	if !(seconds > 0) { // also for NaN
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // parseLoad parses a load of the form "running,waiting,slots". It returns nil if the text has another form.
 func parseLoad(text string) *placement.Load {
 	fields := strings.Split(text, ",")
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Request-Id", Timeout: "X-Time-Left", Customer: "X-Customer", Instance: "X-Instance",
-	NotRun: "X-Not-Run", Load: "X-Load", KeyScheme: "Bearer",
+	NotRun: "X-Not-Run", Signature: signature, Load: "X-Load", KeyScheme: "Bearer",
 }
 
 // inOrder implements Upstreams. It chooses the first upstream that is not excluded.
@@ -91,6 +91,12 @@
 const largeBudget = 1 << 20
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithLimit(t, testTimeLimit)
+}
+
+// newFixtureWithLimit returns a fixture whose requests have the given time limit.
+func newFixtureWithLimit(t *testing.T, limit time.Duration) *fixture {
 	t.Helper()
 	r := &fixture{t: t, limiter: quota.New()}
 	r.limiter.SetHosts(nil)
@@ -98,7 +104,7 @@
 	r.first, r.second = newUpstream(t, "first"), newUpstream(t, "second")
 	r.choice = &inOrder{upstreams: []*testUpstream{r.first, r.second}, budget: largeBudget}
 	snapshot := settings.NewSnapshot(7, []settings.Route{{
-		Name: "r", Service: service, PathPrefix: "/", Policy: settings.Policy{Timeout: 2 * time.Second, MaxAttempts: 2},
+		Name: "r", Service: service, PathPrefix: "/", Policy: settings.Policy{Timeout: limit, MaxAttempts: 2},
 	}}, nil, []settings.Customer{{ID: "customer", Keys: []settings.Key{{ID: "1", Hash: settings.HashKey(key)}}}})
 	forwarder := forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: testHeaders.RequestID, Timeout: testHeaders.Timeout},
@@ -207,7 +213,7 @@
 }
 
 func endAtEachByte(t *testing.T, method string, reused, reset bool) {
-	r := newFixture(t)
+	r, stalls := newFixtureWithLimit(t, time.Minute), startStallMeter(t)
 	run := func(what string, f fault) {
 		if reused {
 			r.first.fault.Store(&noFault)
@@ -215,7 +221,7 @@
 		}
 		f.reset = reset
 		r.first.fault.Store(&f)
-		response, id := r.send(method)
+		response, id := r.sendInTime(what, method, stalls)
 		r.expect(what, method == http.MethodGet, response, id)
 	}
 	r.send(method)
@@ -332,7 +338,7 @@
 // Guards against a status that promises that a non-idempotent request has not run, although its upstream has not stated that.
 func TestUnmarkedRejectionsArePassedOnAsUnknown(t *testing.T) {
 	for _, status := range []int{
-		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusMisdirectedRequest,
 	} {
 		r := newFixture(t)
 		r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, status: status})
@@ -344,6 +350,55 @@
 	}
 }
 
+// Guards against a request that has run and is sent to a further upstream, or answered with a promise that it has not run, because
+// its response also states "not run": the response is signed, or the beginning of another one came before it.
+func TestStatementInResponseOfRunIsNotBelieved(t *testing.T) {
+	for name, f := range map[string]fault{
+		"success":                     {statesNotRun: true},
+		"failure":                     {statesNotRun: true, status: http.StatusInternalServerError},
+		"rejection":                   {statesNotRun: true, status: http.StatusServiceUnavailable},
+		"beginning of a rejection":    {stray: "HTTP/1.1 503 Rejected\r\nX-Not-Run: 1\r\nX-Cut: "},
+		"beginning of a 421":          {stray: "HTTP/1.1 421 Misdirected\r\nX-Cut: "},
+		"beginning without statement": {stray: "HTTP/1.1 503 Rejected\r\nX-Cut: "},
+	} {
+		for _, budget := range []int{0, largeBudget} {
+			t.Run(fmt.Sprintf("%s, retry budget %d", name, budget), func(t *testing.T) {
+				r := newFixture(t)
+				r.choice.budget = budget
+				f.readLimit, f.writeLimit = -1, -1
+				r.first.fault.Store(&f)
+				for n := range 20 {
+					response, id := r.send(http.MethodPost)
+					r.expect(fmt.Sprint("request ", n), false, response, id)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a response that has the status of one response and the body of another: an upstream sends a part of a response that
+// ends within a header, and then its response. A failure became a success, and a success became a failure.
+func TestMergedResponsesAreBroken(t *testing.T) {
+	for name, f := range map[string]fault{
+		"a success before a failure": {stray: "HTTP/1.1 200 OK\r\nX-Cut: ", status: http.StatusInternalServerError},
+		"a failure before a success": {stray: "HTTP/1.0 500 Failed\r\nDate: Sun, 06 Dec"},
+		"a success before a success": {stray: "HTTP/1.1 200 OK\r\nETag: a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t)
+			r.choice.upstreams = r.choice.upstreams[:1]
+			f.readLimit, f.writeLimit = -1, -1
+			r.first.fault.Store(&f)
+			r.send(http.MethodPost) // only later requests of a connection get the stray part
+			response, id := r.send(http.MethodPost)
+			r.expect(name, false, response, id)
+			if response.Status != http.StatusBadGateway {
+				t.Errorf("status %d, want 502", response.Status)
+			}
+		})
+	}
+}
+
 // Guards against non-idempotent requests that are sent to a further upstream without need, or beyond the limits, when upstreams
 // reject them.
 func TestRejectionsByUpstreams(t *testing.T) {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -91,6 +91,8 @@
 	onBreakerChange func(id settings.UpstreamID, open bool, cause, from string)
 	// onSignal is called when an upstream has asked for something that it had not asked for before.
 	onSignal func(settings.UpstreamID, placement.Signals)
+	// onMisdirected is called when an upstream is taken out of use because another one has responded at its address.
+	onMisdirected func(*settings.Upstream)
 	// onConnectionLost is called for a connection to an upstream that broke together with connections to other upstreams.
 	onConnectionLost func(settings.UpstreamID)
 
@@ -103,7 +105,7 @@
 	return &router{
 		self: self, dataCentre: dataCentre, registry: registry.New(), breakers: breaker.New(self), bounds: bounds, hosts: 1,
 		retries:  quota.New(),
-		onSignal: func(settings.UpstreamID, placement.Signals) {},
+		onSignal: func(settings.UpstreamID, placement.Signals) {}, onMisdirected: func(*settings.Upstream) {},
 		services: make(map[settings.ServiceName]*serviceState),
 	}
 }
@@ -177,6 +179,7 @@
 	}
 	selection := relay.Selection{
 		Upstream: choice.Upstream, Trial: choice.Trial, Load: choice.Load, RegistryAge: now.Sub(view.ReadAt), Done: done,
+		AwaitsMemory: monitor.suspend,
 	}
 	selection.HedgeAfter, _ = s.durations.ExceedanceAge(route, hedgeProbabilityFor(choice, r.breakers.FailureScore(now, id)))
 	selection.TypicalDuration, _ = s.durations.ExceedanceAge(route, typicalProbability)
@@ -222,11 +225,13 @@
 	case relay.NotConnected:
 		r.report(id, breaker.Unreachable)
 	case relay.WrongInstance:
-		r.registry.Remove(id)
+		if r.registry.Misdirected(upstream) {
+			r.onMisdirected(upstream)
+		}
 	case relay.TimedOut:
 		// A time-out after a short time limit is no evidence against the upstream. Before one after a long time limit, the attempt
 		// has already been reported as overdue.
-	case relay.NotRun, relay.Cancelled:
+	case relay.NotRun, relay.Cancelled, relay.NoMemory, relay.NotPassedOn:
 	}
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -113,9 +113,20 @@
 	m.reported = score
 }
 
+// suspend withdraws the failure score of the attempt and reports it no more: its response has begun, and waits for memory of this host.
+func (m *attemptMonitor) suspend() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.timer.Stop()
+	m.ended = true
+	if m.reported != 0 {
+		m.report(0)
+	}
+}
+
 // end adds the duration of a successful response to the model, without the time in the upstream's queue. The failure score of the
-// attempt is withdrawn if the response was successful or the upstream did not run the request. If a successful response came after
-// the last level, the fraction lateResponseFactor of the score remains.
+// attempt is withdrawn if the response was successful, if the upstream did not run the request, or if the host had no memory for the
+// response. If a successful response came after the last level, the fraction lateResponseFactor of the score remains.
 func (m *attemptMonitor) end(outcome relay.Outcome, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -125,7 +136,7 @@
 		m.service.durations.Observe(m.route, time.Duration(float64(took)/m.queue))
 	}
 	switch outcome {
-	case relay.Answered, relay.NotRun, relay.WrongInstance:
+	case relay.Answered, relay.NotRun, relay.WrongInstance, relay.NoMemory, relay.NotPassedOn:
 	default:
 		return
 	}
