--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,6 @@
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
-	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -74,6 +74,7 @@
 	router         *router
 	limiter        *quota.Limiter
 	forwarder      *forward.Forwarder
+	budget         *forward.BufferBudget
 	server         *pipeline.Server
 	node           *gossip.Node
 	listener       net.Listener
@@ -89,7 +90,7 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
-	// lastDelay is the last time for which the control loop did not run although it was due.
+	// lastDelay is the last time for which the control loop did not run although it was due; nil if there was none.
 	lastDelay atomic.Pointer[loopDelay]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
@@ -133,6 +134,7 @@
 		buffers = options.MemoryBytes / bufferDivisor
 	}
 	budget := forward.NewBufferBudget(buffers)
+	g.budget = budget
 	g.forwarder = forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
 		AllowCloseDelimited: true, RequireRequestID: true, ConnectTimeout: connectTimeout, IdleConnTimeout: idleConnTimeout,
@@ -148,7 +150,7 @@
 		return handler.Serve(ctx, request)
 	}
 	g.server = pipeline.New(pipeline.Options{
-		Handler: serve, Limits: g.limits, Reject: reject, Budget: budget, MaxConnections: options.Connections,
+		Handler: serve, Limits: g.limits, Reject: g.reject, Budget: budget, MaxConnections: options.Connections,
 		ResponseWritten: g.responseWritten,
 	})
 	return g, g.listen(ctx)
@@ -231,6 +233,7 @@
 	router.Path(confsync.Path).Methods(http.MethodGet).Handler(confsync.NewHandler(key, compressed))
 	return &http.Server{
 		Handler: router, ReadHeaderTimeout: settingsHeaderTimeout, IdleTimeout: settingsHeaderTimeout,
+		ReadTimeout: settingsHeaderTimeout, WriteTimeout: settingsHeaderTimeout, MaxHeaderBytes: confsync.MaxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0), // the requesting host logs failures
 	}
 }
@@ -280,6 +283,12 @@
 	LogLinesSkipped      int64
 	// UpstreamsLeaving have stated that they leave, and UpstreamsInBackoff ask for no requests from this host now.
 	UpstreamsLeaving, UpstreamsInBackoff int
+	// BufferedBytes is the size of the buffered bodies of requests and responses, and BufferedLimit its bound.
+	BufferedBytes, BufferedLimit int64
+	// ResponsesWaiting is the number of responses of upstreams that wait for memory.
+	ResponsesWaiting int
+	// RuntimeBytes is the memory that the Go runtime holds for the whole process, with garbage and free memory that it keeps.
+	RuntimeBytes uint64
 }
 
 // Status returns the current state of the host.
@@ -300,10 +309,20 @@
 		}
 	}
 	status.UpstreamsLeaving, status.UpstreamsInBackoff = g.router.refusingUpstreams(now)
+	budget := g.forwarder.Budget()
+	status.BufferedBytes, status.BufferedLimit, status.ResponsesWaiting = budget.Used(), budget.Limit(), budget.Waiting()
+	status.RuntimeBytes = runtimeBytes()
 	status.DatagramsSent, status.DatagramsRejected, status.DatagramsRepeated = g.node.Counters()
 	return status
 }
 
+// runtimeBytes returns the memory that the Go runtime holds and has not returned to the operating system, as bounded by its limit.
+func runtimeBytes() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+}
+
 // maxHostsWait is how long a host that has a configuration waits for the records of the other hosts before it serves.
 const maxHostsWait = time.Second
 
@@ -345,30 +364,6 @@
 	return defaultLimits
 }
 
-// reject returns the response to a request that cannot be read.
-func reject(rejection pipeline.Rejection) *pipeline.Response {
-	kind := errkind.RequestMalformed
-	switch rejection {
-	case pipeline.HeaderTooLarge:
-		kind = errkind.HeaderTooLarge
-	case pipeline.BodyTooLarge:
-		kind = errkind.RequestTooLarge
-	case pipeline.HeaderTimedOut, pipeline.BodyTimedOut:
-		kind = errkind.RequestTimeout
-	case pipeline.BudgetExhausted:
-		kind = errkind.Overloaded
-	case pipeline.ShuttingDown:
-		kind = errkind.ShuttingDown
-	case pipeline.Malformed:
-	}
-	rejected := &errkind.Error{Kind: kind}
-	if kind == errkind.ShuttingDown {
-		rejected.RetryAfter = relay.ShutdownRetryAfter
-	}
-	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
-	return &pipeline.Response{Status: status, Header: header, Body: body}
-}
-
 // receive processes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
 	if !m.Stale {
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -40,7 +40,7 @@
 	g.lastDelay.Store(&loopDelay{from: now.Add(-by), until: now})
 	g.log.loopDelayed(by)
 	if limit := g.minPause(); limit > 0 && by > limit {
-		g.recordPause(time.Now())
+		g.recordPause(now)
 	}
 }
 
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -52,7 +53,9 @@
 	// HedgeAfter is the time without a response after which an idempotent request is also sent to another upstream.
 	// TypicalDuration is the time within which most successful responses arrive. Both are 0 if unknown.
 	HedgeAfter, TypicalDuration time.Duration
-	Done                        func(Result)
+	// AwaitsMemory is called if the response of the upstream begins to wait for memory of this host. Optional.
+	AwaitsMemory func()
+	Done         func(Result)
 }
 
 // Upstreams chooses upstreams and accounts for retries.
@@ -154,6 +157,11 @@
 }
 
 func (x *exchange) serve(ctx context.Context) *pipeline.Response {
+	if hasSpaceInName(x.request.HTTP.Header) {
+		response := x.reject(errkind.New(errkind.RequestMalformed, errSpaceInName))
+		response.Close = true // the header may have been meant to state the length of the body, which then follows
+		return response
+	}
 	if rejection := x.rejectInShutdown(); rejection != nil {
 		return x.reject(rejection)
 	}
@@ -170,6 +178,19 @@
 	return x.serveAtMostOnce()
 }
 
+var errSpaceInName = errors.New("space in the name of a header")
+
+// hasSpaceInName reports whether the name of a header contains a space. http.ReadRequest accepts that, and http.Transport does not
+// send it: the failure would count against each upstream that is tried.
+func hasSpaceInName(header http.Header) bool {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // maxRequestID is the maximum length in bytes of an id that is accepted from a caller.
 const maxRequestID = 128
 
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -5,9 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"regexp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -31,9 +29,11 @@
 	Reused bool
 	// Connection is the connection that carried the attempt.
 	Connection Connection
+	// MemoryWait is the time for which the response waited for memory of this host.
+	MemoryWait time.Duration
 
 	attempt      *attempt
-	upstream     string // the address of the upstream
+	target       Target
 	idempotent   bool
 	httpResponse *http.Response // its trailers are complete once the body has been read to its end
 	reserved     int64          // bytes reserved from the budget
@@ -42,12 +42,12 @@
 }
 
 // newResponse validates the header of a response and reads a short body to its end.
-func (a *attempt) newResponse(httpResponse *http.Response, q *Request, upstream string) (*Response, error) {
+func (a *attempt) newResponse(httpResponse *http.Response, q *Request, target Target) (*Response, error) {
 	used := a.connection()
 	response := &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, ContentLength: httpResponse.ContentLength,
 		TimeToFirstByte: time.Since(a.start), Reused: used.reused, Connection: used.Connection,
-		attempt: a, httpResponse: httpResponse, upstream: upstream, idempotent: q.Idempotent,
+		attempt: a, httpResponse: httpResponse, target: target, idempotent: q.Idempotent,
 	}
 	if err := a.validate(httpResponse, q); err != nil {
 		failure := a.attemptError(err)
@@ -61,7 +61,7 @@
 	for _, name := range reservedHeaders {
 		delete(response.Header, name)
 	}
-	if err := response.buffer(); err != nil {
+	if err := response.bufferWhole(); err != nil {
 		failure := a.attemptError(err)
 		response.Close()
 		return nil, failure
@@ -87,8 +87,11 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitchingProtocols
 	}
-	if containsStatusLine(response.Header) {
-		return errMergedResponses
+	if containsStatusLine(response) {
+		return errRunTogether
+	}
+	if fields, _ := headerSize(response.Header); fields > maxHeaderFields {
+		return errHeaderFields
 	}
 	if !a.forwarder.options.AllowCloseDelimited && q.Method != http.MethodHead && response.ContentLength < 0 &&
 		len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
@@ -97,21 +100,34 @@
 	return nil
 }
 
-// statusLine matches the beginning of a status line of HTTP/1.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+const (
+	// maxHeaderFields is the largest number of fields in the header of a response. A header of 64 KiB can have 16,000 of them, which take
+	// over 1 MiB of memory.
+	maxHeaderFields = 500
+	// fieldOverheadBytes is the approximate memory of a field beside its name and its value: an entry of the map and two strings.
+	fieldOverheadBytes = 112
+)
 
-// containsStatusLine reports whether the value of a header contains the status line of another response. That happens if an upstream
-// sends a part of a response that ends within a header, and then the response: the two are parsed as one, with the status of the
-// first and the body of the second.
-func containsStatusLine(header http.Header) bool {
-	for _, values := range header {
+// headerSize returns the number of fields of a header and the approximate memory that they take, in bytes.
+func headerSize(header http.Header) (fields int, size int64) {
+	for name, values := range header {
 		for _, value := range values {
-			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
-				return true
-			}
+			fields++
+			size += int64(len(name) + len(value) + fieldOverheadBytes)
 		}
 	}
-	return false
+	return fields, size
+}
+
+// bufferWhole reserves memory for the header, which stays in memory as long as the body, and buffers the body.
+func (r *Response) bufferWhole() error {
+	if r.attempt.forwarder.options.AwaitMemory {
+		_, size := headerSize(r.Header)
+		if _, err := r.reserve(size); err != nil {
+			return err
+		}
+	}
+	return r.buffer()
 }
 
 // buffer reads the body to its end if it is short enough and the budget allows it. Otherwise the rest remains to be streamed. With
@@ -133,7 +149,7 @@
 		return err
 	}
 	buffer := make([]byte, 0, first)
-	reader := &idleTimeoutReader{body: r.httpResponse.Body, attempt: r.attempt}
+	reader := r.attempt.newReader(r.httpResponse.Body)
 	defer reader.stop()
 	for {
 		if len(buffer) == cap(buffer) && r.ContentLength < 0 {
@@ -181,11 +197,11 @@
 // end would keep its buffer while it waits, so the attempt ends at once if the request can be repeated.
 func (r *Response) reserve(n int64) (bool, error) {
 	budget := r.attempt.forwarder.options.Budget
-	ok := budget.reserveFor(r.upstream, n)
+	ok := budget.reserveFor(r.target.Address, n)
 	if !ok && r.attempt.forwarder.options.AwaitMemory {
 		suspect := r.reserved >= maxUnknownLength // a body of known length is reserved at once
 		if !suspect || !r.idempotent {
-			ok = budget.awaitFor(r.attempt.ctx, r.upstream, n)
+			ok = r.awaitMemory(n)
 		}
 		switch {
 		case ok:
@@ -201,6 +217,17 @@
 	return ok, nil
 }
 
+// awaitMemory waits until n bytes are reserved. It returns false if the attempt ends first.
+func (r *Response) awaitMemory(n int64) bool {
+	if r.MemoryWait == 0 && r.target.AwaitsMemory != nil {
+		r.target.AwaitsMemory()
+	}
+	begin := time.Now()
+	ok := r.attempt.forwarder.options.Budget.awaitFor(r.attempt.ctx, r.target.Address, n)
+	r.MemoryWait += time.Since(begin)
+	return ok
+}
+
 // Close ends the attempt. The connection is reused only if the response was read to its proper end.
 func (r *Response) Close() {
 	if r.closed {
@@ -212,7 +239,7 @@
 	}
 	_ = r.httpResponse.Body.Close()
 	r.attempt.cancel(errAttemptEnded)
-	r.attempt.forwarder.options.Budget.releaseFor(r.upstream, r.reserved)
+	r.attempt.forwarder.options.Budget.releaseFor(r.target.Address, r.reserved)
 }
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
@@ -265,7 +292,7 @@
 	}
 	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buffer)
-	reader := &idleTimeoutReader{body: r.httpResponse.Body, attempt: r.attempt}
+	reader := r.attempt.newReader(r.httpResponse.Body)
 	defer reader.stop()
 	for {
 		n, err := reader.Read(buffer[:])
@@ -290,12 +317,40 @@
 // Trailer returns the trailers. They are complete once the response was read to its end.
 func (r *Response) Trailer() http.Header { return r.httpResponse.Trailer }
 
-// idleTimeoutReader limits the time of each Read to Options.IdleTimeout. The time between reads, which the caller takes to
-// accept the data, does not count.
+const (
+	// maxFramingFactor limits the bytes on the connection for each byte of a body. Chunks of one byte take six, and parsing them takes
+	// so much processor time that an upstream that sends them without an end takes it from all others.
+	maxFramingFactor = 4
+	// framingAllowance is the number of bytes on the connection to which maxFramingFactor does not apply: the trailers, and a short body
+	// in small chunks.
+	framingAllowance = 128 << 10
+)
+
+// idleTimeoutReader limits the time of each Read to Options.IdleTimeout, and the bytes on the connection for each byte of the body. The
+// time between reads, which the caller takes to accept the data, does not count.
 type idleTimeoutReader struct {
-	body    io.Reader
-	attempt *attempt
-	timer   *time.Timer
+	body     io.Reader
+	attempt  *attempt
+	timer    *time.Timer
+	conn     *countedConn // nil if it is of another type
+	received int64        // bytes read from the connection before the body
+	read     int64        // bytes of the body
+}
+
+func (a *attempt) newReader(body io.Reader) *idleTimeoutReader {
+	reader := &idleTimeoutReader{body: body, attempt: a, conn: a.connection().conn}
+	if reader.conn != nil {
+		reader.received = reader.conn.received.Load()
+	}
+	return reader
+}
+
+// checkFraming returns an error if the body takes too many bytes on the connection.
+func (r *idleTimeoutReader) checkFraming() error {
+	if r.conn != nil && r.conn.received.Load()-r.received > framingAllowance+maxFramingFactor*r.read {
+		return errFraming
+	}
+	return nil
 }
 
 // Read implements io.Reader.
@@ -309,8 +364,12 @@
 	}
 	n, err := r.body.Read(p)
 	r.timer.Stop()
-	if err != nil && err != io.EOF && context.Cause(r.attempt.ctx) != nil {
-		return n, context.Cause(r.attempt.ctx)
+	r.read += int64(n)
+	if err == nil {
+		return n, r.checkFraming()
+	}
+	if cause := context.Cause(r.attempt.ctx); err != io.EOF && cause != nil {
+		return n, cause
 	}
 	return n, err
 }
