--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,6 @@
 	"github.com/bronzeyard/bronzeyard/gateway/quota"
 	"github.com/bronzeyard/bronzeyard/gateway/relay"
 	"github.com/bronzeyard/bronzeyard/settings"
-	"github.com/bronzeyard/bronzeyard/traffic/errkind"
 	"github.com/bronzeyard/bronzeyard/traffic/forward"
 )
 
@@ -75,6 +74,7 @@
 	router         *router
 	limiter        *quota.Limiter
 	forwarder      *forward.Forwarder
+	budget         *forward.BufferBudget
 	server         *pipeline.Server
 	node           *gossip.Node
 	listener       net.Listener
@@ -90,7 +90,7 @@
 	// rereadAfterPause makes the syncer read because this process was paused. The last pause ended at pauseEndedAt.
 	rereadAfterPause struct{ configuration, upstreams chan struct{} }
 	pauseEndedAt     atomic.Pointer[time.Time]
-	// lastDelay is the last time for which the control loop did not run although it was due.
+	// lastDelay is the last time for which the control loop did not run although it was due; nil if there was none.
 	lastDelay atomic.Pointer[loopDelay]
 	// configurationAsOf is the time up to which the active configuration is known to contain all changes.
 	configurationAsOf atomic.Pointer[time.Time]
@@ -134,6 +134,7 @@
 		buffers = options.MemoryBytes / bufferDivisor
 	}
 	budget := forward.NewBufferBudget(buffers)
+	g.budget = budget
 	g.forwarder = forward.New(forward.Options{
 		HeaderNames:         forward.HeaderNames{RequestID: options.Headers.RequestID, Timeout: options.Headers.Timeout},
 		AllowCloseDelimited: true, RequireRequestID: true, ConnectTimeout: connectTimeout, IdleConnTimeout: idleConnTimeout,
@@ -149,7 +150,7 @@
 		return handler.Serve(ctx, request)
 	}
 	g.server = pipeline.New(pipeline.Options{
-		Handler: serve, Limits: g.limits, Reject: reject, Budget: budget, MaxConnections: options.Connections,
+		Handler: serve, Limits: g.limits, Reject: g.reject, Budget: budget, MaxConnections: options.Connections,
 		ResponseWritten: g.responseWritten,
 	})
 	return g, g.listen(ctx)
@@ -194,7 +195,7 @@
 	})
 	g.router.queueNotices, g.router.queueLocalNotices, g.router.queueLoad = g.node.QueueNotices, g.node.QueueLocalNotices, g.node.QueueLoad
 	g.router.onBreakerChange, g.router.onConnectionLost = g.log.breakerChanged, g.log.connectionLost
-	g.router.onSignal = g.log.upstreamSignals
+	g.router.onSignal, g.router.onMisdirected = g.log.upstreamSignals, g.log.upstreamMisdirected
 	return nil
 }
 
@@ -363,34 +364,6 @@
 	return defaultLimits
 }
 
-// reject returns the response to a request that cannot be read.
-func reject(rejection pipeline.Rejection) *pipeline.Response {
-	kind := errkind.RequestMalformed
-	switch rejection {
-	case pipeline.HeaderTooLarge:
-		kind = errkind.HeaderTooLarge
-	case pipeline.BodyTooLarge:
-		kind = errkind.RequestTooLarge
-	case pipeline.HeaderTimedOut, pipeline.BodyTimedOut:
-		kind = errkind.RequestTimeout
-	case pipeline.BudgetExhausted:
-		kind = errkind.Overloaded
-	case pipeline.ShuttingDown:
-		kind = errkind.ShuttingDown
-	case pipeline.Malformed:
-	}
-	rejected := &errkind.Error{Kind: kind}
-	switch kind {
-	case errkind.ShuttingDown:
-		rejected.RetryAfter = relay.ShutdownRetryAfter
-	case errkind.Overloaded:
-		rejected.RetryAfter = relay.MemoryRetryAfter(rand.Float64())
-	default:
-	}
-	status, header, body := errkind.Render("", rejected, relay.RetryAfterPrecision)
-	return &pipeline.Response{Status: status, Header: header, Body: body}
-}
-
 // receive processes a message of another host.
 func (g *Gateway) receive(now time.Time, m *gossip.Message) {
 	if !m.Stale {
@@ -415,7 +388,7 @@
 		g.lag.observe(g.logger, now, m.Host, m.Configuration, version)
 		notify(g.rereadConfiguration)
 	}
-	if m.Registry.Digest != 0 {
+	if m.Registry.Digest != 0 && !g.updatesMayBeStale(now) {
 		g.receiveRegistryUpdate(registryUpdate{RegistryState: m.Registry, readAt: now.Add(-m.Registry.Age), from: m.Host})
 	}
 }
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// memoryRetryAfter is the mean time within which responses that fill the memory of a host are likely to be written.
-const memoryRetryAfter = time.Second
+// memoryRetryAfter is the time within which requests and responses that fill the memory of a host are likely to end.
+const memoryRetryAfter = 500 * time.Millisecond
 
 // noMemory returns the error of a request that was not sent because the host has no memory for its response.
 func (x *exchange) noMemory() *errkind.Error {
@@ -98,7 +98,7 @@
 // MemoryRetryAfter returns the time after which a caller is asked to return that was rejected for lack of memory. random is a random
 // number in [0, 1): callers that are rejected together must not return together.
 func MemoryRetryAfter(random float64) time.Duration {
-	return time.Duration((0.5 + random) * float64(memoryRetryAfter))
+	return time.Duration((1 + random) * float64(memoryRetryAfter))
 }
 
 // noUpstream returns the error of a request for which there is no further upstream.
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -5,9 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"regexp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -89,8 +87,8 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitchingProtocols
 	}
-	if containsStatusLine(response.Header) {
-		return errMergedResponses
+	if containsStatusLine(response) {
+		return errRunTogether
 	}
 	if fields, _ := headerSize(response.Header); fields > maxHeaderFields {
 		return errHeaderFields
@@ -121,23 +119,6 @@
 	return fields, size
 }
 
-// statusLine matches the beginning of a status line of HTTP/1.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
-
-// containsStatusLine reports whether the value of a header contains the status line of another response. That happens if an upstream
-// sends a part of a response that ends within a header, and then the response: the two are parsed as one, with the status of the
-// first and the body of the second.
-func containsStatusLine(header http.Header) bool {
-	for _, values := range header {
-		for _, value := range values {
-			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // bufferWhole reserves memory for the header, which stays in memory as long as the body, and buffers the body.
 func (r *Response) bufferWhole() error {
 	if r.attempt.forwarder.options.AwaitMemory {
