--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -157,11 +156,6 @@
 }
 
 func (x *exchange) serve(ctx context.Context) *pipeline.Response {
-	if hasSpaceInName(x.request.HTTP.Header) {
-		response := x.reject(errkind.New(errkind.RequestMalformed, errSpaceInName))
-		response.Close = true // the header may have been meant to state the length of the body, which then follows
-		return response
-	}
 	if rejection := x.rejectInShutdown(); rejection != nil {
 		return x.reject(rejection)
 	}
@@ -178,19 +172,6 @@
 	return x.serveAtMostOnce()
 }
 
-var errSpaceInName = errors.New("space in the name of a header")
-
-// hasSpaceInName reports whether the name of a header contains a space. http.ReadRequest accepts that, and http.Transport does not
-// send it: the failure would count against each upstream that is tried.
-func hasSpaceInName(header http.Header) bool {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return true
-		}
-	}
-	return false
-}
-
 // maxRequestID is the maximum length in bytes of an id that is accepted from a caller.
 const maxRequestID = 128
 
