gossip: hosts that hear little do not divide the limits among fewer hosts

Cause: a host counts another for 20 s after its last datagram. Hosts of the two cuts did not hear each other for longer and divided the limits and retry budgets among fewer hosts, each side while the other still admitted its shares. A host that was cut off from all for more than 20 s was alone and admitted whole limits.

Fix: limits are divided among the largest number of hosts from which this host, or one that it still counts, has itself heard in 20 s. Datagrams already state that number. A host that hears from half of the fleet or less keeps the number for up to 5 min, less the hosts that have announced that they leave.

Ruled out: a longer time for every silent host, which would keep the shares of hosts that are gone for minutes, on all sides.

Evidence: in fake time, the shares added up to 1.10 to 1.33 of the limit with 3 to 48 hosts before, to 1 now (TestTwoCutsInARowKeepTheSharesOfALimit); one of two hosts divided the limits among 1 (TestMinorityKeepsItsShareOfALimit). One cut of more than 20 s is open on its larger side (docs/platform.md).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -50,6 +50,8 @@
 	peers       *confsync.Client
 	// unregisteredPeers is the number of other hosts with a record at the newest read before this host's own record was in the store.
 	unregisteredPeers atomic.Int64
+	// dividedAmong is the number of hosts among which limits are divided, as last logged.
+	dividedAmong atomic.Int64
 
 	// The fields below are used only by syncConfiguration and the functions that it calls.
 
@@ -282,8 +284,12 @@
 			alive = append(alive, hosts[i].ID)
 		}
 	}
-	s.router.setHosts(alive, others)
-	s.limiter.SetHosts(others)
+	size := s.node.FleetSize(now)
+	if divided := max(size, len(others)+1); int64(divided) != s.dividedAmong.Swap(int64(divided)) {
+		s.logger.Info().Str("event", "limits_divided").Int("hosts", divided).Int("heard", len(others)+1).Send()
+	}
+	s.router.setHosts(alive, others, size)
+	s.limiter.SetFleet(others, size)
 }
 
 // registration is the progress of making this host known to the others.
--- a/gateway/gossip/node.go
+++ b/gateway/gossip/node.go
@@ -56,8 +56,10 @@
 	ConfigurationAge time.Duration
 	// StoreUnavailable is true if the sender's recent reads of the store have failed.
 	StoreUnavailable bool
-	Notices          []breaker.Notice
-	Usage            []quota.Usage
+	// Hosts is the number of hosts, with itself, from which the sender has heard lately; 0 if it does not know the fleet.
+	Hosts   int
+	Notices []breaker.Notice
+	Usage   []quota.Usage
 	// RetryUsage counts the use of retry budgets; Customer holds the name of the service.
 	RetryUsage []quota.Usage
 	// Loads are the loads of upstreams that the sender has found to be full.
--- a/gateway/gossip/receive.go
+++ b/gateway/gossip/receive.go
@@ -146,6 +146,7 @@
 	message := &Message{
 		Host: m.GetHost(), Sequence: m.GetSequence(), Leaving: m.GetLeaving(), Configuration: m.GetConfiguration(),
 		Registry: decodeRegistry(m), StoreUnavailable: m.GetStoreAway(),
+		Hosts:            int(min(m.GetHosts(), maxClaimedHosts)),
 		ConfigurationAge: time.Duration(m.GetConfigurationAgeMs()) * time.Millisecond,
 	}
 	for _, notice := range m.GetNotices() {
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -31,6 +31,8 @@
 	// StoreUnavailable is true if the host's recent reads of the store have failed.
 	StoreUnavailable bool
 
+	// size is the number of hosts from which it has heard, as its newest datagram states.
+	size       int
 	addr       netip.AddrPort
 	recordedAt time.Time // when the record was added
 	sequence   uint64    // of its newest datagram
@@ -73,6 +75,7 @@
 	// fleet that other hosts report.
 	registered bool
 	claims     map[string]sizeClaim
+	majority   majority
 }
 
 // update adds the records from a read of the store. Hosts whose record is missing stay in the table and expire only when no
@@ -121,7 +124,7 @@
 	hostReturned = !host.seen || now.Sub(host.LastSeenAt) > LivenessTimeout
 	host.LastSeenAt, host.seen = now, true
 	host.Leaving, host.Configuration = m.Leaving, max(host.Configuration, m.Configuration)
-	host.StoreUnavailable = m.StoreUnavailable
+	host.StoreUnavailable, host.size = m.StoreUnavailable, m.Hosts
 	if m.ConfigurationAge > 0 {
 		host.ConfirmedAt = now.Add(-m.ConfigurationAge)
 	}
--- a/gateway/quota/fleet.go
+++ b/gateway/quota/fleet.go
@@ -6,11 +6,15 @@
 )
 
 // SetHosts sets the names of the other hosts, whether they have reported or not.
-func (l *Limiter) SetHosts(others []string) {
+func (l *Limiter) SetHosts(others []string) { l.SetFleet(others, 0) }
+
+// SetFleet sets the names of the other hosts, and the size of the fleet with this host if that is larger. Hosts without a name are
+// assumed to use their equal shares.
+func (l *Limiter) SetFleet(others []string, size int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.listed = true
-	l.resize(len(others) + 1)
+	l.resize(max(size, len(others)+1))
 	for host := range l.lastReports {
 		if !slices.Contains(others, host) {
 			l.removeHost(host)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -124,10 +124,11 @@
 	return s
 }
 
-// setHosts sets the live hosts, including this one, and all other hosts of the fleet.
-func (r *router) setHosts(alive, others []string) {
+// setHosts sets the live hosts, including this one, all other hosts of the fleet, and the number of hosts among which the retry
+// budget is divided.
+func (r *router) setHosts(alive, others []string, size int) {
 	r.breakers.SetHosts(alive)
-	r.retries.SetHosts(others)
+	r.retries.SetFleet(others, size)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hosts = len(others) + 1
