--- a/gateway/quota/isolation.go
+++ b/gateway/quota/isolation.go
@@ -27,9 +27,27 @@
 // inMinority reports whether less than half of the other hosts are live, as is the case right after a start.
 func (l *Limiter) inMinority() bool { return 2*l.liveHosts() < l.hosts-1 }
 
-// isolated reports whether this host may be isolated: it has received no report for too long, or it is in a minority.
+// isolated reports whether this host may be isolated: it has received no report for too long, it is in a minority, or it does not know
+// yet what the others have admitted during a pause of this process.
 func (l *Limiter) isolated(now time.Time) bool {
-	return l.hosts > 1 && (l.inMinority() || now.Sub(l.lastReportAt) > isolationTimeout(l.hosts))
+	return l.hosts > 1 && (l.resuming || l.inMinority() || now.Sub(l.lastReportAt) > isolationTimeout(l.hosts))
+}
+
+// staleReportTime is the time after a pause for which received reports may have waited in the socket.
+const staleReportTime = 100 * time.Millisecond
+
+// endResuming ends the isolation after a pause once half of the other hosts have reported since.
+func (l *Limiter) endResuming() {
+	if !l.resuming {
+		return
+	}
+	reported := 0
+	for _, at := range l.lastReports {
+		if at.Sub(l.resumedAt) > staleReportTime {
+			reported++
+		}
+	}
+	l.resuming = 2*reported < l.hosts-1
 }
 
 // setIsolated records whether this host is isolated, as of this refill. When it becomes isolated, what it has recently admitted
--- a/gateway/quota/isolation_test.go
+++ b/gateway/quota/isolation_test.go
@@ -107,3 +107,37 @@
 		t.Error("a host that hears all others again does not report its estimate as synced")
 	}
 }
+
+// Guards against a host that wakes from a pause and admits a burst: its estimate of the bucket has grown all that time, while the
+// others admitted the whole rate. Reports that waited in its socket, and the first of those after them, do not make up for it (98
+// requests in 5 s, 86 are allowed, when 7 of 16 hosts woke at once).
+func TestHostThatWakesAdmitsOnlyItsShare(t *testing.T) {
+	const hosts, pause = 16, 2100 * time.Millisecond
+	limit := Limit{Rate: 8, Burst: 15}
+	limitOf := func(settings.CustomerID) (Limit, bool) { return limit, true }
+	l, now := reportedFleet(hosts, limit, func(time.Duration) []Usage { return []Usage{{Customer: customer}} })
+	now = now.Add(pause)
+	admitted := 0
+	report := func(host string, count uint64) {
+		l.ApplyReport(now, host, []Usage{{Customer: customer, Admitted: count, Requested: count}}, limitOf)
+	}
+	for _, other := range otherHosts(0, hosts) {
+		report(other, 0)
+		admitted += admitFor(l, now, 2*time.Millisecond, limit)
+	}
+	now = now.Add(2 * staleReportTime)
+	report("host1", 30) // all that the others have admitted
+	admitted += admitFor(l, now, 20*time.Millisecond, limit)
+	if admitted > 1 {
+		t.Errorf("%d requests were admitted after a pause of %v, want one at most: the share of the burst is %.1f",
+			admitted, pause, limit.capacity()/hosts)
+	}
+	for _, other := range otherHosts(0, hosts)[:hosts/2] {
+		now = now.Add(20 * time.Millisecond)
+		report(other, 30)
+	}
+	now = now.Add(10 * time.Millisecond)
+	if l.isolated(now) {
+		t.Error("a host counts as isolated although half of the others have reported after its pause")
+	}
+}
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -147,6 +147,8 @@
 	startedAt time.Time // first request or report
 	// resumedAt is the end of the last pause of the process.
 	lastCallAt, resumedAt time.Time
+	// resuming is true from the end of a pause until half of the other hosts have reported since.
+	resuming bool
 	// minorityAt is when this host last heard from less than half of the others, as found by checkTimeouts.
 	minorityAt time.Time
 	// hosts is the number of hosts with this one, 0 if it is not known. listed is true after the first call of SetHosts.
@@ -315,6 +317,7 @@
 	l.recordCall(now)
 	_, known := l.lastReports[host]
 	l.lastReports[host], l.lastReportAt = now, now
+	l.endResuming()
 	l.clearTimeout(now, host)
 	for _, usage := range report {
 		limit, ok := limitOf(usage.Customer)
@@ -347,7 +350,7 @@
 // recordCall records the time of a call, and the end of a pause if there was one.
 func (l *Limiter) recordCall(now time.Time) {
 	if !l.lastCallAt.IsZero() && now.Sub(l.lastCallAt) > pauseThreshold {
-		l.resumedAt = now
+		l.resumedAt, l.resuming = now, true
 	}
 	l.lastCallAt = now
 }
