Statements that a newcomer stumbled on: limits of isolation, memory account, blocked writes

A header that the memory budget has no room for has an error of its own; errors and doc comments name what is counted. No change of behaviour.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,7 @@
 	// GossipAddress selects any free port.
 	CallerAddress string
 	GossipAddress string
-	// MemoryBytes is the memory of the host, a fraction of which bounds the buffered bodies; 0 means that it is unknown and a
+	// MemoryBytes is the memory of the host, a fraction of which bounds the buffered messages; 0 means that it is unknown and a
 	// default bound applies. Connections is the maximum number of open caller connections; 0 means the default of package pipeline.
 	MemoryBytes int64
 	Connections int64
@@ -110,9 +110,9 @@
 	connectTimeout = 300 * time.Millisecond
 	// maxBufferedResponse is the size of the largest response that is forwarded, in bytes.
 	maxBufferedResponse = 16 << 20
-	// defaultMaxBufferedBytes bounds the total size of buffered bodies if the memory of the host is unknown.
+	// defaultMaxBufferedBytes bounds the total size of buffered messages if the memory of the host is unknown.
 	defaultMaxBufferedBytes = 64 << 20
-	// bufferDivisor divides the memory of the host to obtain the bound on the total size of buffered bodies.
+	// bufferDivisor divides the memory of the host to obtain the bound on the total size of buffered messages.
 	bufferDivisor = 4
 )
 
@@ -283,7 +283,7 @@
 	LogLinesSkipped      int64
 	// UpstreamsLeaving have stated that they leave, and UpstreamsInBackoff ask for no requests from this host now.
 	UpstreamsLeaving, UpstreamsInBackoff int
-	// BufferedBytes is the size of the buffered bodies of requests and responses, and BufferedLimit its bound.
+	// BufferedBytes is the size of the buffered requests and responses, with headers, and BufferedLimit its bound.
 	BufferedBytes, BufferedLimit int64
 	// ResponsesWaiting is the number of responses of upstreams that wait for memory.
 	ResponsesWaiting int
--- a/gateway/gossip/fleetsize.go
+++ b/gateway/gossip/fleetsize.go
@@ -6,13 +6,13 @@
 // keeps its share of the limits, because the others may go on beyond a cut.
 const minorityTimeout = 5 * time.Minute
 
-// majority is the size of the fleet when this host last heard from more than half of it.
+// majority is the size of the fleet when this host last heard from more than half of it, or when minorityTimeout ended.
 type majority struct {
 	size int
 	at   time.Time
 }
 
-// FleetSize returns the number of hosts, with this one, among which limits are divided. It is the largest number of hosts from which
+// FleetSize updates and returns the number of hosts, with this one, among which limits are divided. It is the largest number of hosts from which
 // this host, or one that it has heard within membershipTimeout, has itself heard within membershipTimeout. It does not shrink while
 // this host hears from at most half of the fleet, for up to minorityTimeout.
 func (n *Node) FleetSize(now time.Time) int { return n.table.fleetSize(now) }
@@ -30,7 +30,7 @@
 				stated = max(stated, host.size)
 			}
 		case host.Leaving && !host.LastSeenAt.Add(membershipTimeout).Before(t.majority.at):
-			left++
+			left++ // it was still counted in t.majority
 		}
 	}
 	size := max(heard, stated)
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -20,7 +20,7 @@
 	exitReserve = 150 * time.Millisecond
 	exitDivisor = 10
 	// lastResponseTime is the time for writing the host's own responses to the requests that have not finished. lastResponseShare is
-	// the share of the grace period that those requests get at least.
+	// the share of the grace period that those requests get at least: a short grace period must not lose most of it to lastResponseTime.
 	lastResponseTime  = 100 * time.Millisecond
 	lastResponseShare = 5. / 6
 	// leaveCheckInterval is the interval between checks for idle connections and for changes of the grace period.
--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -291,9 +291,12 @@
 		l.connErr = err
 	}
 	if l.header != nil && !l.header.add(p[:n]) {
-		return 0, errHeaderTooLarge
+		return 0, errHeaderMemory
 	}
 	return n, err
 }
 
-var errHeaderTooLarge = errors.New("request header exceeds the size limit")
+var (
+	errHeaderTooLarge = errors.New("request header exceeds the size limit")
+	errHeaderMemory   = errors.New("the memory budget has no room for the request header")
+)
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -151,7 +151,7 @@
 	resuming bool
 	// minorityAt is when this host last heard from less than half of the others, as found by checkTimeouts.
 	minorityAt time.Time
-	// hosts is the number of hosts with this one, 0 if it is not known. listed is true after the first call of SetHosts.
+	// hosts is the number of hosts with this one, 0 if it is not known. listed is true after the first call of SetFleet.
 	hosts   int
 	listed  bool
 	sweptAt time.Time
--- a/gateway/relay/run.go
+++ b/gateway/relay/run.go
@@ -13,7 +13,7 @@
 var (
 	errNoUpstream    = errors.New("no further upstream of the service is available")
 	errNoRetryBudget = errors.New("the retry budget of the service is exhausted")
-	errMemoryScarce  = errors.New("the host has no memory for a further response of the upstreams of the service")
+	errMemoryScarce  = errors.New("the host has too little free memory for a further response")
 	errMaxAttempts   = errors.New("the request has been sent to the maximum number of upstreams of its route")
 )
 
--- a/gateway/relay/signals.go
+++ b/gateway/relay/signals.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// maxRetryAfter bounds the time that is read from a Retry-After header.
+// maxRetryAfter bounds the time that is read from a Retry-After header, so that it fits into a Duration. Package placement applies the
+// shorter bound that is in force.
 const maxRetryAfter = 24 * time.Hour
 
 // parseSignals returns what an upstream asks for in a complete response: it leaves, or it wants no requests for a time, which counts only
--- a/traffic/forward/budget.go
+++ b/traffic/forward/budget.go
@@ -14,7 +14,7 @@
 	scarceDivisor = 8
 )
 
-// BufferBudget limits the memory of all buffered bodies of a host. The responses of one upstream may hold at most as much as stays
+// BufferBudget limits the memory of the buffered bodies and headers of a host. The responses of one upstream may hold at most as much as stays
 // free, whatever the upstream sends: one upstream takes at most half of the budget, and if n upstreams ask for all they can get, each
 // tends to one part in n+1. Large responses also leave the last part to small ones. It is safe for concurrent use.
 type BufferBudget struct {
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -34,7 +34,7 @@
 	sealed bool
 }
 
-var errSealed = errors.New("connection closed for writing before the first byte of the request was sent")
+var errSealed = errors.New("writes on this connection are blocked: it must not carry further requests")
 
 // begin counts bytes that are about to be written. It returns false, and counts nothing, once the counter is sealed.
 func (s *sentCounter) begin(bytes int) bool {
