pipeline: a connection that is replaced no longer counts as open

What callers could see: while the replaced connection ended slowly, the next new one closed a further idle connection without need.

Cause: the slot of a replaced connection was given back only when its goroutine had ended. It now passes to the new connection at once.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -55,6 +55,8 @@
 	reading    bool // a request has begun to arrive, so the idle timeout does not apply
 	closedIdle bool // the connection was closed while it was idle; no request may start
 	idleSince  time.Time
+	// replaced is true if the connection was closed for a new one and no longer counts as open. The server's mu protects it.
+	replaced bool
 }
 
 // exchange is one request and its response.
--- a/gateway/pipeline/server.go
+++ b/gateway/pipeline/server.go
@@ -196,7 +196,8 @@
 	return open
 }
 
-// closeLongestIdle closes the connection that has been idle for longest. It reports false if none is idle.
+// closeLongestIdle closes the connection that has been idle for longest, which then no longer counts as open. It reports false if none is
+// idle.
 func (s *Server) closeLongestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,7 +208,12 @@
 			longest, since = c, start
 		}
 	}
-	return longest != nil && longest.closeIfIdle()
+	if longest == nil || !longest.closeIfIdle() {
+		return false
+	}
+	longest.replaced = true
+	s.open.Add(-1)
+	return true
 }
 
 // Serve accepts connections until the listener is closed, and then returns nil. It returns the error of ctx if ctx is done
@@ -233,23 +239,27 @@
 			}
 		}
 		c := newConn(ctx, s, accepted)
-		s.track(c, true)
+		s.add(c)
 		go func() {
-			defer s.open.Add(-1)
-			defer s.track(c, false)
+			defer s.remove(c)
 			c.serve()
 		}()
 	}
 }
 
-func (s *Server) track(c *conn, open bool) {
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open {
-		s.conns[c] = struct{}{}
-		return
-	}
 	delete(s.conns, c)
+	if !c.replaced {
+		s.open.Add(-1)
+	}
 }
 
 // notify sends a signal on a channel of capacity 1. It does not block: a signal that is already pending is enough.
