gateway: a signal that is handled up to 1 s after a pause counts from its begin

The bound is now 1 s: after a pause requests are refused earlier (503, other hosts serve them), and what is in flight keeps its time.

--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -25,8 +25,9 @@
 	lastResponseShare = 5. / 6
 	// leaveCheckInterval is the interval between checks for idle connections and for changes of the grace period.
 	leaveCheckInterval = 20 * time.Millisecond
-	// signalDelay bounds the time between the end of a pause of this process and the handling of a signal that came in it.
-	signalDelay = 100 * time.Millisecond
+	// signalDelay bounds the time between the end of a pause of this process and the handling of a signal that came in it. A process
+	// that resumes on a busy machine has much to do at once.
+	signalDelay = time.Second
 )
 
 // stopSignal is the request to shut down.
