--- a/traffic/forward/doc.go
+++ b/traffic/forward/doc.go
@@ -10,6 +10,9 @@
 // resends a replayable request by itself when a pooled connection breaks, and an Idempotency-Key header makes a request
 // replayable.
 //
+// A response is matched to its request by the id. Verbatim requests keep the id of the caller, so a connection carries each id at most
+// once: a late copy of an earlier response with the same id could not be told from the response.
+//
 // Limitations: a close-delimited response, whose end is marked only by the close of the connection, is rejected as broken
 // because it cannot be distinguished from a truncated one, unless Options.AllowCloseDelimited is set. Upgrades are not
 // supported. The Authorization header of callers never reaches an upstream.
