--- a/review/two/stage/backend.go
+++ b/review/two/stage/backend.go
@@ -133,16 +133,16 @@
 	id := r.Header.Get("X-Request-Id")
 	machine, _, _ := net.SplitHostPort(r.RemoteAddr)
 	w.Header().Set("X-Request-Id", id)
-	if target := r.Header.Get("X-Target-Instance"); target != b.ID {
+	if target := r.Header.Get(wire.Instance); target != b.ID {
 		w.Header().Set("X-Instance-Id", b.ID)
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	b.mu.Lock()
 	b.running++
 	born, since := b.born, at.Sub(b.bornAt)
-	w.Header().Set("X-Backend-Load", fmt.Sprintf("%d,0,%d", b.running, b.Slots))
+	w.Header().Set(wire.Load, fmt.Sprintf("%d,0,%d", b.running, b.Slots))
 	b.mu.Unlock()
 	wait, reject, retryAfter := b.Behave(b, since)
 	select {
@@ -157,13 +157,13 @@
 	a := Arrival{At: at, AnsweredAt: time.Now(), ID: id, Machine: machine, Born: born, Status: http.StatusOK}
 	if reject {
 		a.Status, a.RetryAfter = http.StatusServiceUnavailable, retryAfter
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		if retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 		}
 		w.WriteHeader(a.Status)
 	} else {
-		w.Header().Set("X-Response-Signature", "signed."+id)
+		w.Header().Set(wire.Signature, "signed."+id)
 		_, _ = io.WriteString(w, "answer to "+id)
 	}
 	_ = http.NewResponseController(w).Flush()
--- a/review/two/stage/caller.go
+++ b/review/two/stage/caller.go
@@ -57,14 +57,14 @@
 	}
 	request.Host = Hostname
 	request.Header.Set("X-Request-Id", a.ID)
-	request.Header.Set("X-Request-Timeout-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	request.Header.Set(wire.Timeout, strconv.FormatInt(limit.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer "+Key)
 	response, err := c.client.Do(request)
 	status, text, signed := 0, "", false
 	if err == nil {
 		data, readErr := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		status, text, signed, err = response.StatusCode, string(data), response.Header.Get("X-Response-Signature") != "", readErr
+		status, text, signed, err = response.StatusCode, string(data), response.Header.Get(wire.Signature) != "", readErr
 	}
 	c.mu.Lock()
 	a.Status, a.Body, a.Signed, a.Err, a.At = status, text, signed, err, time.Now()
@@ -94,3 +94,14 @@
 	}
 	return counts
 }
+
+// SentTimes returns the times at which the requests were sent.
+func (c *Caller) SentTimes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	times := make([]time.Time, 0, len(c.answers))
+	for _, a := range c.answers {
+		times = append(times, a.SentAt)
+	}
+	return times
+}
--- a/review/two/stage/stage.go
+++ b/review/two/stage/stage.go
@@ -177,7 +177,7 @@
 	}
 	command := exec.Command(filepath.Join(h.stage.Root, "target/bronzeyard"), "gateway", "--metrics", "9464", "--start-wait", "1s")
 	command.Dir = h.stage.Root
-	command.Env = []string{"BRONZEYARD_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	command.Env = []string{wire.SettingsVariable + "=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
