forward: a reset that the write of a request finds breaks the response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call only. http.Transport reads the response while it writes the request. If the write gets the reset, the read gets the end of the connection as after a proper close, and that ends a response without a length.

Where the read got the reset, the write got a broken pipe and the response was already taken for broken. Ruled out: responses with a length or in chunks (the parser misses their end), and requests without a write in progress (the read gets the reset).

--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -99,6 +99,8 @@
 	events        []Event
 	atMostOnce    []sentRequest
 	sent          int
+	// upload is the body of POST requests.
+	upload string
 }
 
 const largeBudget = 1 << 20
@@ -111,7 +113,7 @@
 // newFixtureWithLimit returns a fixture whose requests have the given time limit.
 func newFixtureWithLimit(t *testing.T, limit time.Duration) *fixture {
 	t.Helper()
-	r := &fixture{t: t, limiter: quota.New()}
+	r := &fixture{t: t, limiter: quota.New(), upload: "a booking"}
 	r.limiter.SetHosts(nil)
 	t.Cleanup(r.expectAtMostOnce) // runs after the upstreams have stopped, because their cleanups are added later
 	r.first, r.second = newUpstream(t, "first"), newUpstream(t, "second")
@@ -145,7 +147,7 @@
 	r.t.Helper()
 	body := ""
 	if method == http.MethodPost {
-		body = "a booking"
+		body = r.upload
 	}
 	request, err := http.NewRequestWithContext(r.t.Context(), method, "http://a/cards/1?x=y", strings.NewReader(body))
 	if err != nil {
--- a/gateway/relay/upstream_test.go
+++ b/gateway/relay/upstream_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // fault is the way in which a test upstream mishandles a request.
@@ -33,6 +34,10 @@
 	misdirected bool
 	// withoutID omits the request id from the duplicates of responses.
 	withoutID bool
+	// early responds before the body of the request is read, and then ends the connection.
+	early bool
+	// pause is the time between a response that is cut and the end of the connection.
+	pause time.Duration
 	// unframed omits the length of responses, so that the end of the connection ends the body.
 	unframed bool
 	// chunked sends the body in one chunk.
@@ -126,6 +131,10 @@
 		if err != nil {
 			return
 		}
+		if f.early {
+			u.respondEarly(conn, request, f)
+			return
+		}
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
@@ -150,6 +159,23 @@
 	}
 }
 
+// respondEarly responds to a request whose body is still being written. If the response is not cut, it ends its side of the connection
+// properly and keeps the other side open until the caller of the upstream closes it.
+func (u *testUpstream) respondEarly(conn net.Conn, request *http.Request, f *fault) {
+	text := u.respond(request, f, true)
+	if f.writeLimit >= 0 {
+		_, _ = io.WriteString(conn, text[:min(f.writeLimit, len(text))])
+		time.Sleep(f.pause)
+		u.end(conn, f)
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+}
+
 // respond runs or rejects the request and returns the response.
 func (u *testUpstream) respond(request *http.Request, f *fault, first bool) string {
 	id := request.Header.Get(testHeaders.RequestID)
--- a/traffic/forward/doc.go
+++ b/traffic/forward/doc.go
@@ -14,6 +14,7 @@
 // once: a late copy of an earlier response with the same id could not be told from the response.
 //
 // Limitations: a close-delimited response, whose end is marked only by the close of the connection, is rejected as broken
-// because it cannot be distinguished from a truncated one, unless Options.AllowCloseDelimited is set. Upgrades are not
+// because it cannot be distinguished from a truncated one, unless Options.AllowCloseDelimited is set. Then only a proper close of
+// the connection ends the response, and a reset breaks it, also one that the write of the request has found. Upgrades are not
 // supported. The Authorization header of callers never reaches an upstream.
 package forward
