forward: a response with a blank in the name of a field is broken

What callers saw: the response of an upstream with a field such as "X-Trace : 1" or "X Trace: 1" as a response, without that line. With "Content-Length : 4" or "Transfer-Encoding : chunked" they got what came until the end of the connection: the whole of the rest, or chunks with their sizes.

Cause: net/http rejects each byte that must not be in a name but the space. It keeps such a field under a name that nothing looks up, and does not write it. Requests with such a name are rejected by gateway/pipeline; responses were not checked.

Change: package traffic/httphead holds the check, which gateway/pipeline had for requests, and that of the status of a response. forward asks it before anything of the response is used: the attempt fails, its connection is closed, and the request is repeated or its outcome is stated as for any other broken response. The check looks at names, not at fields that matter, so it holds for each field.

The status 000 was handled already (TestUndefinedStatusIsAFailure, which now also looks at the signature); its check only moved.

--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -7,8 +7,9 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 const (
@@ -63,7 +64,7 @@
 		return nil, BudgetExhausted
 	case err != nil:
 		return nil, headerRejection(c.limited)
-	case hasSpaceInName(parsed.Header):
+	case httphead.CheckNames(parsed.Header) != nil: // http.Transport does not send it, which would look like an unreachable upstream
 		return nil, Malformed
 	case !memory.set(headerSize(c.consumed()-begin, fieldCount(parsed.Header)), freeHeaderBytes):
 		return nil, BudgetExhausted
@@ -72,18 +73,6 @@
 	}
 }
 
-// hasSpaceInName reports whether the name of a header contains a space. http.ReadRequest accepts that, and http.Transport does not send
-// it, which would look like an unreachable upstream. A header such as "Content-Length : 9" may also have been meant to state the
-// length of a body, which must not be read as the next request.
-func hasSpaceInName(header http.Header) bool {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return true
-		}
-	}
-	return false
-}
-
 // consumed returns the number of bytes of the connection that were parsed.
 func (c *conn) consumed() int64 { return c.limited.total - int64(c.reader.Buffered()) }
 
--- a/gateway/relay/responses_test.go
+++ b/gateway/relay/responses_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"testing"
+
+	"github.com/bronzeyard/bronzeyard/gateway/pipeline"
 )
 
 // Guards against responses that reach another request. The upstream sends each response twice, at once or again when the next
@@ -148,6 +150,34 @@
 	}
 }
 
+// Guards against a response whose header has a blank in the name of a field, as an upstream in trouble sends: callers received it as the
+// response, without that field, and with another body if the field was to state its length.
+func TestFieldNameWithBlankIsAFailure(t *testing.T) {
+	for _, line := range []string{"X-Trace : 1", "X Trace: 1", "Content-Length : 4", "Transfer-Encoding : chunked"} {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(line+" "+method, func(t *testing.T) {
+				r := newFixture(t)
+				r.first.fault.Store(&fault{readLimit: -1, writeLimit: maxResponseBytes, unframed: true, headerLine: line})
+				response, id := r.send(method)
+				r.expectFailureOfFirst(method, response, id)
+			})
+		}
+	}
+}
+
+// expectFailureOfFirst expects the response to a request for which the response of the first upstream was a failure.
+func (r *fixture) expectFailureOfFirst(method string, response *pipeline.Response, id string) {
+	r.t.Helper()
+	r.expect("response", method == http.MethodGet, response, id)
+	want := http.StatusBadGateway
+	if method == http.MethodGet {
+		want = http.StatusOK // from the second upstream
+	}
+	if response.Status != want || response.Header.Get(signature) == r.first.id {
+		r.t.Errorf("status %d, signed by %q; want %d and not the first upstream", response.Status, response.Header.Get(signature), want)
+	}
+}
+
 // Guards against a response with a status that is not defined for final responses, as an upstream in trouble sends: callers received
 // it as the response, and since it was fast and counted as a success, such an upstream attracted requests.
 func TestUndefinedStatusIsAFailure(t *testing.T) {
@@ -157,14 +187,7 @@
 				r := newFixture(t)
 				r.first.fault.Store(&fault{readLimit: -1, writeLimit: -1, statusDigits: digits})
 				response, id := r.send(method)
-				r.expect("response", method == http.MethodGet, response, id)
-				want := http.StatusBadGateway
-				if method == http.MethodGet {
-					want = http.StatusOK // from the second upstream
-				}
-				if response.Status != want {
-					t.Errorf("status %d, want %d", response.Status, want)
-				}
+				r.expectFailureOfFirst(method, response, id)
 			})
 		}
 	}
--- a/gateway/relay/upstream_test.go
+++ b/gateway/relay/upstream_test.go
@@ -47,6 +47,8 @@
 	statesNotRun bool
 	// statusDigits, if it is not empty, is written in place of the status of responses to requests that have run.
 	statusDigits string
+	// headerLine, if it is not empty, is a line of the header of responses to requests that have run.
+	headerLine string
 	// stray is written before each response but the first of a connection.
 	stray string
 }
@@ -219,6 +221,9 @@
 	if f.statesNotRun {
 		length += testHeaders.NotRun + ": 1\r\n"
 	}
+	if f.headerLine != "" {
+		length += f.headerLine + "\r\n"
+	}
 	return fmt.Sprintf("HTTP/1.1 %s OK\r\nX-Request-Id: %s\r\n%s: %s\r\n%s\r\n", status, id, signature, u.id, length)
 }
 
--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bronzeyard/bronzeyard/traffic/errkind"
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // Response is the response of an upstream.
@@ -87,8 +88,8 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitchingProtocols
 	}
-	if response.StatusCode < minFinalStatus || response.StatusCode > maxStatus {
-		return errUndefinedStatus
+	if err := httphead.CheckResponse(response); err != nil {
+		return err
 	}
 	if containsStatusLine(response) {
 		return errRunTogether
@@ -103,12 +104,6 @@
 	return nil
 }
 
-// Statuses outside this range are not defined for final responses. Callers could take such a response for a success.
-const (
-	minFinalStatus = 200
-	maxStatus      = 599
-)
-
 const (
 	// maxHeaderFields is the largest number of fields in the header of a response. A header of 64 KiB can have 16,000 of them, which take
 	// over 1 MiB of memory.
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -84,5 +84,4 @@
 	errNotSentOnConnection = errors.New("response on a connection on which the request was not sent")
 	errRunTogether         = errors.New("response begins with a part of another one")
 	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
-	errUndefinedStatus     = errors.New("response has a status outside 200 to 599")
 )
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // Options configures a Forwarder.
@@ -340,8 +342,8 @@
 	case errors.Is(err, errNoMemory) && errors.Is(cause, context.DeadlineExceeded):
 		failure.Kind = NoMemory
 	case errors.Is(err, errUnknownLength) && (cause == nil || errors.Is(cause, context.DeadlineExceeded)): // Broken
-	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols), errors.Is(err, errUndefinedStatus),
-		errors.Is(err, errRunTogether):
+	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols), errors.Is(err, errRunTogether),
+		errors.Is(err, httphead.ErrStatus), errors.Is(err, httphead.ErrFieldName):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
 		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
