forward: a response with a line of its header that begins with a blank is broken

What callers saw: with a line " X-Trace: 1" in the header of a response, the field of the line before it with "X-Trace: 1" at its end; with " Content-Length: 14" or "\tTransfer-Encoding: chunked" also a body that ended with the connection, with the sizes of its chunks in it. With a line feed before the name, the rest of the header came as the beginning of the body (65 bytes in place of 14).

The parsed response does not show that, so a check of names can't find it.

"\r" is rejected by net/http already.

Change: countedConn checks the lines of the head while http.Transport reads them: a folded line (which RFC 9112, section 5.2, lets a proxy reject) and line ends of both kinds in one head make the response a wrong one. A head whose lines all end with LF alone is still accepted, and so is anything in a body. Heads of interim responses are checked as well. The errors of kind WrongResponse are a list now.

--- a/traffic/forward/answer.go
+++ b/traffic/forward/answer.go
@@ -94,6 +94,11 @@
 	if containsStatusLine(response) {
 		return errRunTogether
 	}
+	if conn := a.connection().conn; conn != nil {
+		if err := conn.head.check(); err != nil {
+			return err
+		}
+	}
 	if fields, _ := headerSize(response.Header); fields > maxHeaderFields {
 		return errHeaderFields
 	}
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -99,10 +99,12 @@
 	index    *idleIndex   // lists it while it is idle; nil if nothing does
 	received atomic.Int64 // bytes read
 	writes   writeGuard
+	head     headLines // of the response that is read
 }
 
 // assign counts a request that is about to be sent, and returns what the connection was before it.
 func (c *countedConn) assign() Connection {
+	c.head.restart()
 	return Connection{Number: c.number, Requests: c.requests.Add(1) - 1}
 }
 
@@ -147,6 +149,7 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	c.head.scan(p[:n])
 	if err == io.EOF { //nolint:errorlint // net.Conn returns it unwrapped
 		if lost := c.writes.connectionError(c.Conn); lost != nil {
 			return n, fmt.Errorf("connection ended within the response: %w", lost)
--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // FailureKind is the reason why an attempt produced no response.
@@ -16,7 +19,7 @@
 	TimedOut
 	// Broken means that the connection broke or that the response was truncated.
 	Broken
-	// WrongResponse means that the response does not belong to this request.
+	// WrongResponse means that the response does not belong to this request, or that its head is faulty.
 	WrongResponse
 	// Cancelled means that the context of the attempt was cancelled.
 	Cancelled
@@ -85,3 +88,13 @@
 	errRunTogether         = errors.New("response begins with a part of another one")
 	errSwitchingProtocols  = errors.New("upstream switched protocols although no upgrade was requested")
 )
+
+// wrongResponses are the causes of kind WrongResponse.
+var wrongResponses = []error{
+	errRequestIDMismatch, errRequestIDMissing, errSwitchingProtocols, errRunTogether, errFoldedLine, errMixedLineEnds,
+	httphead.ErrStatus, httphead.ErrFieldName,
+}
+
+func isWrongResponse(err error) bool {
+	return slices.ContainsFunc(wrongResponses, func(wrong error) bool { return errors.Is(err, wrong) })
+}
--- a/traffic/forward/fieldname_test.go
+++ b/traffic/forward/fieldname_test.go
@@ -89,3 +89,16 @@
 		}
 	}
 }
+
+// Guards against a header line that begins with a blank or a line end: a blank makes it a part of the line before it, so that callers got
+// that field with another value, and a line feed ends the header, so that they got the rest of it as the body.
+func TestLineThatBeginsWithBlankBreaksResponse(t *testing.T) {
+	for kind, framing := range framings {
+		for _, c := range []string{" ", "\t", "  \t", "\n", "\r"} {
+			t.Run(fmt.Sprintf("%s, %q", kind, c), func(t *testing.T) {
+				t.Parallel()
+				expectRejected(t, c+framing.name+": "+framing.value, framing.body)
+			})
+		}
+	}
+}
--- a/traffic/forward/forwarder.go
+++ b/traffic/forward/forwarder.go
@@ -11,8 +11,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // Options configures a Forwarder.
@@ -342,8 +340,7 @@
 	case errors.Is(err, errNoMemory) && errors.Is(cause, context.DeadlineExceeded):
 		failure.Kind = NoMemory
 	case errors.Is(err, errUnknownLength) && (cause == nil || errors.Is(cause, context.DeadlineExceeded)): // Broken
-	case errors.Is(err, errRequestIDMismatch), errors.Is(err, errRequestIDMissing), errors.Is(err, errSwitchingProtocols), errors.Is(err, errRunTogether),
-		errors.Is(err, httphead.ErrStatus), errors.Is(err, httphead.ErrFieldName):
+	case isWrongResponse(err):
 		failure.Kind = WrongResponse
 	case a.bodyError.Load() != nil:
 		failure.Kind, failure.Cause = RequestBroken, *a.bodyError.Load()
--- /dev/null
+++ b/traffic/forward/headlines.go
@@ -0,0 +1,94 @@
+package forward
+
+import (
+	"errors"
+	"sync"
+)
+
+// Faults of the lines of a head that the parsed response does not show. RFC 9112 section 5.2 lets a proxy reject folded lines.
+var (
+	errFoldedLine    = errors.New("a line of the header begins with a blank")
+	errMixedLineEnds = errors.New("some lines of the header end with CRLF and others with LF alone")
+)
+
+// headLines checks the lines of the head of a response while they are read from the connection. http.Transport joins a line that begins
+// with a blank to the one before it, and accepts LF as the end of a line. An upstream that wrote such a byte as a part of a name has sent
+// another header than the one that is parsed. Heads whose lines all end with LF alone are accepted. Its zero value is ready for use.
+type headLines struct {
+	mu    sync.Mutex // http.Transport reads in a goroutine of its own
+	state headState
+}
+
+// headState is the state of headLines within a head.
+type headState struct {
+	fault  error
+	ended  bool
+	lines  int  // complete lines
+	length int  // bytes of the current line
+	last   byte // the byte before
+	crlf   bool // the first line ended with CRLF
+	// status is the first digit of the status; 0 until it was read.
+	status byte
+}
+
+// restart begins with the head of the next response.
+func (h *headLines) restart() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = headState{}
+}
+
+// check returns an error if the head of the response is faulty.
+func (h *headLines) check() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.fault
+}
+
+// scan continues with bytes that were read from the connection. Those behind the head are ignored.
+func (h *headLines) scan(p []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range p {
+		if h.state.ended {
+			return
+		}
+		h.state.next(b)
+	}
+}
+
+func (s *headState) next(b byte) {
+	last := s.last
+	s.last = b
+	switch {
+	case b == '\n':
+		s.endLine(last == '\r')
+		return
+	case s.lines == 0 && s.status == 0 && last == ' ' && b != ' ':
+		s.status = b
+	case s.lines > 0 && s.length == 0 && (b == ' ' || b == '\t'):
+		s.fault = errFoldedLine
+	}
+	s.length++
+}
+
+// endLine ends the current line. An empty line ends the head. The head of an interim response is followed by another one.
+func (s *headState) endLine(crlf bool) {
+	empty := s.length == 0 || s.length == 1 && crlf
+	switch {
+	case s.lines == 0:
+		s.crlf = crlf
+	case crlf != s.crlf:
+		s.fault = errMixedLineEnds
+	}
+	s.lines++
+	s.length = 0
+	if !empty {
+		return
+	}
+	if s.status == '1' && s.fault == nil {
+		*s = headState{}
+		return
+	}
+	s.ended = true
+}
