host: an upstream does not pass its probe with a faulty head

What hosts did: the response to a probe with status 200 and a blank in the name of a field counted as a success, although a request that gets such a response fails.

Cause: as for requests, the names of fields were not checked. A status such as 000 failed the probe already.

Evidence: TestBrokenResponseFailsProbe failed for "X-Trace : a" and "X Trace: a"; status 000, a control byte and a head that is cut were rejected before.

Change: the probe asks httphead before it looks at the status.

--- a/host/probe.go
+++ b/host/probe.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/bronzeyard/bronzeyard/settings"
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // probe requests an upstream's health endpoint once, on a new connection. The endpoint may report a wrong state, so a
@@ -21,6 +22,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httphead.CheckResponse(response); err != nil {
+		return fmt.Errorf("probe of upstream %s: %w", upstream.ID, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("probe of upstream %s: got status %s, want 200", upstream.ID, response.Status)
 	}
