storage: a reset that the write of a request finds breaks the response

What hosts did: an object counted as stored, and a transaction as done, if the service sent a success without a length at once and reset the connection while the request was still being written.

Cause: the same as for upstreams: the write takes the reset from the kernel, and the read of the response gets a proper end. The SDK takes what came before it for the whole response; an empty one is a success for it.

Change: the check of connections moves from forward to package storage/cleanclose, and the clients of the table and of the object store open their connections with it. HTTP/2 is still attempted over TLS. The package is in the module storage because that may import none of the others.

Handled already, tests kept: a list of hosts that is cut, or has status 000 (TestBrokenListOfHostsIsNotUsed).

--- a/storage/dynamo/dynamo.go
+++ b/storage/dynamo/dynamo.go
@@ -17,6 +17,7 @@
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
 	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/cleanclose"
 )
 
 // Options of a Table.
@@ -71,6 +72,8 @@
 	}
 	if options.HTTPClient == nil {
 		options.HTTPClient = &http.Client{Transport: &http.Transport{
+			DialContext:         cleanclose.DialContext(&net.Dialer{}),
+			ForceAttemptHTTP2:   true, // as without DialContext
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 		}}
--- a/storage/s3/s3.go
+++ b/storage/s3/s3.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 
 	"github.com/bronzeyard/bronzeyard/storage"
+	"github.com/bronzeyard/bronzeyard/storage/cleanclose"
 )
 
 // MaxObjectBytes bounds an object.
@@ -62,6 +64,8 @@
 	}
 	if options.HTTPClient == nil {
 		options.HTTPClient = &http.Client{Transport: &http.Transport{
+			DialContext:         cleanclose.DialContext(&net.Dialer{}),
+			ForceAttemptHTTP2:   true, // as without DialContext
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 		}}
--- a/traffic/forward/conn.go
+++ b/traffic/forward/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"hash/maphash"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -98,8 +96,7 @@
 	idle     idleEntry
 	index    *idleIndex   // lists it while it is idle; nil if nothing does
 	received atomic.Int64 // bytes read
-	writes   writeGuard
-	head     headLines // of the response that is read
+	head     headLines    // of the response that is read
 }
 
 // assign counts a request that is about to be sent, and returns what the connection was before it.
@@ -144,17 +141,11 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn. An end of the connection is io.EOF only if the upstream has closed its side properly, because it can mark the
-// end of a response.
+// Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
 	c.head.scan(p[:n])
-	if err == io.EOF { //nolint:errorlint // net.Conn returns it unwrapped
-		if lost := c.writes.connectionError(c.Conn); lost != nil {
-			return n, fmt.Errorf("connection ended within the response: %w", lost)
-		}
-	}
 	return n, err
 }
 
@@ -163,5 +154,5 @@
 	if !c.sent.begin(len(p)) {
 		return 0, errSealed
 	}
-	return c.writes.write(c.Conn, p)
+	return c.Conn.Write(p)
 }
--- a/traffic/forward/pool.go
+++ b/traffic/forward/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/storage/cleanclose"
 )
 
 // unusedPoolTimeout is how long the transport of an upstream is kept after its last request.
@@ -83,7 +85,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn, number: dialed.Add(1), index: index}, nil
+			return &countedConn{Conn: cleanclose.New(conn), number: dialed.Add(1), index: index}, nil
 		},
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
