confsync test: cut responses and undefined statuses of other hosts

A configuration from another host in a response without a length is rejected wherever it is cut, because it is authenticated as a whole, and so is one with status 000.

--- a/gateway/confsync/confsync_test.go
+++ b/gateway/confsync/confsync_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -95,3 +96,30 @@
 		t.Errorf("Fetch returned error %v, want one about the length of the header", err)
 	}
 }
+
+// Guards against a part of a configuration that is taken for the whole, and against one in a response whose status is not defined. The
+// response has no length, so that its content must show that it is whole.
+func TestBrokenResponsesAreRejected(t *testing.T) {
+	handler := NewHandler(key, func() []byte { return Compress([]byte(`{"prefix":"/book/"}`)) })
+	for cut := range 30 {
+		for _, status := range []string{"200", "000"} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				whole := httptest.NewRecorder()
+				handler.ServeHTTP(whole, r)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body := whole.Body.Bytes()
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n\r\n%s", status, body[:len(body)-cut])
+				_ = conn.Close()
+			}))
+			_, err := NewClient().Fetch(t.Context(), strings.TrimPrefix(server.URL, "http://"), key)
+			if whole := cut == 0 && status == "200"; (err == nil) != whole {
+				t.Errorf("status %s, %d bytes cut: error %v", status, cut, err)
+			}
+			server.Close()
+		}
+	}
+}
