--- a/traffic/forward/reset_test.go
+++ b/traffic/forward/reset_test.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// smallUpload fits into one write of http.Transport.
+	smallUpload = 1 << 10
 	// longUpload does not fit into the socket buffers of a connection, so that it is still being written when the response arrives.
 	longUpload = 16 << 20
 	// shortUpload fits into the socket buffers, but not into one write of http.Transport.
@@ -99,7 +101,7 @@
 // written, and resets the connection. The kernel reports the reset once: if the write of the request gets it, the read of the response
 // gets an end of the connection, like that after a proper close.
 func TestResetDuringUploadBreaksResponse(t *testing.T) {
-	for _, upload := range []int{shortUpload, longUpload} {
+	for _, upload := range []int{smallUpload, shortUpload, longUpload} {
 		for _, streamed := range []bool{false, true} {
 			for buffered, kind := range map[int64]string{0: "buffered", bufferedPart: "stream"} {
 				for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodGet} {
@@ -130,7 +132,7 @@
 // Guards against a whole response that is taken for a broken one because the request was not read to its end: the upstream responds without
 // a length and closes its side of the connection properly, and reads no more.
 func TestProperCloseDuringUploadEndsResponse(t *testing.T) {
-	for _, upload := range []int{shortUpload, longUpload} {
+	for _, upload := range []int{smallUpload, shortUpload, longUpload} {
 		for _, streamed := range []bool{false, true} {
 			for buffered, kind := range map[int64]string{0: "buffered", bufferedPart: "stream"} {
 				t.Run(fmt.Sprintf("%d bytes, streamed upload %v, %s response", upload, streamed, kind), func(t *testing.T) {
