forward: only the empty line decides whether the line ends of a header are broken

Cause: rejected each header that ends some lines with CRLF and others with LF alone. RFC 9112, section 2.2, lets a recipient accept a single LF, and upstreams that build a header from two sources send such ones: whole responses would have been lost.

Change: a line feed as the first byte of a name makes an empty line, so just the line that ends the header is compared with the first one. A line feed elsewhere in a name leaves a line without a colon, which net/http rejects.

--- a/traffic/forward/failure.go
+++ b/traffic/forward/failure.go
@@ -91,7 +91,7 @@
 
 // wrongResponses are the causes of kind WrongResponse.
 var wrongResponses = []error{
-	errRequestIDMismatch, errRequestIDMissing, errSwitchingProtocols, errRunTogether, errFoldedLine, errMixedLineEnds,
+	errRequestIDMismatch, errRequestIDMissing, errSwitchingProtocols, errRunTogether, errFoldedLine, errEndOfHead,
 	httphead.ErrStatus, httphead.ErrFieldName,
 }
 
--- a/traffic/forward/headlines.go
+++ b/traffic/forward/headlines.go
@@ -7,13 +7,14 @@
 
 // Faults of the lines of a head that the parsed response does not show. RFC 9112 section 5.2 lets a proxy reject folded lines.
 var (
-	errFoldedLine    = errors.New("a line of the header begins with a blank")
-	errMixedLineEnds = errors.New("some lines of the header end with CRLF and others with LF alone")
+	errFoldedLine = errors.New("a line of the header begins with a blank")
+	errEndOfHead  = errors.New("the header ends with LF alone, but its first line with CRLF")
 )
 
 // headLines checks the lines of the head of a response while they are read from the connection. http.Transport joins a line that begins
-// with a blank to the one before it, and accepts LF as the end of a line. An upstream that wrote such a byte as a part of a name has sent
-// another header than the one that is parsed. Heads whose lines all end with LF alone are accepted. Its zero value is ready for use.
+// with a blank to the one before it, and takes an LF at the beginning of a line for the end of the head. An upstream that wrote such a byte
+// as the first one of a name has sent another header than the one that is parsed. Otherwise, lines that end with LF alone are accepted. Its
+// zero value is ready for use.
 type headLines struct {
 	mu    sync.Mutex // http.Transport reads in a goroutine of its own
 	state headState
@@ -75,17 +76,17 @@
 // endLine ends the current line. An empty line ends the head. The head of an interim response is followed by another one.
 func (s *headState) endLine(crlf bool) {
 	empty := s.length == 0 || s.length == 1 && crlf
-	switch {
-	case s.lines == 0:
+	if s.lines == 0 {
 		s.crlf = crlf
-	case crlf != s.crlf:
-		s.fault = errMixedLineEnds
 	}
 	s.lines++
 	s.length = 0
 	if !empty {
 		return
 	}
+	if s.crlf && !crlf {
+		s.fault = errEndOfHead
+	}
 	if s.status == '1' && s.fault == nil {
 		*s = headState{}
 		return
