ctl: a response with a faulty head is no success

What operators saw: bronzeyardctl reported a change as made, or printed a status, if the response had the status 000 or a blank in the name of a field.

Cause: each status below 400 counted as a success, and the names of fields were not checked.

Evidence: TestFaultyHeadIsNoSuccess failed in 6 of 8 cases with a faulty head (000, blank behind and within a name; a change and a read). The control byte is rejected by net/http already.

Change: the command asks httphead before it reads the body. A failed check counts like an error of the connection: the next host is tried with the same change id, and in the end the command says that the change may have been made.

Handled already, test kept: a part of a response, also after a reset that a write has found, is not whole JSON (TestPartOfResponseIsNoSuccess). go test -race ./cmd/internal/ctl passes.

--- a/cmd/internal/ctl/client.go
+++ b/cmd/internal/ctl/client.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/bronzeyard/bronzeyard/traffic/httphead"
 )
 
 // session is one execution of a command. All its requests share the token, the hosts and the change id.
@@ -119,6 +121,9 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httphead.CheckResponse(response); err != nil {
+		return 0, nil, err
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	return response.StatusCode, responseBody, err
 }
