--- a/storage/cleanclose/conn_test.go
+++ b/storage/cleanclose/conn_test.go
@@ -87,3 +87,29 @@
 		}
 	}
 }
+
+// Guards against a reset and a proper close that are mixed up if nothing is read until the write has failed. The other side resets the
+// connection, or closes its side properly and answers later data with a reset.
+func TestReadAfterFailedWrite(t *testing.T) {
+	for n := range rounds {
+		reset := n%2 == 0
+		conn, peer := connect(t)
+		_, _ = io.WriteString(peer, "sent")
+		time.AfterFunc(time.Duration(n%4)*time.Millisecond, func() {
+			if reset {
+				_ = peer.SetLinger(0)
+			} else {
+				_ = peer.CloseWrite()
+			}
+			_ = peer.Close()
+		})
+		var writeErr error
+		for chunk := make([]byte, 32<<10); writeErr == nil; {
+			_, writeErr = conn.Write(chunk)
+		}
+		text, readErr := io.ReadAll(conn) // without an error, the read has ended with io.EOF
+		if proper := readErr == nil; proper == reset || string(text) != "sent" {
+			t.Errorf("round %d, reset %v: the read of %q ended with %v, the write with %v", n, reset, text, readErr, writeErr)
+		}
+	}
+}
