review: case 13 with back ends that have a bounded queue

The case now has back ends of its own.

Run: review/13/run.sh, about 27 s, five times and once with TROUBLE=0.

--- a/review/three/cmd/foreignentry/main.go
+++ b/review/three/cmd/foreignentry/main.go
@@ -23,7 +23,8 @@
 	slots   = 4
 	// processing is the time that a request takes: a back end serves 40 a second, all of them 240, half of them 120.
 	processing = 100 * time.Millisecond
-	perHost    = 50.0 // requests a second at each of three hosts
+	// perHost is the rate of requests at each of three hosts: 162 a second.
+	perHost = 54.0
 
 	floorShare = 0.7
 	window     = 2 * time.Second
@@ -65,18 +66,18 @@
 	}
 	defer store.Close()
 	zones := []string{"mv-north", "mv-mill", "mv-hall"}
-	var servers []*platformtest.Upstream
+	var servers []*harness.BackEnd
 	var entries []entry
 	born := time.Now().Add(-time.Hour)
 	for i := range backEnds {
-		u, err := platformtest.NewUpstream(context.Background(), fmt.Sprintf("i-desk-%d", i+1), "desk", zones[i%len(zones)], slots, processing)
+		u, err := harness.NewBackEnd(names, fmt.Sprintf("i-desk-%d", i+1), slots, processing)
 		if err != nil {
 			return 2, err
 		}
 		defer u.Close()
 		servers = append(servers, u)
 		entries = append(entries, entry{u.ID, fields{
-			Service: "desk", Address: u.Address(), Zone: u.Zone, Version: "v1", Capacity: slots, State: "ready",
+			Service: "desk", Address: u.Address(), Zone: zones[i%len(zones)], Version: "v1", Capacity: slots, State: "ready",
 			Born: born.Add(time.Duration(i) * time.Second).UnixMilli(),
 		}})
 	}
@@ -127,7 +128,7 @@
 	arrivals := make([][]time.Time, len(servers))
 	for i, u := range servers {
 		for _, r := range u.Runs() {
-			record.At(r.ArrivedAt, "run       %s by %s", r.ID, r.Upstream)
+			record.At(r.ArrivedAt, "run       %s by %s", r.ID, u.ID)
 			arrivals[i] = append(arrivals[i], r.ArrivedAt)
 		}
 	}
--- a/review/three/harness/names.go
+++ b/review/three/harness/names.go
@@ -12,6 +12,10 @@
 	SettingsVariable string `json:"settings_variable"`
 	RequestID        string `json:"request_id"`
 	TimeoutMs        string `json:"timeout_ms"`
+	Target           string `json:"target"`
+	NotExecuted      string `json:"not_executed"`
+	Load             string `json:"load"`
+	Signature        string `json:"signature"`
 }
 
 // LoadNames reads the names from a file.
