--- a/review/three/harness/caller.go
+++ b/review/three/harness/caller.go
@@ -30,6 +30,8 @@
 	Method, Path, Hostname, Key string
 	Body                        []byte
 	Timeout                     time.Duration
+	// ID is the request id. A short one is chosen if it is empty.
+	ID string
 }
 
 var serial atomic.Int64
@@ -73,7 +75,10 @@
 // Do sends a request with an id of its own and reads the response. It reports whether the connection can be used again.
 func (c *Conn) Do(call Call) (Result, bool) {
 	names := c.callers.Names
-	id := fmt.Sprintf("r%07d", serial.Add(1))
+	id := call.ID
+	if id == "" {
+		id = fmt.Sprintf("r%07d", serial.Add(1))
+	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", call.Method, call.Path, call.Hostname, names.RequestID, id,
 		names.TimeoutMs, call.Timeout.Milliseconds())
